--- /dev/null
+++ b/src/balancer/mod.rs
@@ -0,0 +1,135 @@
+//! The balancer: takes packets from the fabric and hands each to an agent.
+//!
+//! It keeps no per-flow state. A packet that names its owner goes to that
+//! owner, if the owner is an agent of the profile's service; a packet that
+//! opens a flow goes to the agent that the lookup table picks. The view of
+//! profiles and targets comes from a watch on the key-value service and is
+//! kept through its outages.
+
+pub mod view;
+
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use anyhow::Context;
+use tokio::net::UdpSocket;
+
+pub use view::View;
+
+use crate::metrics::{self, Refusal};
+use crate::settings::{BalancerSettings, Settings};
+use crate::store::{self, Keys};
+use crate::wire::{self, Kind, Packet};
+use crate::{events, record};
+
+/// Largest datagram taken, in bytes.
+const DATAGRAM: usize = 64 * 1024;
+
+/// Where a packet goes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Decision {
+    /// To this agent.
+    Forward(SocketAddr),
+    /// Nowhere, for this reason.
+    Drop(Refusal),
+}
+
+/// Picks the agent for a packet from a view.
+#[must_use]
+pub fn decide(view: &View, p: &Packet) -> Decision {
+    let Some(route) = view.routes.get(&p.port) else {
+        return Decision::Drop(Refusal::NoProfile);
+    };
+    if p.kind != Kind::Open || p.owner.addr().is_some() {
+        return match p.owner.addr() {
+            Some(a) if route.owners.contains(&a) => Decision::Forward(SocketAddr::V4(a)),
+            _ => Decision::Drop(Refusal::ForeignOwner),
+        };
+    }
+    match route.table.pick(p.flow) {
+        Some((_, addr)) => Decision::Forward(*addr),
+        None => Decision::Drop(Refusal::NoTarget),
+    }
+}
+
+/// Runs the balancer `name` of `settings` until the process stops.
+///
+/// # Errors
+///
+/// Fails when the balancer is not in the settings or its address is taken.
+pub async fn run(settings: &Settings, name: &str) -> anyhow::Result<()> {
+    let me = settings.balancer(name)?.clone();
+    let sock = UdpSocket::bind(me.addr)
+        .await
+        .with_context(|| format!("balancer {name}: binding {}", me.addr))?;
+    let store = store::Client::new(settings.store.addr, ms(settings.store.timeout_ms)).await;
+    let keys = Keys::new(settings.store.prefix.clone());
+    let view = Rc::new(RefCell::new(View::default()));
+    log::info!("{} balancer {name} in {} on {}", events::BALANCER_START, me.zone, me.addr);
+    let watcher = tokio::task::spawn_local(follow(store.clone(), keys.clone(), view.clone()));
+    let announcer =
+        tokio::task::spawn_local(announce(store, keys, me.clone(), settings.agent.lease_ms));
+    let res = forward(&sock, &view).await;
+    watcher.abort();
+    announcer.abort();
+    let _ = watcher.await;
+    let _ = announcer.await;
+    res
+}
+
+async fn forward(sock: &UdpSocket, view: &RefCell<View>) -> anyhow::Result<()> {
+    let mut buf = vec![0u8; DATAGRAM];
+    loop {
+        let (n, _) = sock.recv_from(&mut buf).await.context("balancer: receiving")?;
+        let Ok(p) = wire::decode::<Packet>(&buf[..n]) else {
+            continue;
+        };
+        let decision = decide(&view.borrow(), &p);
+        match decision {
+            Decision::Forward(to) => {
+                if let Err(e) = sock.send_to(&buf[..n], to).await {
+                    log::debug!("{} flow {:x} to {to}: {e}", events::BALANCER_DROP, p.flow);
+                }
+            }
+            Decision::Drop(reason) => {
+                metrics::refused(reason);
+                log::debug!("{} flow {:x} dropped: {reason}", events::BALANCER_DROP, p.flow);
+            }
+        }
+    }
+}
+
+async fn follow(store: store::Client, keys: Keys, view: Rc<RefCell<View>>) {
+    let prefix = keys.all();
+    store::mirror::follow(
+        &store,
+        &prefix,
+        |copy| {
+            let next = View::build(&keys, copy);
+            let sizes: Vec<String> = next
+                .routes
+                .values()
+                .map(|r| format!("{}={}/{}", r.name, r.table.len(), r.owners.len()))
+                .collect();
+            log::info!("{} view: {}", events::BALANCER_VIEW, sizes.join(" "));
+            *view.borrow_mut() = next;
+        },
+        |e| log::warn!("{} {e:#}", events::BALANCER_STORE),
+    )
+    .await;
+}
+
+/// Announces the balancer under a lease and keeps the lease alive.
+async fn announce(store: store::Client, keys: Keys, me: BalancerSettings, lease_ms: u64) {
+    let rec = record::Balancer { name: me.name.clone(), zone: me.zone.clone(), addr: me.addr };
+    let Ok(value) = serde_json::to_vec(&rec) else {
+        return;
+    };
+    store::lease::hold(&store, &keys.balancer(&me.name), &value, lease_ms).await;
+}
+
+const fn ms(v: u64) -> Duration {
+    Duration::from_millis(v)
+}
--- /dev/null
+++ b/src/bench/mod.rs
@@ -0,0 +1,322 @@
+//! The load tool: opens long feeds and short requests through the fabric of a
+//! running site, and prints broken flows and imbalance per profile, as a
+//! table and as JSON.
+//!
+//! A feed is broken when it ends or fails before the run is over. Imbalance
+//! is the most loaded target's share over the mean (1.0 is even), counted
+//! over every target of the profile's service, idle ones included. After the
+//! run it asks every target how often each non-idempotent request ran, and
+//! counts ids that ran more than once.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use serde::Serialize;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+use crate::settings::{ProfileSettings, Service, Settings};
+
+/// Arguments of `jujubepost bench`.
+#[derive(Clone, Debug, clap::Args)]
+pub struct Args {
+    /// Settings file of the running site.
+    #[arg(long)]
+    pub config: PathBuf,
+    /// Long feeds held open per profile that has feeds.
+    #[arg(long, default_value_t = 20)]
+    pub feeds: u32,
+    /// Short requests per profile over the run.
+    #[arg(long, default_value_t = 200)]
+    pub requests: u32,
+    /// Length of the run, in seconds.
+    #[arg(long, default_value_t = 5)]
+    pub secs: u64,
+}
+
+/// What one profile saw.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct Row {
+    /// Profile name.
+    pub profile: String,
+    /// Flows opened (feeds and requests).
+    pub flows: u32,
+    /// Requests answered 200.
+    pub ok: u32,
+    /// Requests refused as not run (503).
+    pub refused: u32,
+    /// Requests that failed otherwise.
+    pub failed: u32,
+    /// Feeds opened.
+    pub feeds: u32,
+    /// Feeds that ended or failed before the run was over.
+    pub broken: u32,
+    /// Requests most loaded target / mean.
+    pub imbalance: f64,
+    /// Feeds on the most loaded target / mean.
+    pub feed_imbalance: f64,
+    /// Non-idempotent request ids that ran more than once.
+    pub doubled: u32,
+    /// Answers from a target of another service.
+    pub foreign: u32,
+}
+
+/// Runs the bench against the site of `args.config` and prints the rows.
+///
+/// # Errors
+///
+/// Fails when the settings cannot be loaded.
+pub async fn run(args: Args) -> anyhow::Result<()> {
+    let settings = Settings::load(&args.config)?;
+    let rows = measure(&settings, &args).await;
+    print(&settings.site, &rows);
+    Ok(())
+}
+
+/// Prints rows as a table and as one JSON line.
+pub fn print(site: &str, rows: &[Row]) {
+    println!("site {site}");
+    println!(
+        "{:<12} {:>6} {:>6} {:>8} {:>6} {:>6} {:>7} {:>9} {:>9} {:>7} {:>7}",
+        "profile",
+        "flows",
+        "ok",
+        "refused",
+        "failed",
+        "feeds",
+        "broken",
+        "imbalance",
+        "feed_imb",
+        "doubled",
+        "foreign"
+    );
+    for r in rows {
+        println!(
+            "{:<12} {:>6} {:>6} {:>8} {:>6} {:>6} {:>7} {:>9.2} {:>9.2} {:>7} {:>7}",
+            r.profile,
+            r.flows,
+            r.ok,
+            r.refused,
+            r.failed,
+            r.feeds,
+            r.broken,
+            r.imbalance,
+            r.feed_imbalance,
+            r.doubled,
+            r.foreign
+        );
+    }
+    if let Ok(json) = serde_json::to_string(rows) {
+        println!("json {json}");
+    }
+}
+
+/// Drives every profile of the site at once and returns a row each.
+pub async fn measure(settings: &Settings, args: &Args) -> Vec<Row> {
+    let mut tasks = Vec::new();
+    for p in &settings.profiles {
+        let (s, a, p) = (settings.clone(), args.clone(), p.clone());
+        tasks.push(tokio::task::spawn_local(async move { profile(&s, &a, &p).await }));
+    }
+    let mut rows = Vec::new();
+    for t in tasks {
+        if let Ok(r) = t.await {
+            rows.push(r);
+        }
+    }
+    rows
+}
+
+#[derive(Default)]
+struct Tally {
+    row: Row,
+    requests: HashMap<String, u32>,
+    feeds: HashMap<String, u32>,
+}
+
+async fn profile(settings: &Settings, args: &Args, p: &ProfileSettings) -> Row {
+    let tally = Rc::new(std::cell::RefCell::new(Tally::default()));
+    tally.borrow_mut().row.profile = p.name.to_string();
+    let run = Duration::from_secs(args.secs);
+    let has_feed = matches!(p.service, Service::Meter | Service::Calculadora);
+    let mut tasks = Vec::new();
+    if has_feed {
+        for _ in 0..args.feeds {
+            let (t, addr, svc) = (tally.clone(), p.listen, p.service);
+            tasks.push(tokio::task::spawn_local(async move { feed(addr, svc, run, &t).await }));
+        }
+    }
+    let gap = run.div_f64(f64::from(args.requests.max(1)));
+    let start = Instant::now();
+    for i in 0..args.requests {
+        let at = start + gap * i;
+        tokio::time::sleep_until(at.into()).await;
+        let (t, addr, svc) = (tally.clone(), p.listen, p.service);
+        let id = format!("{}-{i}-{:x}", p.name, rand::random::<u32>());
+        tasks.push(tokio::task::spawn_local(async move { request(addr, svc, &id, &t).await }));
+    }
+    for t in tasks {
+        let _ = t.await;
+    }
+    let names: Vec<_> = settings.targets.iter().filter(|t| t.service == p.service).collect();
+    let mut tally = tally.take();
+    tally.row.imbalance =
+        imbalance(names.iter().map(|t| tally.requests.get(&*t.name).copied().unwrap_or(0)));
+    tally.row.feed_imbalance =
+        imbalance(names.iter().map(|t| tally.feeds.get(&*t.name).copied().unwrap_or(0)));
+    if !p.idempotent && matches!(p.service, Service::Meter | Service::Validador) {
+        tally.row.doubled = doubled(names.iter().map(|t| t.addr)).await;
+    }
+    tally.row
+}
+
+/// Most loaded over mean; 0 when nothing was counted.
+#[must_use]
+pub fn imbalance(counts: impl Iterator<Item = u32>) -> f64 {
+    let v: Vec<u32> = counts.collect();
+    let total: u32 = v.iter().sum();
+    if v.is_empty() || total == 0 {
+        return 0.0;
+    }
+    let mean = f64::from(total) / v.len() as f64;
+    f64::from(*v.iter().max().unwrap_or(&0)) / mean
+}
+
+fn path(service: Service, id: &str) -> (&'static str, String, Vec<u8>) {
+    match service {
+        Service::Meter => ("POST", format!("/pay?id={id}"), Vec::new()),
+        Service::Fieldlog => ("POST", "/upload".into(), vec![b'x'; 4096]),
+        Service::Calculadora => ("GET", format!("/quote?w={id}"), Vec::new()),
+        Service::Validador => ("POST", format!("/check?id={id}"), Vec::new()),
+    }
+}
+
+/// Sends one HTTP/1.1 request and reads the whole answer.
+async fn exchange(
+    addr: SocketAddr,
+    method: &str,
+    path: &str,
+    body: &[u8],
+) -> anyhow::Result<Vec<u8>> {
+    let mut s = TcpStream::connect(addr).await?;
+    let head = format!(
+        "{method} {path} HTTP/1.1\r\nHost: {addr}\r\nContent-Length: {}\r\nConnection: close\r\n\r\n",
+        body.len()
+    );
+    s.write_all(head.as_bytes()).await?;
+    s.write_all(body).await?;
+    let mut out = Vec::new();
+    tokio::time::timeout(Duration::from_secs(10), s.read_to_end(&mut out)).await??;
+    Ok(out)
+}
+
+fn header<'a>(answer: &'a str, name: &str) -> Option<&'a str> {
+    answer.lines().take_while(|l| !l.is_empty()).find_map(|l| {
+        let (k, v) = l.split_once(':')?;
+        k.eq_ignore_ascii_case(name).then(|| v.trim())
+    })
+}
+
+async fn request(addr: SocketAddr, service: Service, id: &str, tally: &std::cell::RefCell<Tally>) {
+    let (method, path, body) = path(service, id);
+    let res = exchange(addr, method, &path, &body).await;
+    let mut t = tally.borrow_mut();
+    t.row.flows += 1;
+    let Ok(bytes) = res else {
+        t.row.failed += 1;
+        return;
+    };
+    let text = String::from_utf8_lossy(&bytes);
+    if header(&text, "X-Service").is_some_and(|s| s != service.to_string()) {
+        t.row.foreign += 1;
+    }
+    if text.starts_with("HTTP/1.1 200") {
+        t.row.ok += 1;
+        if let Some(name) = header(&text, "X-Target") {
+            *t.requests.entry(name.to_string()).or_default() += 1;
+        }
+    } else if text.starts_with("HTTP/1.1 503") {
+        t.row.refused += 1;
+    } else {
+        t.row.failed += 1;
+    }
+}
+
+async fn feed(
+    addr: SocketAddr,
+    service: Service,
+    run: Duration,
+    tally: &std::cell::RefCell<Tally>,
+) {
+    {
+        let mut t = tally.borrow_mut();
+        t.row.flows += 1;
+        t.row.feeds += 1;
+    }
+    let ok = hold_feed(addr, service, run, tally).await;
+    if !ok {
+        tally.borrow_mut().row.broken += 1;
+    }
+}
+
+async fn hold_feed(
+    addr: SocketAddr,
+    service: Service,
+    run: Duration,
+    tally: &std::cell::RefCell<Tally>,
+) -> bool {
+    let Ok(mut s) = TcpStream::connect(addr).await else { return false };
+    let head = format!("GET /feed HTTP/1.1\r\nHost: {addr}\r\n\r\n");
+    if s.write_all(head.as_bytes()).await.is_err() {
+        return false;
+    }
+    let deadline = tokio::time::Instant::now() + run;
+    let mut seen = Vec::new();
+    let mut counted = false;
+    let mut buf = vec![0u8; 4096];
+    loop {
+        match tokio::time::timeout_at(deadline, s.read(&mut buf)).await {
+            Err(_) => return counted,
+            Ok(Ok(0) | Err(_)) => return false,
+            Ok(Ok(n)) => {
+                if counted {
+                    continue;
+                }
+                seen.extend_from_slice(&buf[..n]);
+                let text = String::from_utf8_lossy(&seen).to_string();
+                if !text.contains("\r\n\r\n") {
+                    continue;
+                }
+                if !text.starts_with("HTTP/1.1 200") {
+                    return false;
+                }
+                let mut t = tally.borrow_mut();
+                if header(&text, "X-Service").is_some_and(|v| v != service.to_string()) {
+                    t.row.foreign += 1;
+                }
+                if let Some(name) = header(&text, "X-Target") {
+                    *t.feeds.entry(name.to_string()).or_default() += 1;
+                }
+                counted = true;
+            }
+        }
+    }
+}
+
+async fn doubled(targets: impl Iterator<Item = SocketAddr>) -> u32 {
+    let mut runs: HashMap<String, u32> = HashMap::new();
+    for addr in targets {
+        let Ok(bytes) = exchange(addr, "GET", "/runs", &[]).await else { continue };
+        let text = String::from_utf8_lossy(&bytes);
+        let Some((_, body)) = text.split_once("\r\n\r\n") else { continue };
+        if let Ok(m) = serde_json::from_str::<HashMap<String, u32>>(body) {
+            for (id, n) in m {
+                *runs.entry(id).or_default() += n;
+            }
+        }
+    }
+    runs.values().filter(|&&n| n > 1).count() as u32
+}
--- /dev/null
+++ b/src/ctl/mod.rs
@@ -0,0 +1,221 @@
+//! The operator's tool: declare and change profiles, take targets out of
+//! service and back, show status, and set the store stand-in's faults.
+//!
+//! A profile change is a compare-and-swap on the profile's revision: of two
+//! operators who change the same profile from the same revision, exactly one
+//! wins and the other gets a conflict error. A write whose answer is lost is
+//! read back: each write carries a random `writer` identifier.
+
+use std::path::PathBuf;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use anyhow::{Context, bail};
+use clap::Subcommand;
+
+use crate::events;
+use crate::record;
+use crate::settings::{ProfileSettings, Settings};
+use crate::store::{self, Faults, Keys};
+
+/// Arguments of `jujubepost ctl`.
+#[derive(Debug, clap::Args)]
+pub struct Args {
+    /// Settings file (JSON with comments).
+    #[arg(long)]
+    pub config: PathBuf,
+    /// What to do.
+    #[command(subcommand)]
+    pub command: Command,
+}
+
+/// The operator's commands.
+#[derive(Debug, Subcommand)]
+pub enum Command {
+    /// Writes every profile of the settings file whose stored form differs.
+    Apply,
+    /// Writes one profile from the settings file, only if its stored
+    /// revision is still `rev` (0: it must not exist yet).
+    Put {
+        /// The profile's name in the settings file.
+        name: String,
+        /// The revision the change is based on, as `status` shows it.
+        #[arg(long)]
+        rev: i64,
+    },
+    /// Takes a target out of service: no new flows after the grace.
+    Drain {
+        /// The target's name.
+        target: String,
+    },
+    /// Puts a drained target back in service.
+    Resume {
+        /// The target's name.
+        target: String,
+    },
+    /// Prints profiles with their revisions, targets and drains.
+    Status,
+    /// Sets the store stand-in's injected faults.
+    Fault {
+        /// Every call fails while set.
+        #[arg(long)]
+        outage: bool,
+        /// Every answer comes this late, in milliseconds.
+        #[arg(long, default_value_t = 0)]
+        delay_ms: u64,
+        /// The next N writes take effect but lose their answer.
+        #[arg(long, default_value_t = 0)]
+        lose: u32,
+        /// Keepalives are refused so leases lapse.
+        #[arg(long)]
+        lapse: bool,
+    },
+}
+
+/// The outcome of a compare-and-swap write.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// The write took effect.
+    Written,
+    /// Another change came first; nothing was written.
+    Conflict,
+}
+
+/// Runs one operator command.
+///
+/// # Errors
+///
+/// Fails when the settings are bad, the store cannot be reached, or a change
+/// lost a race (conflict).
+pub async fn run(args: Args) -> anyhow::Result<()> {
+    let settings = Settings::load(&args.config)?;
+    let store =
+        store::Client::new(settings.store.addr, Duration::from_millis(settings.store.timeout_ms))
+            .await;
+    let keys = Keys::new(settings.store.prefix.clone());
+    match args.command {
+        Command::Apply => apply(&store, &keys, &settings.profiles).await,
+        Command::Put { name, rev } => {
+            let spec = settings
+                .profiles
+                .iter()
+                .find(|p| *p.name == *name)
+                .with_context(|| format!("ctl: no profile `{name}` in the settings"))?;
+            match put(&store, &keys, spec, rev).await? {
+                Outcome::Written => Ok(()),
+                Outcome::Conflict => {
+                    bail!("ctl: profile `{name}` changed since revision {rev}: conflict")
+                }
+            }
+        }
+        Command::Drain { target } => {
+            let since_ms =
+                SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_millis() as u64);
+            let value = serde_json::to_vec(&record::Drain { since_ms })?;
+            store.put(&keys.drain(&target), &value, 0).await?;
+            log::info!("{} target {target} drains", events::CTL_WRITE);
+            Ok(())
+        }
+        Command::Resume { target } => {
+            store.delete(&keys.drain(&target)).await?;
+            log::info!("{} target {target} back in service", events::CTL_WRITE);
+            Ok(())
+        }
+        Command::Status => status(&store, &keys).await,
+        Command::Fault { outage, delay_ms, lose, lapse } => {
+            fault(&settings, &Faults { outage, delay_ms, lose, lapse }).await
+        }
+    }
+}
+
+/// Writes each profile whose stored form differs, based on the revision just
+/// read.
+///
+/// # Errors
+///
+/// Fails when the store cannot be reached or a profile changed meanwhile.
+pub async fn apply(
+    store: &store::Client,
+    keys: &Keys,
+    profiles: &[ProfileSettings],
+) -> anyhow::Result<()> {
+    for spec in profiles {
+        let current = store.get(&keys.profile(&spec.name)).await?;
+        let rev = current.as_ref().map_or(0, |kv| kv.rev);
+        let same = current
+            .and_then(|kv| serde_json::from_slice::<record::Profile>(&kv.value).ok())
+            .is_some_and(|p| p.spec == *spec);
+        if same {
+            continue;
+        }
+        if put(store, keys, spec, rev).await? == Outcome::Conflict {
+            bail!("ctl: profile `{}` changed while applying: conflict", spec.name);
+        }
+    }
+    Ok(())
+}
+
+/// Writes one profile if its revision is still `rev`.
+///
+/// # Errors
+///
+/// Fails when the store cannot be reached and the write cannot be confirmed.
+pub async fn put(
+    store: &store::Client,
+    keys: &Keys,
+    spec: &ProfileSettings,
+    rev: i64,
+) -> anyhow::Result<Outcome> {
+    let key = keys.profile(&spec.name);
+    let rec = record::Profile { spec: spec.clone(), writer: rand::random() };
+    let value = serde_json::to_vec(&rec)?;
+    let outcome = match store.swap(&key, &value, rev).await {
+        Ok(true) => Outcome::Written,
+        Ok(false) => Outcome::Conflict,
+        Err(e) => {
+            // The answer may be lost after the write took effect: read back.
+            let now = store
+                .get(&key)
+                .await
+                .with_context(|| format!("ctl: confirming {key} after: {e:#}"))?;
+            let mine = now
+                .and_then(|kv| serde_json::from_slice::<record::Profile>(&kv.value).ok())
+                .is_some_and(|p| p.writer == rec.writer);
+            if mine { Outcome::Written } else { Outcome::Conflict }
+        }
+    };
+    match outcome {
+        Outcome::Written => log::info!("{} profile {} written", events::CTL_WRITE, spec.name),
+        Outcome::Conflict => {
+            log::warn!("{} profile {} not written: conflict", events::CTL_CONFLICT, spec.name)
+        }
+    }
+    Ok(outcome)
+}
+
+async fn status(store: &store::Client, keys: &Keys) -> anyhow::Result<()> {
+    let (rev, kvs) = store.list(&keys.all()).await?;
+    println!("store revision {rev}");
+    for kv in kvs {
+        let Some((kind, name)) = keys.split(&kv.key) else { continue };
+        let lease = if kv.lease == 0 { String::new() } else { format!(" lease {}", kv.lease) };
+        println!("{kind:<10} {name:<16} rev {}{lease}", kv.rev);
+    }
+    Ok(())
+}
+
+/// Sets the store stand-in's faults.
+///
+/// # Errors
+///
+/// Fails when the stand-in cannot be reached.
+pub async fn fault(settings: &Settings, faults: &Faults) -> anyhow::Result<()> {
+    let http = ntex::client::Client::new().await;
+    let url = format!("http://{}/fault", settings.store.addr);
+    let res = http.post(&url).send_json(faults).await.map_err(|e| {
+        anyhow::anyhow!("ctl: setting faults at store {}: {e}", settings.store.addr)
+    })?;
+    if !res.status().is_success() {
+        bail!("ctl: setting faults at store {}: status {}", settings.store.addr, res.status());
+    }
+    Ok(())
+}
--- /dev/null
+++ b/src/events/mod.rs
@@ -0,0 +1,55 @@
+//! Numbered log events. Every log line starts with one of these codes; the
+//! catalogue with meaning and operator action is `docs/EVENTS.md`.
+
+/// The store stand-in is listening.
+pub const STORE_START: &str = "E100";
+/// The store stand-in changed its injected faults.
+pub const STORE_FAULT: &str = "E101";
+/// The store stand-in dropped the answer of a write that took effect.
+pub const STORE_LOST: &str = "E102";
+/// The store stand-in removed keys of lapsed leases.
+pub const STORE_LAPSED: &str = "E103";
+
+/// A balancer started.
+pub const BALANCER_START: &str = "E200";
+/// A balancer rebuilt its view of profiles and targets.
+pub const BALANCER_VIEW: &str = "E201";
+/// A balancer could not reach the store and keeps its last view.
+pub const BALANCER_STORE: &str = "E202";
+/// A balancer dropped a packet it could not place.
+pub const BALANCER_DROP: &str = "E203";
+/// A balancer stopped.
+pub const BALANCER_STOP: &str = "E204";
+
+/// An agent started and announced its target.
+pub const AGENT_START: &str = "E300";
+/// An agent's lease lapsed and it announced again.
+pub const AGENT_LAPSED: &str = "E301";
+/// An agent refused a new flow as not run.
+pub const AGENT_REFUSE: &str = "E302";
+/// An agent learned that its target drains.
+pub const AGENT_DRAIN: &str = "E303";
+/// An agent closed a flow that stayed silent too long.
+pub const AGENT_IDLE: &str = "E304";
+/// An agent is stopping and waits for open flows.
+pub const AGENT_STOP: &str = "E305";
+/// An agent could not reach the store.
+pub const AGENT_STORE: &str = "E306";
+
+/// The fabric stand-in is listening for callers.
+pub const FABRIC_START: &str = "E400";
+/// The fabric gave up on a flow that no agent accepted.
+pub const FABRIC_OPEN: &str = "E401";
+
+/// A target stand-in is listening.
+pub const TARGET_START: &str = "E500";
+/// A target stand-in got a request for another service.
+pub const TARGET_FOREIGN: &str = "E501";
+
+/// An operator's change was written.
+pub const CTL_WRITE: &str = "E600";
+/// An operator's change lost a race to another change.
+pub const CTL_CONFLICT: &str = "E601";
+
+/// Counter totals printed at stop.
+pub const COUNTERS: &str = "E900";
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,29 @@
+//! jujubepost: a layer-4 load balancer whose balancers keep no per-flow state.
+//!
+//! The crate is one binary with a subcommand per role. Each module holds one
+//! role or one shared piece of the data path:
+//!
+//! - [`settings`]: typed, checked settings read from JSON with comments.
+//! - [`wire`]: the packets exchanged by fabric, balancers and agents.
+//! - [`table`]: the consistent-hash lookup table that picks a target.
+//! - [`store`]: the key-value service stand-in and its client.
+//! - [`balancer`], [`agent`], [`fabric`], [`target`]: the roles.
+//! - [`ctl`]: the operator's tool.
+//! - [`bench`]: the load tool that prints broken flows and imbalance.
+//! - [`up`]: runs a whole deployment on one machine.
+
+pub mod agent;
+pub mod balancer;
+pub mod bench;
+pub mod ctl;
+pub mod events;
+pub mod fabric;
+pub mod logs;
+pub mod metrics;
+pub mod record;
+pub mod settings;
+pub mod store;
+pub mod table;
+pub mod target;
+pub mod up;
+pub mod wire;
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,72 @@
+//! The `jujubepost` command: one subcommand per role.
+
+use std::path::PathBuf;
+
+use clap::{Parser, Subcommand};
+use jujubepost::settings::Settings;
+use jujubepost::{agent, balancer, bench, ctl, fabric, store, target, up};
+
+/// A layer-4 load balancer whose balancers keep no per-flow state.
+#[derive(Debug, Parser)]
+#[command(name = "jujubepost", version)]
+struct Cli {
+    #[command(subcommand)]
+    role: Role,
+}
+
+#[derive(Debug, Subcommand)]
+enum Role {
+    /// Runs one balancer of a site.
+    Balancer(Named),
+    /// Runs the agent beside one target.
+    Agent(Named),
+    /// Runs the fabric stand-in of a site.
+    Fabric(Site),
+    /// Runs one target stand-in.
+    Target(Named),
+    /// Runs the key-value service stand-in of a site.
+    Store(Site),
+    /// The operator's tool.
+    Ctl(ctl::Args),
+    /// Drives load against a running site and prints broken flows and imbalance.
+    Bench(bench::Args),
+    /// Runs whole sites on this machine, drives load and prints what was served.
+    Up(up::Args),
+}
+
+#[derive(Debug, clap::Args)]
+struct Site {
+    /// Settings file (JSON with comments).
+    #[arg(long)]
+    config: PathBuf,
+}
+
+#[derive(Debug, clap::Args)]
+struct Named {
+    /// Settings file (JSON with comments).
+    #[arg(long)]
+    config: PathBuf,
+    /// This process's name in the settings.
+    #[arg(long)]
+    name: String,
+}
+
+#[ntex::main]
+async fn main() -> anyhow::Result<()> {
+    let cli = Cli::parse();
+    jujubepost::logs::init();
+    run(cli.role).await
+}
+
+async fn run(role: Role) -> anyhow::Result<()> {
+    match role {
+        Role::Balancer(n) => balancer::run(&Settings::load(&n.config)?, &n.name).await,
+        Role::Agent(n) => agent::run(&Settings::load(&n.config)?, &n.name).await,
+        Role::Target(n) => target::run(&Settings::load(&n.config)?, &n.name).await,
+        Role::Fabric(s) => fabric::run(&Settings::load(&s.config)?).await,
+        Role::Store(s) => store::serve(Settings::load(&s.config)?.store.addr).await,
+        Role::Ctl(a) => ctl::run(a).await,
+        Role::Bench(a) => bench::run(a).await,
+        Role::Up(a) => up::run(a).await,
+    }
+}
--- /dev/null
+++ b/src/metrics/mod.rs
@@ -0,0 +1,162 @@
+//! Counters through `opentelemetry`: one counter for refusals and one for
+//! retries, each with a `reason` attribute, plus plain event counters.
+//!
+//! The SDK's manual reader lets a role print its counters on demand (at stop,
+//! or when asked), so an operator can read them without a collector.
+
+use std::sync::{Arc, OnceLock, Weak};
+use std::time::Duration;
+
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::Counter;
+use opentelemetry_sdk::error::OTelSdkResult;
+use opentelemetry_sdk::metrics::data::{AggregatedMetrics, MetricData, ResourceMetrics};
+use opentelemetry_sdk::metrics::reader::MetricReader;
+use opentelemetry_sdk::metrics::{
+    InstrumentKind, ManualReader, Pipeline, SdkMeterProvider, Temporality,
+};
+
+/// Why a flow or request was refused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, derive_more::Display)]
+pub enum Refusal {
+    /// The target is draining and its grace has passed.
+    #[display("draining")]
+    Draining,
+    /// The target has as many flows as its profile allows.
+    #[display("full")]
+    Full,
+    /// The target could not be reached.
+    #[display("unreachable")]
+    Unreachable,
+    /// No profile listens on the packet's port.
+    #[display("no_profile")]
+    NoProfile,
+    /// The profile has no target in service.
+    #[display("no_target")]
+    NoTarget,
+    /// The packet's owner is not an agent of the profile's service.
+    #[display("foreign_owner")]
+    ForeignOwner,
+    /// A packet for a flow this agent does not hold.
+    #[display("unknown_flow")]
+    UnknownFlow,
+    /// No agent accepted the flow in time.
+    #[display("open_timeout")]
+    OpenTimeout,
+}
+
+/// Why something was tried again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, derive_more::Display)]
+pub enum Retry {
+    /// A packet was not acknowledged in time and was sent again.
+    #[display("packet_timeout")]
+    PacketTimeout,
+    /// An open was not accepted in time and was sent again.
+    #[display("open_timeout")]
+    OpenTimeout,
+    /// A call to the key-value service failed and was made again.
+    #[display("store_error")]
+    StoreError,
+    /// A lease lapsed and was taken again.
+    #[display("lease_lapsed")]
+    LeaseLapsed,
+    /// A watch fell behind the kept history and listed again.
+    #[display("watch_compacted")]
+    WatchCompacted,
+}
+
+#[derive(Clone, Debug)]
+struct Reader(Arc<ManualReader>);
+
+impl MetricReader for Reader {
+    fn register_pipeline(&self, pipeline: Weak<Pipeline>) {
+        self.0.register_pipeline(pipeline);
+    }
+
+    fn collect(&self, rm: &mut ResourceMetrics) -> OTelSdkResult {
+        self.0.collect(rm)
+    }
+
+    fn force_flush(&self) -> OTelSdkResult {
+        self.0.force_flush()
+    }
+
+    fn shutdown_with_timeout(&self, timeout: Duration) -> OTelSdkResult {
+        self.0.shutdown_with_timeout(timeout)
+    }
+
+    fn temporality(&self, kind: InstrumentKind) -> Temporality {
+        self.0.temporality(kind)
+    }
+}
+
+struct Meters {
+    reader: Reader,
+    _provider: SdkMeterProvider,
+    refusals: Counter<u64>,
+    retries: Counter<u64>,
+}
+
+static METERS: OnceLock<Meters> = OnceLock::new();
+
+fn meters() -> &'static Meters {
+    METERS.get_or_init(|| {
+        let reader = Reader(Arc::new(ManualReader::builder().build()));
+        let provider = SdkMeterProvider::builder().with_reader(reader.clone()).build();
+        opentelemetry::global::set_meter_provider(provider.clone());
+        let meter = opentelemetry::global::meter("jujubepost");
+        let refusals = meter.u64_counter("jujubepost.refusals").build();
+        let retries = meter.u64_counter("jujubepost.retries").build();
+        Meters { reader, _provider: provider, refusals, retries }
+    })
+}
+
+/// Counts one refusal.
+pub fn refused(reason: Refusal) {
+    meters().refusals.add(1, &[KeyValue::new("reason", reason.to_string())]);
+}
+
+/// Counts one retry.
+pub fn retried(reason: Retry) {
+    meters().retries.add(1, &[KeyValue::new("reason", reason.to_string())]);
+}
+
+/// One counter value with its reason.
+#[derive(Clone, Debug, PartialEq, Eq, derive_more::Display)]
+#[display("{name}{{reason={reason}}} {value}")]
+pub struct Count {
+    /// Counter name.
+    pub name: String,
+    /// The `reason` attribute.
+    pub reason: String,
+    /// Total since start.
+    pub value: u64,
+}
+
+/// Every counter's totals since start, sorted by name and reason.
+#[must_use]
+pub fn snapshot() -> Vec<Count> {
+    let m = meters();
+    let mut rm = ResourceMetrics::default();
+    if m.reader.collect(&mut rm).is_err() {
+        return Vec::new();
+    }
+    let mut out = Vec::new();
+    for scope in rm.scope_metrics() {
+        for metric in scope.metrics() {
+            let AggregatedMetrics::U64(MetricData::Sum(sum)) = metric.data() else {
+                continue;
+            };
+            for dp in sum.data_points() {
+                let reason = dp
+                    .attributes()
+                    .find(|kv| kv.key.as_str() == "reason")
+                    .map(|kv| kv.value.to_string())
+                    .unwrap_or_default();
+                out.push(Count { name: metric.name().to_string(), reason, value: dp.value() });
+            }
+        }
+    }
+    out.sort_by(|a, b| (&a.name, &a.reason).cmp(&(&b.name, &b.reason)));
+    out
+}
--- /dev/null
+++ b/src/settings/check.rs
@@ -0,0 +1,63 @@
+//! Checks on loaded settings that types alone cannot express.
+
+use std::collections::HashSet;
+use std::net::SocketAddr;
+
+use anyhow::bail;
+
+use super::Settings;
+
+/// Refuses settings whose values do not fit together.
+///
+/// # Errors
+///
+/// Names the first offending field, for example `targets[2].slots`.
+pub fn check(s: &Settings) -> anyhow::Result<()> {
+    if s.fabric.rto_ms == 0 {
+        bail!("field `fabric.rto_ms`: must be at least 1");
+    }
+    if s.agent.lease_ms < 500 {
+        bail!("field `agent.lease_ms`: must be at least 500");
+    }
+    let mut names = HashSet::new();
+    let mut addrs: HashSet<SocketAddr> = HashSet::new();
+    addrs.insert(s.store.addr);
+    addrs.insert(s.fabric.addr);
+    for (i, b) in s.balancers.iter().enumerate() {
+        if !names.insert(b.name.clone()) {
+            bail!("field `balancers[{i}].name`: `{}` is used twice", b.name);
+        }
+        if !addrs.insert(b.addr) {
+            bail!("field `balancers[{i}].addr`: {} is used twice", b.addr);
+        }
+    }
+    for (i, p) in s.profiles.iter().enumerate() {
+        if !names.insert(p.name.clone()) {
+            bail!("field `profiles[{i}].name`: `{}` is used twice", p.name);
+        }
+        if !addrs.insert(p.listen) {
+            bail!("field `profiles[{i}].listen`: {} is used twice", p.listen);
+        }
+        if p.max_flows == 0 {
+            bail!("field `profiles[{i}].max_flows`: must be at least 1");
+        }
+    }
+    for (i, t) in s.targets.iter().enumerate() {
+        if !names.insert(t.name.clone()) {
+            bail!("field `targets[{i}].name`: `{}` is used twice", t.name);
+        }
+        if t.slots == 0 {
+            bail!("field `targets[{i}].slots`: must be at least 1");
+        }
+        if !addrs.insert(t.addr) {
+            bail!("field `targets[{i}].addr`: {} is used twice", t.addr);
+        }
+        if !addrs.insert(t.agent) {
+            bail!("field `targets[{i}].agent`: {} is used twice", t.agent);
+        }
+        if !t.agent.is_ipv4() {
+            bail!("field `targets[{i}].agent`: must be an IPv4 address");
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/src/settings/mod.rs
@@ -0,0 +1,246 @@
+//! Settings of a deployment, read from JSON with comments and checked on load.
+//!
+//! One file describes a whole site: where the key-value service listens, the
+//! fabric, the balancers, the profiles and the targets with their agents. Each
+//! process is started with the file and its own name, and learns its addresses
+//! and data centre (zone) from it.
+
+mod check;
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::sync::Arc;
+
+use anyhow::Context;
+use serde::Deserialize;
+
+pub use check::check;
+
+/// The services that a target can run, named as in the brief.
+#[derive(
+    Clone, Copy, Debug, PartialEq, Eq, Hash, Deserialize, serde::Serialize, derive_more::Display,
+)]
+#[serde(rename_all = "lowercase")]
+pub enum Service {
+    /// Suryakosh's live feed and payment confirmations.
+    #[display("meter")]
+    Meter,
+    /// Suryakosh's diagnostic uploads.
+    #[display("fieldlog")]
+    Fieldlog,
+    /// The Asociación's rate feed and quotes.
+    #[display("calculadora")]
+    Calculadora,
+    /// The Asociación's manifest checks.
+    #[display("validador")]
+    Validador,
+}
+
+/// The whole settings file of one site.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Settings {
+    /// The site's name, for logs and reports.
+    pub site: Arc<str>,
+    /// The platform's key-value service.
+    pub store: StoreSettings,
+    /// The fabric stand-in that sprays packets over the balancers.
+    pub fabric: FabricSettings,
+    /// The agents' timers, shared by every agent of the site.
+    pub agent: AgentSettings,
+    /// The entry VMs.
+    pub balancers: Vec<BalancerSettings>,
+    /// The profiles that the operators declare at start.
+    pub profiles: Vec<ProfileSettings>,
+    /// The target VMs, each with its agent.
+    pub targets: Vec<TargetSettings>,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            site: "local".into(),
+            store: StoreSettings::default(),
+            fabric: FabricSettings::default(),
+            agent: AgentSettings::default(),
+            balancers: Vec::new(),
+            profiles: Vec::new(),
+            targets: Vec::new(),
+        }
+    }
+}
+
+/// Where the key-value service listens and how it is used.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct StoreSettings {
+    /// Address of the service's HTTP endpoint.
+    pub addr: SocketAddr,
+    /// Key prefix under which jujubepost keeps everything.
+    pub prefix: Arc<str>,
+    /// Timeout of one call, in milliseconds.
+    pub timeout_ms: u64,
+}
+
+impl Default for StoreSettings {
+    fn default() -> Self {
+        Self {
+            addr: SocketAddr::from(([127, 0, 0, 1], 7379)),
+            prefix: "/jujubepost".into(),
+            timeout_ms: 2_000,
+        }
+    }
+}
+
+/// The fabric stand-in.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct FabricSettings {
+    /// UDP address at which the fabric takes replies from agents.
+    pub addr: SocketAddr,
+    /// Retransmission timeout for unacknowledged packets, in milliseconds.
+    pub rto_ms: u64,
+    /// How long a new flow may wait to be accepted, in milliseconds.
+    pub open_ms: u64,
+}
+
+impl Default for FabricSettings {
+    fn default() -> Self {
+        Self { addr: SocketAddr::from(([127, 0, 0, 1], 7400)), rto_ms: 200, open_ms: 3_000 }
+    }
+}
+
+/// Timers of the agents.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct AgentSettings {
+    /// Lease time to live of a target's announcement, in milliseconds.
+    pub lease_ms: u64,
+    /// How long a draining target still accepts new flows, in milliseconds,
+    /// while the drain spreads to every balancer.
+    pub grace_ms: u64,
+    /// A flow with no packet and no answer for this long is closed, in
+    /// milliseconds.
+    pub idle_ms: u64,
+    /// How long a planned stop waits for open flows, in milliseconds.
+    pub stop_ms: u64,
+}
+
+impl Default for AgentSettings {
+    fn default() -> Self {
+        Self { lease_ms: 3_000, grace_ms: 2_000, idle_ms: 300_000, stop_ms: 30_000 }
+    }
+}
+
+/// One balancer.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct BalancerSettings {
+    /// Unique name, such as `lb-gjw-a`.
+    pub name: Arc<str>,
+    /// Data centre, such as `gjw-a`.
+    pub zone: Arc<str>,
+    /// UDP address at which the balancer takes packets from the fabric.
+    pub addr: SocketAddr,
+}
+
+/// One profile as declared at start.
+#[derive(Clone, Debug, Deserialize, serde::Serialize, PartialEq, Eq)]
+#[serde(deny_unknown_fields)]
+pub struct ProfileSettings {
+    /// Unique name, such as `meter`.
+    pub name: Arc<str>,
+    /// The service whose targets serve this profile.
+    pub service: Service,
+    /// The caller-facing address (the fabric listens here).
+    pub listen: SocketAddr,
+    /// Whether a request may safely run twice.
+    #[serde(default)]
+    pub idempotent: bool,
+    /// Open flows per target before new ones are refused as not run.
+    #[serde(default = "default_flows")]
+    pub max_flows: u32,
+}
+
+const fn default_flows() -> u32 {
+    2_000
+}
+
+/// One target VM with its agent.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct TargetSettings {
+    /// Unique name, such as `meter-1`.
+    pub name: Arc<str>,
+    /// Data centre, such as `bilbao`.
+    pub zone: Arc<str>,
+    /// The service it runs.
+    pub service: Service,
+    /// TCP address of the target itself.
+    pub addr: SocketAddr,
+    /// UDP address of its agent.
+    pub agent: SocketAddr,
+    /// Requests the target works on at once before it sheds load.
+    #[serde(default = "default_slots")]
+    pub slots: u32,
+    /// Milliseconds after start during which the target answers slowly.
+    #[serde(default)]
+    pub cold_ms: u64,
+}
+
+const fn default_slots() -> u32 {
+    5
+}
+
+impl Settings {
+    /// Reads, parses and checks a settings file.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the file cannot be read, when it is not JSON with comments,
+    /// when a field is unknown or of the wrong type (the error names the
+    /// field's path), or when [`check`] refuses a value.
+    pub fn load(path: &Path) -> anyhow::Result<Self> {
+        let text = std::fs::read_to_string(path)
+            .with_context(|| format!("settings: reading {}", path.display()))?;
+        Self::parse(&text).with_context(|| format!("settings: in {}", path.display()))
+    }
+
+    /// Parses and checks settings from text.
+    ///
+    /// # Errors
+    ///
+    /// As [`Settings::load`], without the file.
+    pub fn parse(text: &str) -> anyhow::Result<Self> {
+        let plain = json_comments::StripComments::new(text.as_bytes());
+        let mut de = serde_json::Deserializer::from_reader(plain);
+        let settings: Self = serde_path_to_error::deserialize(&mut de)
+            .map_err(|e| anyhow::anyhow!("field `{}`: {}", e.path(), e.inner()))?;
+        check(&settings)?;
+        Ok(settings)
+    }
+
+    /// The target of the given name.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no target has that name.
+    pub fn target(&self, name: &str) -> anyhow::Result<&TargetSettings> {
+        self.targets
+            .iter()
+            .find(|t| &*t.name == name)
+            .with_context(|| format!("settings: no target named `{name}`"))
+    }
+
+    /// The balancer of the given name.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no balancer has that name.
+    pub fn balancer(&self, name: &str) -> anyhow::Result<&BalancerSettings> {
+        self.balancers
+            .iter()
+            .find(|b| &*b.name == name)
+            .with_context(|| format!("settings: no balancer named `{name}`"))
+    }
+}
--- /dev/null
+++ b/src/store/mod.rs
@@ -0,0 +1,105 @@
+//! The platform's key-value service: a stand-in server and the client that
+//! every role uses.
+//!
+//! The protocol is a subset of etcd v3's HTTP/JSON gateway (see [`types`]):
+//! get, put, compare-and-swap on a key's revision, leases with a time to live,
+//! and watches from a revision. The stand-in can be told to fail (see
+//! [`Faults`]).
+
+pub mod client;
+pub mod lease;
+pub mod mirror;
+pub mod server;
+pub mod types;
+
+use std::sync::Arc;
+
+pub use client::Client;
+pub use server::{Faults, serve};
+
+/// A key and its value as the rest of the crate sees them.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Kv {
+    /// The key.
+    pub key: Arc<str>,
+    /// The value.
+    pub value: Vec<u8>,
+    /// Revision of the last change.
+    pub rev: i64,
+    /// Lease the key is attached to, or 0.
+    pub lease: i64,
+}
+
+/// One change seen by a watch.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Change {
+    /// The key was written.
+    Put(Kv),
+    /// The key was removed (by a delete or a lapsed lease).
+    Delete(Arc<str>),
+}
+
+/// The layout of jujubepost's keys under the prefix.
+#[derive(Clone, Debug)]
+pub struct Keys {
+    prefix: Arc<str>,
+}
+
+impl Keys {
+    /// Keys under `prefix`, such as `/jujubepost`.
+    #[must_use]
+    pub fn new(prefix: Arc<str>) -> Self {
+        Self { prefix }
+    }
+
+    /// Everything jujubepost keeps.
+    #[must_use]
+    pub fn all(&self) -> String {
+        format!("{}/", self.prefix)
+    }
+
+    /// A profile, written by operators.
+    #[must_use]
+    pub fn profile(&self, name: &str) -> String {
+        format!("{}/profiles/{name}", self.prefix)
+    }
+
+    /// A target's announcement, written by its agent under a lease.
+    #[must_use]
+    pub fn target(&self, name: &str) -> String {
+        format!("{}/targets/{name}", self.prefix)
+    }
+
+    /// A drain order for a target, written by operators.
+    #[must_use]
+    pub fn drain(&self, name: &str) -> String {
+        format!("{}/drain/{name}", self.prefix)
+    }
+
+    /// A balancer's announcement, under a lease.
+    #[must_use]
+    pub fn balancer(&self, name: &str) -> String {
+        format!("{}/balancers/{name}", self.prefix)
+    }
+
+    /// Splits a key into its kind (`profiles`, `targets`, ...) and name.
+    #[must_use]
+    pub fn split<'a>(&self, key: &'a str) -> Option<(&'a str, &'a str)> {
+        let rest = key.strip_prefix(&*self.prefix)?.strip_prefix('/')?;
+        rest.split_once('/')
+    }
+}
+
+/// The key one past every key that starts with `prefix`, as etcd's
+/// `range_end` for a prefix.
+#[must_use]
+pub fn prefix_end(prefix: &str) -> Vec<u8> {
+    let mut end = prefix.as_bytes().to_vec();
+    while let Some(last) = end.pop() {
+        if last < 0xff {
+            end.push(last + 1);
+            return end;
+        }
+    }
+    vec![0]
+}
--- /dev/null
+++ b/src/table/mod.rs
@@ -0,0 +1,99 @@
+//! Consistent-hash lookup table (Maglev, NSDI 2016) that picks the agent of a
+//! new flow.
+//!
+//! Every balancer that sees the same list of targets builds the same table,
+//! so the same flow hash gives the same target everywhere, and a change of the
+//! list moves few buckets. Hashing is `xxh3` with fixed seeds.
+
+use std::sync::Arc;
+
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+/// Buckets in a table; a prime well above the largest expected target list.
+pub const SIZE: usize = 65_537;
+
+const SEED_OFFSET: u64 = 0x6a75_6a75;
+const SEED_SKIP: u64 = 0x6265_7374;
+const SEED_FLOW: u64 = 0x666c_6f77;
+
+/// A lookup table over a list of named entries.
+#[derive(Clone, Debug)]
+pub struct Table<T> {
+    entries: Vec<(Arc<str>, T)>,
+    buckets: Vec<u32>,
+}
+
+impl<T: Clone> Table<T> {
+    /// Builds the table. Entries are sorted by name first, so the table
+    /// depends only on the set of names.
+    #[must_use]
+    pub fn new(mut entries: Vec<(Arc<str>, T)>) -> Self {
+        entries.sort_by(|a, b| a.0.cmp(&b.0));
+        entries.dedup_by(|a, b| a.0 == b.0);
+        let buckets = fill(&entries);
+        Self { entries, buckets }
+    }
+
+    /// The entry for a flow, or `None` when the table is empty.
+    #[must_use]
+    pub fn pick(&self, flow: u64) -> Option<&(Arc<str>, T)> {
+        if self.entries.is_empty() {
+            return None;
+        }
+        let h = xxh3_64_with_seed(&flow.to_le_bytes(), SEED_FLOW);
+        let b = self.buckets[(h % SIZE as u64) as usize];
+        self.entries.get(b as usize)
+    }
+
+    /// How many entries the table spreads over.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Whether the table has no entries.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    /// The name owning each bucket, for comparing two tables.
+    pub fn owners(&self) -> impl Iterator<Item = &Arc<str>> + '_ {
+        self.buckets.iter().map(|&b| &self.entries[b as usize].0)
+    }
+}
+
+fn fill<T>(entries: &[(Arc<str>, T)]) -> Vec<u32> {
+    let n = entries.len();
+    let mut buckets = vec![u32::MAX; SIZE];
+    if n == 0 {
+        return buckets;
+    }
+    let size = SIZE as u64;
+    let perms: Vec<(u64, u64)> = entries
+        .iter()
+        .map(|(name, _)| {
+            let offset = xxh3_64_with_seed(name.as_bytes(), SEED_OFFSET) % size;
+            let skip = xxh3_64_with_seed(name.as_bytes(), SEED_SKIP) % (size - 1) + 1;
+            (offset, skip)
+        })
+        .collect();
+    let mut next = vec![0u64; n];
+    let mut filled = 0;
+    'outer: loop {
+        for (i, &(offset, skip)) in perms.iter().enumerate() {
+            let mut c = (offset + next[i] * skip) % size;
+            while buckets[c as usize] != u32::MAX {
+                next[i] += 1;
+                c = (offset + next[i] * skip) % size;
+            }
+            buckets[c as usize] = i as u32;
+            next[i] += 1;
+            filled += 1;
+            if filled == SIZE {
+                break 'outer;
+            }
+        }
+    }
+    buckets
+}
--- /dev/null
+++ b/src/up/mod.rs
@@ -0,0 +1,202 @@
+//! Runs whole sites on one machine: every role as its own process of this
+//! binary, then a bench run, then a graceful stop of every process.
+//!
+//! This is for trying jujubepost out and for tests; a production process
+//! starts no other process. With no `--config`, it runs the two embedded
+//! example sites, Suryakosh (gjw) and the Asociación (norte).
+
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+
+use anyhow::{Context, bail};
+use nix::sys::signal::{Signal, kill};
+use nix::unistd::Pid;
+
+use crate::bench;
+use crate::settings::Settings;
+use crate::store::{self, Keys};
+
+/// The embedded Suryakosh example.
+pub const SURYAKOSH: &str = include_str!("../../examples/suryakosh.jsonc");
+/// The embedded Asociación example.
+pub const NORTE: &str = include_str!("../../examples/norte.jsonc");
+
+/// How long a site may take to come up.
+const READY: Duration = Duration::from_secs(20);
+
+/// Arguments of `jujubepost up`.
+#[derive(Clone, Debug, clap::Args)]
+pub struct Args {
+    /// Settings files of the sites; the embedded examples when none.
+    #[arg(long)]
+    pub config: Vec<PathBuf>,
+    /// Long feeds per profile.
+    #[arg(long, default_value_t = 20)]
+    pub feeds: u32,
+    /// Short requests per profile.
+    #[arg(long, default_value_t = 200)]
+    pub requests: u32,
+    /// Length of the bench run, in seconds.
+    #[arg(long, default_value_t = 5)]
+    pub secs: u64,
+}
+
+/// A running site: its processes, joined on drop.
+pub struct Site {
+    /// The site's settings.
+    pub settings: Settings,
+    /// The settings file its processes read.
+    pub path: PathBuf,
+    children: Vec<(String, Child)>,
+}
+
+impl Site {
+    /// Starts every process of the site and waits until each target is
+    /// announced and every profile is written.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a process cannot start or the site is not up in time.
+    pub async fn start(path: &Path) -> anyhow::Result<Self> {
+        let settings = Settings::load(path)?;
+        let exe = std::env::current_exe().context("up: finding this binary")?;
+        let mut site =
+            Self { settings: settings.clone(), path: path.to_path_buf(), children: Vec::new() };
+        site.spawn(&exe, "store", &["store"])?;
+        for t in &settings.targets {
+            site.spawn(&exe, &t.name, &["target", "--name", &t.name])?;
+        }
+        for t in &settings.targets {
+            site.spawn(&exe, &format!("agent-{}", t.name), &["agent", "--name", &t.name])?;
+        }
+        for b in &settings.balancers {
+            site.spawn(&exe, &b.name, &["balancer", "--name", &b.name])?;
+        }
+        site.spawn(&exe, "fabric", &["fabric"])?;
+        site.ready().await?;
+        Ok(site)
+    }
+
+    /// Starts one more process of this site.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the process cannot be started.
+    pub fn spawn(&mut self, exe: &Path, label: &str, args: &[&str]) -> anyhow::Result<()> {
+        let (role, rest) = args.split_first().context("up: no role")?;
+        let child = Command::new(exe)
+            .arg(role)
+            .arg("--config")
+            .arg(&self.path)
+            .args(rest)
+            .stdin(Stdio::null())
+            .spawn()
+            .with_context(|| format!("up: starting {label}"))?;
+        self.children.push((label.to_string(), child));
+        Ok(())
+    }
+
+    async fn ready(&self) -> anyhow::Result<()> {
+        let s = &self.settings;
+        let store = store::Client::new(s.store.addr, Duration::from_millis(500)).await;
+        let keys = Keys::new(s.store.prefix.clone());
+        let deadline = Instant::now() + READY;
+        loop {
+            if Instant::now() > deadline {
+                bail!("up: site {} not up within {READY:?}", s.site);
+            }
+            if crate::ctl::apply(&store, &keys, &s.profiles).await.is_ok()
+                && let Ok((_, kvs)) = store.list(&keys.all()).await
+            {
+                let targets = kvs
+                    .iter()
+                    .filter(|kv| matches!(keys.split(&kv.key), Some(("targets", _))))
+                    .count();
+                let balancers = kvs
+                    .iter()
+                    .filter(|kv| matches!(keys.split(&kv.key), Some(("balancers", _))))
+                    .count();
+                if targets == s.targets.len() && balancers == s.balancers.len() {
+                    // Let the balancers' watches catch up.
+                    tokio::time::sleep(Duration::from_millis(500)).await;
+                    return Ok(());
+                }
+            }
+            tokio::time::sleep(Duration::from_millis(200)).await;
+        }
+    }
+
+    /// Stops one process by label: SIGTERM, then waits for it.
+    pub fn stop(&mut self, label: &str) {
+        if let Some(i) = self.children.iter().position(|(l, _)| l == label) {
+            let (_, mut child) = self.children.remove(i);
+            terminate(&mut child);
+        }
+    }
+
+    /// Kills one process by label at once (SIGKILL), then reaps it.
+    pub fn kill(&mut self, label: &str) {
+        if let Some(i) = self.children.iter().position(|(l, _)| l == label) {
+            let (_, mut child) = self.children.remove(i);
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+}
+
+fn terminate(child: &mut Child) {
+    if let Ok(pid) = i32::try_from(child.id()) {
+        let _ = kill(Pid::from_raw(pid), Signal::SIGTERM);
+    }
+    let deadline = Instant::now() + Duration::from_secs(5);
+    while Instant::now() < deadline {
+        if let Ok(Some(_)) = child.try_wait() {
+            return;
+        }
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    let _ = child.kill();
+    let _ = child.wait();
+}
+
+impl Drop for Site {
+    fn drop(&mut self) {
+        // Front to back: the fabric and balancers first, the store last.
+        while let Some((_, mut child)) = self.children.pop() {
+            terminate(&mut child);
+        }
+    }
+}
+
+/// Runs each site, benches it, prints what was served and stops it.
+///
+/// # Errors
+///
+/// Fails when a site cannot start.
+pub async fn run(args: Args) -> anyhow::Result<()> {
+    let mut paths = args.config.clone();
+    let dir = std::env::temp_dir().join(format!("jujubepost-up-{}", std::process::id()));
+    if paths.is_empty() {
+        std::fs::create_dir_all(&dir).context("up: making a temporary folder")?;
+        for (name, text) in [("suryakosh.jsonc", SURYAKOSH), ("norte.jsonc", NORTE)] {
+            let p = dir.join(name);
+            std::fs::write(&p, text).context("up: writing an example")?;
+            paths.push(p);
+        }
+    }
+    for path in &paths {
+        let site = Site::start(path).await?;
+        let bargs = bench::Args {
+            config: path.clone(),
+            feeds: args.feeds,
+            requests: args.requests,
+            secs: args.secs,
+        };
+        let rows = bench::measure(&site.settings, &bargs).await;
+        bench::print(&site.settings.site, &rows);
+        drop(site);
+    }
+    let _ = std::fs::remove_dir_all(&dir);
+    Ok(())
+}
