--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -214,8 +214,14 @@
     pub fn parse(text: &str) -> anyhow::Result<Self> {
         let plain = json_comments::StripComments::new(text.as_bytes());
         let mut de = serde_json::Deserializer::from_reader(plain);
-        let settings: Self = serde_path_to_error::deserialize(&mut de)
-            .map_err(|e| anyhow::anyhow!("field `{}`: {}", e.path(), e.inner()))?;
+        let settings: Self = serde_path_to_error::deserialize(&mut de).map_err(|e| {
+            let path = e.path().to_string();
+            if e.inner().is_syntax() || e.inner().is_eof() || path == "." || path == "?" {
+                anyhow::anyhow!("syntax error: {}", e.inner())
+            } else {
+                anyhow::anyhow!("field `{path}`: {}", e.inner())
+            }
+        })?;
         check(&settings)?;
         Ok(settings)
     }
--- a/src/up/mod.rs
+++ b/src/up/mod.rs
@@ -3,7 +3,8 @@
 //!
 //! This is for trying jujubepost out and for tests; a production process
 //! starts no other process. With no `--config`, it runs the two embedded
-//! example sites, Suryakosh (gjw) and the Asociación (norte).
+//! example sites, Suryakosh (gjw) and the Asociación (norte). Each process
+//! logs to a file beside the settings file.
 
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
@@ -25,6 +26,9 @@
 /// How long a site may take to come up.
 const READY: Duration = Duration::from_secs(20);
 
+/// How long a stopping process may take before it is killed.
+const STOP: Duration = Duration::from_secs(10);
+
 /// Arguments of `jujubepost up`.
 #[derive(Clone, Debug, clap::Args)]
 pub struct Args {
@@ -52,15 +56,16 @@
 }
 
 impl Site {
-    /// Starts every process of the site and waits until each target is
-    /// announced and every profile is written.
+    /// Starts every process of the site from the binary `exe` and waits
+    /// until each target and balancer is announced and every profile is
+    /// written.
     ///
     /// # Errors
     ///
     /// Fails when a process cannot start or the site is not up in time.
-    pub async fn start(path: &Path) -> anyhow::Result<Self> {
+    pub async fn start(exe: &Path, path: &Path) -> anyhow::Result<Self> {
         let settings = Settings::load(path)?;
-        let exe = std::env::current_exe().context("up: finding this binary")?;
+        let exe = exe.to_path_buf();
         let mut site =
             Self { settings: settings.clone(), path: path.to_path_buf(), children: Vec::new() };
         site.spawn(&exe, "store", &["store"])?;
@@ -78,19 +83,25 @@
         Ok(site)
     }
 
-    /// Starts one more process of this site.
+    /// Starts one more process of this site; its log goes to
+    /// `<site>-<label>.log` beside the settings file.
     ///
     /// # Errors
     ///
     /// Fails when the process cannot be started.
     pub fn spawn(&mut self, exe: &Path, label: &str, args: &[&str]) -> anyhow::Result<()> {
         let (role, rest) = args.split_first().context("up: no role")?;
+        let log = self.path.with_file_name(format!("{}-{label}.log", self.settings.site));
+        let log = std::fs::File::create(&log)
+            .with_context(|| format!("up: creating {}", log.display()))?;
         let child = Command::new(exe)
             .arg(role)
             .arg("--config")
             .arg(&self.path)
             .args(rest)
             .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(log)
             .spawn()
             .with_context(|| format!("up: starting {label}"))?;
         self.children.push((label.to_string(), child));
@@ -145,11 +156,15 @@
     }
 }
 
-fn terminate(child: &mut Child) {
+fn signal(child: &Child) {
     if let Ok(pid) = i32::try_from(child.id()) {
         let _ = kill(Pid::from_raw(pid), Signal::SIGTERM);
     }
-    let deadline = Instant::now() + Duration::from_secs(5);
+}
+
+/// Waits for a child that was told to stop; kills it after [`STOP`].
+fn reap(child: &mut Child) {
+    let deadline = Instant::now() + STOP;
     while Instant::now() < deadline {
         if let Ok(Some(_)) = child.try_wait() {
             return;
@@ -160,11 +175,19 @@
     let _ = child.wait();
 }
 
+fn terminate(child: &mut Child) {
+    signal(child);
+    reap(child);
+}
+
 impl Drop for Site {
     fn drop(&mut self) {
-        // Front to back: the fabric and balancers first, the store last.
-        while let Some((_, mut child)) = self.children.pop() {
-            terminate(&mut child);
+        // Every process is told at once, then each is joined.
+        for (_, child) in &self.children {
+            signal(child);
+        }
+        for (_, child) in &mut self.children {
+            reap(child);
         }
     }
 }
@@ -185,8 +208,9 @@
             paths.push(p);
         }
     }
+    let exe = std::env::current_exe().context("up: finding this binary")?;
     for path in &paths {
-        let site = Site::start(path).await?;
+        let site = Site::start(&exe, path).await?;
         let bargs = bench::Args {
             config: path.clone(),
             feeds: args.feeds,
--- /dev/null
+++ b/tests/isolation.rs
@@ -0,0 +1,83 @@
+//! A packet meant for meter never reaches fieldlog: the balancer hands a
+//! packet only to agents of its profile's service, whatever owner it names.
+
+use std::collections::BTreeMap;
+use std::net::{SocketAddr, SocketAddrV4};
+use std::sync::Arc;
+
+use jujubepost::balancer::{Decision, View, decide};
+use jujubepost::metrics::Refusal;
+use jujubepost::record;
+use jujubepost::settings::{ProfileSettings, Service};
+use jujubepost::store::{Keys, Kv};
+use jujubepost::wire::{Kind, Owner, Packet};
+
+fn kv(key: String, value: Vec<u8>) -> (Arc<str>, Kv) {
+    let key: Arc<str> = key.into();
+    (key.clone(), Kv { key, value, rev: 1, lease: 0 })
+}
+
+fn view() -> View {
+    let keys = Keys::new("/j".into());
+    let mut copy = BTreeMap::new();
+    for (name, service, port) in
+        [("meter", Service::Meter, 9020), ("fieldlog", Service::Fieldlog, 9021)]
+    {
+        let spec = ProfileSettings {
+            name: name.into(),
+            service,
+            listen: SocketAddr::from(([127, 0, 0, 1], port)),
+            idempotent: false,
+            max_flows: 10,
+        };
+        let value = serde_json::to_vec(&record::Profile { spec, writer: 1 }).unwrap();
+        copy.extend([kv(keys.profile(name), value)]);
+    }
+    for (name, service, port) in
+        [("meter-1", Service::Meter, 9200), ("fieldlog-1", Service::Fieldlog, 9201)]
+    {
+        let rec = record::Target {
+            name: name.into(),
+            zone: "gjw-a".into(),
+            service,
+            agent: SocketAddr::from(([127, 0, 0, 1], port)),
+        };
+        copy.extend([kv(keys.target(name), serde_json::to_vec(&rec).unwrap())]);
+    }
+    View::build(&keys, &copy)
+}
+
+fn packet(port: u16, kind: Kind, owner: Owner) -> Packet {
+    Packet {
+        flow: 7,
+        port,
+        kind,
+        seq: 1,
+        owner,
+        reply: SocketAddr::from(([127, 0, 0, 1], 1)),
+        body: Vec::new(),
+    }
+}
+
+#[test]
+fn open_goes_to_service() {
+    let v = view();
+    let to = decide(&v, &packet(9020, Kind::Open, Owner::NONE));
+    assert_eq!(to, Decision::Forward(SocketAddr::from(([127, 0, 0, 1], 9200))));
+    let to = decide(&v, &packet(9021, Kind::Open, Owner::NONE));
+    assert_eq!(to, Decision::Forward(SocketAddr::from(([127, 0, 0, 1], 9201))));
+}
+
+#[test]
+fn foreign_owner_dropped() {
+    let v = view();
+    let fieldlog = Owner::new(SocketAddrV4::new([127, 0, 0, 1].into(), 9201), 5);
+    let to = decide(&v, &packet(9020, Kind::Data, fieldlog));
+    assert_eq!(to, Decision::Drop(Refusal::ForeignOwner));
+}
+
+#[test]
+fn unknown_port_dropped() {
+    let v = view();
+    assert_eq!(decide(&v, &packet(1, Kind::Open, Owner::NONE)), Decision::Drop(Refusal::NoProfile));
+}
--- /dev/null
+++ b/tests/table.rs
@@ -0,0 +1,48 @@
+//! The lookup table: the same list gives the same picks everywhere, a change
+//! of one target moves few flows, and flows spread evenly.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use jujubepost::table::{SIZE, Table};
+
+fn names(n: usize) -> Vec<(Arc<str>, usize)> {
+    (0..n).map(|i| (Arc::from(format!("meter-{i}")), i)).collect()
+}
+
+#[test]
+fn same_list_same_picks() {
+    let a = Table::new(names(7));
+    let mut shuffled = names(7);
+    shuffled.reverse();
+    let b = Table::new(shuffled);
+    assert!(a.owners().eq(b.owners()));
+}
+
+#[test]
+fn removal_moves_few() {
+    let before = Table::new(names(7));
+    let after = Table::new(names(7).into_iter().filter(|(_, i)| *i != 3).collect());
+    let moved = before.owners().zip(after.owners()).filter(|(x, y)| x != y).count();
+    let share = moved as f64 / SIZE as f64;
+    // Only meter-3's buckets (about 1/7) should move, plus a little.
+    assert!(share < 1.0 / 7.0 + 0.03, "moved {share:.3}");
+}
+
+#[test]
+fn spread_is_even() {
+    let t = Table::new(names(7));
+    let mut counts: HashMap<Arc<str>, u32> = HashMap::new();
+    for flow in 0..70_000u64 {
+        let (name, _) = t.pick(flow.wrapping_mul(0x9e37_79b9_7f4a_7c15)).unwrap();
+        *counts.entry(name.clone()).or_default() += 1;
+    }
+    let max = *counts.values().max().unwrap();
+    assert!(f64::from(max) / 10_000.0 < 1.05, "max {max}");
+}
+
+#[test]
+fn empty_picks_none() {
+    let t: Table<usize> = Table::new(Vec::new());
+    assert!(t.pick(1).is_none());
+}
