--- a/src/bench/mod.rs
+++ b/src/bench/mod.rs
@@ -62,6 +62,8 @@
     pub doubled: u32,
     /// Answers from a target of another service.
     pub foreign: u32,
+    /// Requests answered by each target, by name.
+    pub served: std::collections::BTreeMap<String, u32>,
 }
 
 /// Runs the bench against the site of `args.config` and prints the rows.
@@ -167,6 +169,7 @@
         imbalance(names.iter().map(|t| tally.requests.get(&*t.name).copied().unwrap_or(0)));
     tally.row.feed_imbalance =
         imbalance(names.iter().map(|t| tally.feeds.get(&*t.name).copied().unwrap_or(0)));
+    tally.row.served = tally.requests.iter().map(|(k, v)| (k.clone(), *v)).collect();
     if !p.idempotent && matches!(p.service, Service::Meter | Service::Validador) {
         tally.row.doubled = doubled(names.iter().map(|t| t.addr)).await;
     }
--- /dev/null
+++ b/tests/drain.rs
@@ -0,0 +1,32 @@
+//! A target taken out of service: its established feeds keep running, and
+//! once the grace has passed it gets no new work; new flows go to the others.
+
+mod common;
+
+use std::time::Duration;
+
+use jujubepost::bench::{self, Args};
+use jujubepost::store::{self, Keys};
+
+#[ntex::test]
+async fn drain_keeps_feeds() {
+    let site = common::start("drain", 21900, 2, 3, 0).await;
+    let settings = site.settings.clone();
+    let store = store::Client::new(settings.store.addr, Duration::from_secs(2)).await;
+    let keys = Keys::new(settings.store.prefix.clone());
+    let feeds = Args { config: site.path.clone(), feeds: 9, requests: 1, secs: 5 };
+    let s2 = settings.clone();
+    let run = tokio::task::spawn_local(async move { bench::measure(&s2, &feeds).await });
+    tokio::time::sleep(Duration::from_millis(1_000)).await;
+    store.put(&keys.drain("meter-1"), b"{\"since_ms\":0}", 0).await.unwrap();
+    let rows = run.await.unwrap();
+    let meter = rows.iter().find(|r| r.profile == "meter").unwrap();
+    assert_eq!(meter.broken, 0, "{meter:?}");
+    assert_eq!(meter.feeds, 9, "{meter:?}");
+    // The grace (1 s in the test site) has passed: no new work for meter-1.
+    let after = Args { config: site.path.clone(), feeds: 0, requests: 60, secs: 1 };
+    let rows = bench::measure(&settings, &after).await;
+    let meter = rows.iter().find(|r| r.profile == "meter").unwrap();
+    assert_eq!(meter.ok, 60, "{meter:?}");
+    assert_eq!(meter.served.get("meter-1"), None, "{meter:?}");
+}
