Lease lapse under a frozen agent: dropped, not picked, then back

Change: up::Site::send signals one process (SIGSTOP / SIGCONT); tests/lease_lapse.rs freezes agent-meter-1 past its 1 s lease.

Not covered: flows established on the frozen agent during the freeze (their packets are dropped by the balancers while the owner is unannounced and resent by the fabric; the open_ms bound decides whether they survive).

--- a/src/up/mod.rs
+++ b/src/up/mod.rs
@@ -11,7 +11,8 @@
 use std::time::{Duration, Instant};
 
 use anyhow::{Context, bail};
-use nix::sys::signal::{Signal, kill};
+pub use nix::sys::signal::Signal;
+use nix::sys::signal::kill;
 use nix::unistd::Pid;
 
 use crate::bench;
@@ -146,6 +147,16 @@
         }
     }
 
+    /// Sends a signal to one process by label, for example `SIGSTOP` to
+    /// freeze it and `SIGCONT` to let it run on.
+    pub fn send(&self, label: &str, sig: Signal) {
+        if let Some((_, child)) = self.children.iter().find(|(l, _)| l == label)
+            && let Ok(pid) = i32::try_from(child.id())
+        {
+            let _ = kill(Pid::from_raw(pid), sig);
+        }
+    }
+
     /// Kills one process by label at once (SIGKILL), then reaps it.
     pub fn kill(&mut self, label: &str) {
         if let Some(i) = self.children.iter().position(|(l, _)| l == label) {
--- /dev/null
+++ b/tests/lease_lapse.rs
@@ -0,0 +1,36 @@
+//! An agent frozen past its lease: the store drops its announcement, the
+//! balancers stop picking it, and when it runs on it learns that its lease
+//! lapsed, takes a new one and is picked again. No request fails meanwhile.
+
+mod common;
+
+use std::time::Duration;
+
+use jujubepost::bench::{self, Args};
+use jujubepost::store::{self, Keys};
+use jujubepost::up::Signal;
+
+#[ntex::test]
+async fn frozen_agent_returns() {
+    let site = common::start("lapse", 22200, 2, 3, 0).await;
+    let s = site.settings.clone();
+    let store = store::Client::new(s.store.addr, Duration::from_secs(2)).await;
+    let keys = Keys::new(s.store.prefix.clone());
+    site.send("agent-meter-1", Signal::SIGSTOP);
+    // Lease is 1 s in the test site: wait until the store has dropped it.
+    tokio::time::sleep(Duration::from_millis(2_500)).await;
+    assert!(store.get(&keys.target("meter-1")).await.unwrap().is_none());
+    let during = Args { config: site.path.clone(), feeds: 0, requests: 30, secs: 1 };
+    let rows = bench::measure(&s, &during).await;
+    let meter = rows.iter().find(|r| r.profile == "meter").unwrap();
+    assert_eq!(meter.ok, 30, "{meter:?}");
+    assert_eq!(meter.served.get("meter-1"), None, "{meter:?}");
+    site.send("agent-meter-1", Signal::SIGCONT);
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    assert!(store.get(&keys.target("meter-1")).await.unwrap().is_some());
+    let after = Args { config: site.path.clone(), feeds: 0, requests: 60, secs: 1 };
+    let rows = bench::measure(&s, &after).await;
+    let meter = rows.iter().find(|r| r.profile == "meter").unwrap();
+    assert_eq!(meter.ok, 60, "{meter:?}");
+    assert!(meter.served.get("meter-1").is_some_and(|&n| n > 0), "{meter:?}");
+}
