Capacity example: store calls, control bytes, memory, CPU as slopes

Site::pid gives a child's process id.

Ruled out: /proc/<pid>/io rchar+wchar for control bytes: it gave a flat 30 B/s per process, below one keepalive's HTTP exchange; ntex's socket calls are not all counted there.

--- /dev/null
+++ b/examples/capacity.rs
@@ -0,0 +1,121 @@
+//! Measures the slopes behind `docs/CAPACITY.md` on this machine.
+//!
+//! For sites of 4, 8 and 16 meter targets behind 2 balancers it reads, while
+//! idle, the store's calls a second and each role's control bytes a second
+//! (the kernel's per-connection byte counters, through `ss`), then memory with feeds held open (`VmRSS`), then
+//! processor time per new flow over a burst of requests (`/proc/<pid>/stat`).
+//!
+//! Run: `cargo build --release && cargo run --release --example capacity`.
+
+use std::path::PathBuf;
+use std::time::{Duration, Instant};
+
+use jujubepost::bench::{self, Args};
+use jujubepost::up::{Plan, Site};
+
+const POINTS: [u16; 3] = [4, 8, 16];
+const IDLE: Duration = Duration::from_secs(10);
+
+fn proc_field(pid: u32, file: &str, key: &str) -> u64 {
+    let text = std::fs::read_to_string(format!("/proc/{pid}/{file}")).unwrap_or_default();
+    text.lines()
+        .find_map(|l| l.strip_prefix(key)?.trim().split_whitespace().next()?.parse().ok())
+        .unwrap_or(0)
+}
+
+/// Bytes sent and received by `pid` on its TCP connections to `port` (the
+/// store), from `ss -tinp`: the kernel's own per-connection counters.
+fn store_bytes(pid: u32, port: u16) -> u64 {
+    let filter = format!("( dport = :{port} )");
+    let out = std::process::Command::new("ss")
+        .args(["-tinpH", "state", "established", &filter])
+        .output()
+        .map(|o| String::from_utf8_lossy(&o.stdout).to_string())
+        .unwrap_or_default();
+    let mut total = 0;
+    let mut mine = false;
+    for line in out.lines() {
+        if line.contains("users:") {
+            mine = line.contains(&format!("pid={pid},"));
+            continue;
+        }
+        if !mine {
+            continue;
+        }
+        for word in line.split_whitespace() {
+            for key in ["bytes_sent:", "bytes_received:"] {
+                if let Some(v) = word.strip_prefix(key) {
+                    total += v.parse::<u64>().unwrap_or(0);
+                }
+            }
+        }
+    }
+    total
+}
+
+fn rss_kib(pid: u32) -> u64 {
+    proc_field(pid, "status", "VmRSS:")
+}
+
+/// User plus system time, in clock ticks (1/100 s).
+fn cpu_ticks(pid: u32) -> u64 {
+    let text = std::fs::read_to_string(format!("/proc/{pid}/stat")).unwrap_or_default();
+    let rest = text.rsplit_once(')').map_or("", |(_, r)| r);
+    let f: Vec<u64> = rest.split_whitespace().filter_map(|x| x.parse().ok()).collect();
+    // After the name: state is not a number, so utime and stime are 11 and 12.
+    f.get(10).copied().unwrap_or(0) + f.get(11).copied().unwrap_or(0)
+}
+
+async fn store_calls(site: &Site) -> u64 {
+    let http = ntex::client::Client::new().await;
+    let url = format!("http://{}/stats", site.settings.store.addr);
+    let Ok(res) = http.get(&url).send().await else { return 0 };
+    let v: serde_json::Value = res.json().await.unwrap_or_default();
+    ["reads", "writes", "keepalives", "watches"].iter().filter_map(|k| v[k].as_u64()).sum()
+}
+
+fn exe() -> PathBuf {
+    let me = std::env::current_exe().unwrap();
+    me.parent().and_then(|p| p.parent()).unwrap().join("jujubepost")
+}
+
+#[ntex::main]
+async fn main() {
+    println!("targets calls/s lb_B/s agent_B/s lb_rss_KiB agent_rss_KiB flows/agent agent_rss_loaded_KiB lb_rss_loaded_KiB lb_ms/1k_flows");
+    for (k, n) in POINTS.into_iter().enumerate() {
+        let base = 23_000 + 500 * k as u16;
+        let path = Plan::new(base).balancers(2).meters(n).lease_ms(3_000).write("capacity").unwrap();
+        let site = Site::start(&exe(), &path).await.unwrap();
+        let (lb, agent) = (site.pid("lb-0").unwrap(), site.pid("agent-meter-1").unwrap());
+        tokio::time::sleep(Duration::from_secs(2)).await;
+        let port = site.settings.store.addr.port();
+        let (c0, l0, a0) =
+            (store_calls(&site).await, store_bytes(lb, port), store_bytes(agent, port));
+        let t0 = Instant::now();
+        tokio::time::sleep(IDLE).await;
+        let secs = t0.elapsed().as_secs_f64();
+        let calls = (store_calls(&site).await - c0) as f64 / secs;
+        let lb_bps = store_bytes(lb, port).saturating_sub(l0) as f64 / secs;
+        let agent_bps = store_bytes(agent, port).saturating_sub(a0) as f64 / secs;
+        let (lb_rss, agent_rss) = (rss_kib(lb), rss_kib(agent));
+        let feeds = 40 * u32::from(n);
+        let args = Args { config: site.path.clone(), feeds, requests: 0, secs: 6 };
+        let s = site.settings.clone();
+        let held = tokio::task::spawn_local(async move { bench::measure(&s, &args).await });
+        tokio::time::sleep(Duration::from_secs(4)).await;
+        let (agent_loaded, lb_loaded) = (rss_kib(agent), rss_kib(lb));
+        let _ = held.await;
+        let requests = 1_000;
+        let cpu0 = cpu_ticks(lb) + cpu_ticks(site.pid("lb-1").unwrap());
+        let args = Args { config: site.path.clone(), feeds: 0, requests, secs: 4 };
+        let _ = bench::measure(&site.settings, &args).await;
+        let cpu1 = cpu_ticks(lb) + cpu_ticks(site.pid("lb-1").unwrap());
+        // Each request is one meter and one fieldlog flow.
+        let ms_per_k = (cpu1 - cpu0) as f64 * 10.0 / (2.0 * f64::from(requests)) * 1_000.0;
+        println!(
+            "{n} {calls:.1} {lb_bps:.0} {agent_bps:.0} {lb_rss} {agent_rss} {} {agent_loaded} {lb_loaded} {ms_per_k:.1}",
+            feeds / u32::from(n)
+        );
+        drop(site);
+    }
+}
--- a/src/up/mod.rs
+++ b/src/up/mod.rs
@@ -15,6 +15,10 @@
 use nix::sys::signal::kill;
 use nix::unistd::Pid;
 
+pub mod plan;
+
+pub use plan::Plan;
+
 use crate::bench;
 use crate::settings::Settings;
 use crate::store::{self, Keys};
@@ -157,6 +161,12 @@
         }
     }
 
+    /// The process id of one process by label.
+    #[must_use]
+    pub fn pid(&self, label: &str) -> Option<u32> {
+        self.children.iter().find(|(l, _)| l == label).map(|(_, c)| c.id())
+    }
+
     /// Kills one process by label at once (SIGKILL), then reaps it.
     pub fn kill(&mut self, label: &str) {
         if let Some(i) = self.children.iter().position(|(l, _)| l == label) {
