Store outage longer than the leases: requests served throughout

Change: tests/store_outage.rs sets the stand-in's outage for 3 s (three times the test site's 1 s lease), runs feeds and requests during it, lifts it, and checks every target is announced again and served.

Seen and left alone: the stand-in lets leases lapse during its own outage, so on return balancers may briefly see every target deleted before the agents announce again; new flows then wait for the fabric's resent Open (100 ms here) rather than fail.

--- /dev/null
+++ b/tests/store_outage.rs
@@ -0,0 +1,36 @@
+//! The key-value service down for a long stretch: balancers keep their last
+//! view and every request is still served; when it comes back, every target
+//! is still announced and in the tables.
+
+mod common;
+
+use std::time::Duration;
+
+use jujubepost::bench::{self, Args};
+use jujubepost::ctl;
+use jujubepost::store::{self, Faults};
+
+#[ntex::test]
+async fn outage_serves_on() {
+    let site = common::start("outage", 22500, 2, 3, 2).await;
+    let s = site.settings.clone();
+    ctl::fault(&s, &Faults { outage: true, ..Faults::default() }).await.unwrap();
+    // Longer than the 1 s lease of the test site.
+    tokio::time::sleep(Duration::from_millis(3_000)).await;
+    let during = Args { config: site.path.clone(), feeds: 2, requests: 40, secs: 2 };
+    let rows = bench::measure(&s, &during).await;
+    for r in &rows {
+        assert_eq!(r.ok, 40, "during outage: {r:?}");
+        assert_eq!(r.broken, 0, "during outage: {r:?}");
+    }
+    ctl::fault(&s, &Faults::default()).await.unwrap();
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    let store = store::Client::new(s.store.addr, Duration::from_secs(2)).await;
+    let (_, kvs) = store.list(&format!("{}/targets/", s.store.prefix)).await.unwrap();
+    assert_eq!(kvs.len(), 5, "{kvs:?}");
+    let after = Args { config: site.path.clone(), feeds: 0, requests: 40, secs: 1 };
+    let rows = bench::measure(&s, &after).await;
+    for r in &rows {
+        assert_eq!(r.ok, 40, "after outage: {r:?}");
+    }
+}
