--- a/examples/capacity.rs
+++ b/examples/capacity.rs
@@ -82,7 +82,7 @@
 #[ntex::main]
 async fn main() {
     println!(
-        "targets calls/s lb_B/s agent_B/s lb_rss_KiB agent_rss_KiB flows/agent agent_rss_loaded_KiB lb_rss_loaded_KiB lb_ms/1k_flows"
+        "targets calls/s lb_B/s agent_B/s lb_cpu% agent_cpu% lb_rss_KiB agent_rss_KiB flows/agent agent_rss_loaded_KiB lb_rss_loaded_KiB lb_ms/1k_flows"
     );
     for (k, n) in POINTS.into_iter().enumerate() {
         let base = 23_000 + 500 * k as u16;
@@ -94,8 +94,12 @@
         let port = site.settings.store.addr.port();
         let (c0, l0, a0) =
             (store_calls(&site).await, store_bytes(lb, port), store_bytes(agent, port));
+        let (k0, j0) = (cpu_ticks(lb), cpu_ticks(agent));
         let t0 = Instant::now();
         tokio::time::sleep(IDLE).await;
+        // Idle processor share, in percent of one core (ticks are 10 ms).
+        let lb_cpu = (cpu_ticks(lb) - k0) as f64 * 10.0 / (t0.elapsed().as_secs_f64() * 10.0);
+        let agent_cpu = (cpu_ticks(agent) - j0) as f64 * 10.0 / (t0.elapsed().as_secs_f64() * 10.0);
         let secs = t0.elapsed().as_secs_f64();
         let calls = (store_calls(&site).await - c0) as f64 / secs;
         let lb_bps = store_bytes(lb, port).saturating_sub(l0) as f64 / secs;
@@ -116,7 +120,7 @@
         // Each request is one meter and one fieldlog flow.
         let ms_per_k = (cpu1 - cpu0) as f64 * 10.0 / (2.0 * f64::from(requests)) * 1_000.0;
         println!(
-            "{n} {calls:.1} {lb_bps:.0} {agent_bps:.0} {lb_rss} {agent_rss} {} {agent_loaded} {lb_loaded} {ms_per_k:.1}",
+            "{n} {calls:.1} {lb_bps:.0} {agent_bps:.0} {lb_cpu:.2} {agent_cpu:.2} {lb_rss} {agent_rss} {} {agent_loaded} {lb_loaded} {ms_per_k:.1}",
             feeds / u32::from(n)
         );
         drop(site);
