Balancer: planned stop on SIGTERM leaves its announcement

Cause: a balancer took SIGTERM as a kill: its announcement stayed in the store until the lease lapsed, so for a planned stop the site's view of balancers was wrong for up to a lease, and the catalogued event E204 was never logged. Seen red: tests/balancer_stop.rs failed at the check that the announcement is gone right after the stop (line 23).

Change: the balancer waits on SIGTERM and SIGINT beside its forwarding loop; on either it stops its watch and lease tasks, joins them, deletes its announcement and logs E204.

Ruled out: draining a balancer before its stop: it holds no flow state, and the fabric resends packets lost inside it through the others.

--- a/src/balancer/mod.rs
+++ b/src/balancer/mod.rs
@@ -15,6 +15,7 @@
 
 use anyhow::Context;
 use tokio::net::UdpSocket;
+use tokio::signal::unix::{SignalKind, signal};
 
 pub use view::View;
 
@@ -69,13 +70,27 @@
     let view = Rc::new(RefCell::new(View::default()));
     log::info!("{} balancer {name} in {} on {}", events::BALANCER_START, me.zone, me.addr);
     let watcher = tokio::task::spawn_local(follow(store.clone(), keys.clone(), view.clone()));
-    let announcer =
-        tokio::task::spawn_local(announce(store, keys, me.clone(), settings.agent.lease_ms));
-    let res = forward(&sock, &view).await;
+    let announcer = tokio::task::spawn_local(announce(
+        store.clone(),
+        keys.clone(),
+        me.clone(),
+        settings.agent.lease_ms,
+    ));
+    let mut term = signal(SignalKind::terminate()).context("balancer: signal")?;
+    let mut int = signal(SignalKind::interrupt()).context("balancer: signal")?;
+    let res = tokio::select! {
+        r = forward(&sock, &view) => r,
+        _ = term.recv() => Ok(()),
+        _ = int.recv() => Ok(()),
+    };
     watcher.abort();
     announcer.abort();
     let _ = watcher.await;
     let _ = announcer.await;
+    // A planned stop: leave the announcement to no one. Packets still on
+    // their way are resent by the fabric through the other balancers.
+    let _ = store.delete(&keys.balancer(name)).await;
+    log::info!("{} balancer {name} stopped", events::BALANCER_STOP);
     res
 }
 
--- /dev/null
+++ b/tests/balancer_stop.rs
@@ -0,0 +1,30 @@
+//! A planned stop of a balancer while flows cross it: it leaves its
+//! announcement, packets on their way are resent through the others, and no
+//! flow breaks.
+
+mod common;
+
+use std::time::Duration;
+
+use jujubepost::bench::{self, Args};
+use jujubepost::store::{self, Keys};
+
+#[ntex::test]
+async fn stop_breaks_nothing() {
+    let mut site = common::start("lbstop", 22800, 3, 3, 2).await;
+    let s = site.settings.clone();
+    let store = store::Client::new(s.store.addr, Duration::from_secs(2)).await;
+    let keys = Keys::new(s.store.prefix.clone());
+    let args = Args { config: site.path.clone(), feeds: 6, requests: 60, secs: 3 };
+    let s2 = s.clone();
+    let run = tokio::task::spawn_local(async move { bench::measure(&s2, &args).await });
+    tokio::time::sleep(Duration::from_millis(1_000)).await;
+    site.stop("lb-2");
+    assert!(store.get(&keys.balancer("lb-2")).await.unwrap().is_none());
+    let rows = run.await.unwrap();
+    for r in &rows {
+        assert_eq!(r.broken, 0, "{r:?}");
+        assert_eq!(r.ok, 60, "{r:?}");
+        assert_eq!(r.doubled, 0, "{r:?}");
+    }
+}
