Balancer: a mass lapse of leases no longer empties the table

Cause: at the start of a store outage every lease lapses together; a watch that was already waiting still delivers the lapses, and the balancer believed them: `meter=0/0`, and 40 of 40 meter flows found no agent for as long as the outage lasted.

Ruled out: the agents (alive, their logs show only failed keepalives); the fabric (it retried each open and gave up after open_ms).

Change: `balancer::Roster` judges the announcements. One missing target leaves at once; more missing than left within `entry.hold_ms` (6 s) are held, and each failed store call starts the hold anew. Owners of established flows are known for `entry.owner_ms` after a lapse, unless another target announces the address. `leaving` in an announcement (planned stop) is never held. One table per service is shared by its profiles.

--- a/src/agent/mod.rs
+++ b/src/agent/mod.rs
@@ -222,6 +222,7 @@
         zone: me.zone.clone(),
         service: me.service,
         agent: me.agent,
+        leaving: false,
     };
     let value = serde_json::to_vec(&rec)?;
     let key = keys.target(name);
--- a/src/balancer/mod.rs
+++ b/src/balancer/mod.rs
@@ -6,21 +6,24 @@
 //! profiles and targets comes from a watch on the key-value service and is
 //! kept through its outages.
 
+pub mod roster;
 pub mod view;
 
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use anyhow::Context;
 use tokio::net::UdpSocket;
 use tokio::signal::unix::{SignalKind, signal};
 
+pub use roster::Roster;
 pub use view::View;
 
 use crate::metrics::{self, Refusal};
 use crate::settings::{BalancerSettings, Settings};
+use crate::store::mirror::Copy;
 use crate::store::{self, Keys};
 use crate::wire::{self, Kind, Packet};
 use crate::{events, record};
@@ -28,6 +31,16 @@
 /// Largest datagram taken, in bytes.
 const DATAGRAM: usize = 64 * 1024;
 
+/// How often held targets are looked at.
+const HOLD_TICK: Duration = Duration::from_millis(250);
+
+/// How long targets whose announcements are missing are still believed in.
+#[derive(Clone, Copy, Debug)]
+struct Hold {
+    missing: Duration,
+    owners: Duration,
+}
+
 /// Where a packet goes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Decision {
@@ -45,11 +58,11 @@
     };
     if p.kind != Kind::Open || p.owner.addr().is_some() {
         return match p.owner.addr() {
-            Some(a) if route.owners.contains(&a) => Decision::Forward(SocketAddr::V4(a)),
+            Some(a) if route.pool.owners.contains(&a) => Decision::Forward(SocketAddr::V4(a)),
             _ => Decision::Drop(Refusal::ForeignOwner),
         };
     }
-    match route.table.pick(p.flow) {
+    match route.pool.table.pick(p.flow) {
         Some((_, addr)) => Decision::Forward(*addr),
         None => Decision::Drop(Refusal::NoTarget),
     }
@@ -69,7 +82,12 @@
     let keys = Keys::new(settings.store.prefix.clone());
     let view = Rc::new(RefCell::new(View::default()));
     log::info!("{} balancer {name} in {} on {}", events::BALANCER_START, me.zone, me.addr);
-    let watcher = tokio::task::spawn_local(follow(store.clone(), keys.clone(), view.clone()));
+    let watcher = tokio::task::spawn_local(follow(
+        store.clone(),
+        keys.clone(),
+        view.clone(),
+        Hold { missing: ms(settings.entry.hold_ms), owners: ms(settings.entry.owner_ms) },
+    ));
     let announcer = tokio::task::spawn_local(announce(
         store.clone(),
         keys.clone(),
@@ -116,24 +134,59 @@
     }
 }
 
-async fn follow(store: store::Client, keys: Keys, view: Rc<RefCell<View>>) {
+/// What the balancer's view is made of, kept between changes of the store.
+struct Judge {
+    keys: Keys,
+    copy: Copy,
+    roster: Roster,
+    view: Rc<RefCell<View>>,
+    built: Instant,
+}
+
+impl Judge {
+    fn rebuild(&mut self) {
+        self.built = Instant::now();
+        let next = View::judge(&self.keys, &self.copy, &mut self.roster, self.built);
+        let sizes: Vec<String> = next
+            .routes
+            .values()
+            .map(|r| format!("{}={}/{}", r.spec.name, r.pool.table.len(), r.pool.owners.len()))
+            .collect();
+        log::info!("{} view: {}", events::BALANCER_VIEW, sizes.join(" "));
+        *self.view.borrow_mut() = next;
+    }
+}
+
+/// Keeps the view current: after each change of the store, and when a held
+/// target's time is over.
+async fn follow(store: store::Client, keys: Keys, view: Rc<RefCell<View>>, hold: Hold) {
     let prefix = keys.all();
-    store::mirror::follow(
+    let roster = Roster::new(hold.missing, hold.owners);
+    let judge =
+        RefCell::new(Judge { keys, copy: Copy::new(), roster, view, built: Instant::now() });
+    let changes = store::mirror::follow(
         &store,
         &prefix,
         |copy| {
-            let next = View::build(&keys, copy);
-            let sizes: Vec<String> = next
-                .routes
-                .values()
-                .map(|r| format!("{}={}/{}", r.name, r.table.len(), r.owners.len()))
-                .collect();
-            log::info!("{} view: {}", events::BALANCER_VIEW, sizes.join(" "));
-            *view.borrow_mut() = next;
+            let mut j = judge.borrow_mut();
+            j.copy.clone_from(copy);
+            j.rebuild();
+        },
+        |e| {
+            log::warn!("{} {e:#}", events::BALANCER_STORE);
+            judge.borrow_mut().roster.postpone(Instant::now());
         },
-        |e| log::warn!("{} {e:#}", events::BALANCER_STORE),
-    )
-    .await;
+    );
+    let expiry = async {
+        loop {
+            ntex::time::sleep(HOLD_TICK).await;
+            let mut j = judge.borrow_mut();
+            if j.roster.hold_ended(j.built, Instant::now()) {
+                j.rebuild();
+            }
+        }
+    };
+    tokio::join!(changes, expiry);
 }
 
 /// Announces the balancer under a lease and keeps the lease alive.
--- a/src/record/mod.rs
+++ b/src/record/mod.rs
@@ -29,6 +29,10 @@
     pub service: Service,
     /// UDP address of its agent.
     pub agent: SocketAddr,
+    /// Its agent is on a planned stop: no new flows, and no hold when the
+    /// announcement goes.
+    #[serde(default)]
+    pub leaving: bool,
 }
 
 /// A drain order, written by an operator.
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -48,6 +48,8 @@
     pub fabric: FabricSettings,
     /// The agents' timers, shared by every agent of the site.
     pub agent: AgentSettings,
+    /// The balancers' timers, shared by every balancer of the site.
+    pub entry: EntrySettings,
     /// The entry VMs.
     pub balancers: Vec<BalancerSettings>,
     /// The profiles that the operators declare at start.
@@ -63,6 +65,7 @@
             store: StoreSettings::default(),
             fabric: FabricSettings::default(),
             agent: AgentSettings::default(),
+            entry: EntrySettings::default(),
             balancers: Vec::new(),
             profiles: Vec::new(),
             targets: Vec::new(),
@@ -132,6 +135,24 @@
     }
 }
 
+/// Timers of the balancers.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct EntrySettings {
+    /// How long targets that went missing together are still used, in
+    /// milliseconds of the store answering.
+    pub hold_ms: u64,
+    /// How long the owner of established flows is known after its
+    /// announcement went missing, in milliseconds.
+    pub owner_ms: u64,
+}
+
+impl Default for EntrySettings {
+    fn default() -> Self {
+        Self { hold_ms: 6_000, owner_ms: 300_000 }
+    }
+}
+
 /// One balancer.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/tests/isolation.rs
+++ b/tests/isolation.rs
@@ -41,6 +41,7 @@
             zone: "gjw-a".into(),
             service,
             agent: SocketAddr::from(([127, 0, 0, 1], port)),
+            leaving: false,
         };
         copy.extend([kv(keys.target(name), serde_json::to_vec(&rec).unwrap())]);
     }
