--- a/src/agent/flow.rs
+++ b/src/agent/flow.rs
@@ -103,6 +103,8 @@
                     held.insert(p.seq, p);
                 }
                 while let Some(p) = held.remove(&next) {
+                    // Invariant: nothing follows the caller's close.
+                    debug_assert!(!closed_in, "flow {:x}: data after close", spec.flow);
                     next += 1;
                     if p.kind == Kind::Close {
                         let _ = wr.shutdown().await;
--- a/src/fabric/mod.rs
+++ b/src/fabric/mod.rs
@@ -48,6 +48,12 @@
 
 impl Spray {
     async fn send(&self, p: &Packet) {
+        // Invariant: after the open, a flow's packets never go without owner.
+        debug_assert!(
+            p.kind == Kind::Open || p.owner != Owner::NONE,
+            "flow {:x}: no owner",
+            p.flow
+        );
         let Ok(bytes) = wire::encode(p) else { return };
         if self.balancers.is_empty() {
             return;
