Agents obey profiles in the store; tarpc admin; copies from peers

Cause: agents took their flow limits from their own settings file, so an accepted profile change was in force on balancers only, and a restarted agent went back to the file (a revert). A balancer or agent that started while the store was down had no view at all and dropped everything. The operator could not see from when on a change was in force, nor read a counter before the process stopped.

Ruled out: reading profiles from the settings as a fallback (reverts an accepted change); one watch for profiles and one for drains per agent (two waiting calls on a store that counts each).

Change: operators' orders live under `config/`, announcements under `live/`; an agent follows `config/` only. `admin` (tarpc over TCP at each process's own address) gives status with counters, readiness, and a copy of the keys; a process that starts while the store is down takes the newest copy of its peers. A mirror never goes back to an older revision. `ctl status` asks every process; `ctl wait` waits until a revision is in force everywhere. A planned stop of an agent first announces `leaving` and takes flows for the grace.

Before (mutation: agent keeps its first orders, no copies from peers): both process tests of `tests/in_force.rs` red. After: green; full suite green.

--- a/src/agent/mod.rs
+++ b/src/agent/mod.rs
@@ -8,185 +8,40 @@
 //! every balancer), when it holds as many flows as the profile allows, or
 //! when the target cannot be reached.
 
+pub mod admit;
 pub mod flow;
+pub mod orders;
+mod state;
 
 use std::cell::RefCell;
-use std::collections::HashMap;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use anyhow::Context;
 use tokio::net::UdpSocket;
 use tokio::signal::unix::{SignalKind, signal};
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 
-use crate::metrics::{self, Refusal};
-use crate::settings::{Service, Settings, TargetSettings};
+pub use admit::{Admit, admit};
+use orders::Orders;
+use state::Agent;
+
+use crate::admin::{self, Board};
+use crate::settings::{Settings, TargetSettings};
+use crate::store::mirror::{self, Source};
 use crate::store::{self, Keys};
-use crate::wire::{self, Answer, Kind, Owner, Packet};
-use crate::{events, record};
+use crate::wire::{self, Packet};
+use crate::{events, metrics, record};
 
 /// Largest datagram taken, in bytes.
 const DATAGRAM: usize = 64 * 1024;
 
-/// Seconds a refused caller is told to wait before it comes back.
-pub const RETRY_AFTER_S: u32 = 1;
-
 /// How often a stopping agent looks whether its flows are done.
 const STOP_POLL: Duration = Duration::from_millis(100);
 
-struct Held {
-    owner: Owner,
-    tx: mpsc::UnboundedSender<Packet>,
-}
-
-/// What an agent decides about a new flow.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Admit {
-    /// Accept it.
-    Accept,
-    /// Refuse it as not run.
-    Refuse(Refusal),
-}
-
-/// Whether a new flow is admitted.
-///
-/// `drain` is how long ago the drain order was seen, if any; `grace` is how
-/// long a draining target still takes new flows; `flows` and `max` are the
-/// open flows and the profile's limit.
-#[must_use]
-pub fn admit(
-    drain: Option<Duration>,
-    grace: Duration,
-    stopping: bool,
-    flows: usize,
-    max: usize,
-) -> Admit {
-    if stopping || drain.is_some_and(|d| d >= grace) {
-        Admit::Refuse(Refusal::Draining)
-    } else if flows >= max {
-        Admit::Refuse(Refusal::Full)
-    } else {
-        Admit::Accept
-    }
-}
-
-/// The answer a refused caller gets: HTTP 503 with a time to come back.
-#[must_use]
-pub fn refusal(reason: Refusal) -> Vec<u8> {
-    format!(
-        "HTTP/1.1 503 Service Unavailable\r\nRetry-After: {RETRY_AFTER_S}\r\n\
-         X-Jujubepost-Refused: {reason}\r\nX-Jujubepost-Run: no\r\n\
-         Content-Length: 0\r\nConnection: close\r\n\r\n"
-    )
-    .into_bytes()
-}
-
-struct Agent {
-    me: TargetSettings,
-    sock: Rc<UdpSocket>,
-    flows: HashMap<u64, Held>,
-    drain: Option<Instant>,
-    stopping: bool,
-    grace: Duration,
-    idle: Duration,
-    limits: HashMap<u16, (Service, usize)>,
-    done: mpsc::UnboundedSender<u64>,
-    tasks: Vec<tokio::task::JoinHandle<()>>,
-}
-
-impl Agent {
-    fn take(&mut self, p: Packet) {
-        match p.kind {
-            Kind::Open => self.open(p),
-            _ => match self.flows.get(&p.flow) {
-                Some(h) if h.owner == p.owner => {
-                    let _ = h.tx.send(p);
-                }
-                _ => metrics::refused(Refusal::UnknownFlow),
-            },
-        }
-    }
-
-    fn open(&mut self, p: Packet) {
-        if let Some(h) = self.flows.get(&p.flow) {
-            let _ = h.tx.send(p);
-            return;
-        }
-        let Some(&(service, max)) = self.limits.get(&p.port) else {
-            metrics::refused(Refusal::NoProfile);
-            return;
-        };
-        if service != self.me.service {
-            metrics::refused(Refusal::ForeignOwner);
-            return;
-        }
-        let since = self.drain.map(|d| d.elapsed());
-        match admit(since, self.grace, self.stopping, self.flows.len(), max) {
-            Admit::Refuse(reason) => self.refuse(&p, reason),
-            Admit::Accept => self.start(p),
-        }
-    }
-
-    fn refuse(&mut self, p: &Packet, reason: Refusal) {
-        metrics::refused(reason);
-        log::info!("{} flow {:x} refused as not run: {reason}", events::AGENT_REFUSE, p.flow);
-        let owner = Owner::new(v4(self.me.agent), 0);
-        let (sock, to, flow) = (self.sock.clone(), p.reply, p.flow);
-        let task = tokio::task::spawn_local(async move {
-            refuse_with(&sock, to, flow, owner, reason).await;
-        });
-        self.keep(task);
-    }
-
-    fn keep(&mut self, task: tokio::task::JoinHandle<()>) {
-        self.tasks.retain(|t| !t.is_finished());
-        self.tasks.push(task);
-    }
-
-    fn start(&mut self, p: Packet) {
-        let nonce = rand::random::<u16>().max(1);
-        let owner = Owner::new(v4(self.me.agent), nonce);
-        let (tx, rx) = mpsc::unbounded_channel();
-        let spec = flow::Spec {
-            flow: p.flow,
-            owner,
-            reply: p.reply,
-            target: self.me.addr,
-            idle: self.idle,
-        };
-        let sock = self.sock.clone();
-        let done = self.done.clone();
-        let task = tokio::task::spawn_local(async move {
-            let end = flow::run(sock.clone(), spec.clone(), rx).await;
-            if end == flow::End::Unreachable {
-                metrics::refused(Refusal::Unreachable);
-                refuse_with(&sock, spec.reply, spec.flow, spec.owner, Refusal::Unreachable).await;
-            }
-            let _ = done.send(spec.flow);
-        });
-        self.keep(task);
-        self.flows.insert(p.flow, Held { owner, tx });
-    }
-}
-
-async fn refuse_with(sock: &UdpSocket, to: SocketAddr, flow: u64, owner: Owner, reason: Refusal) {
-    flow::send(sock, to, flow, owner, Answer::Accept).await;
-    let body = refusal(reason);
-    flow::send(sock, to, flow, owner, Answer::Data { seq: 0, body }).await;
-    flow::send(sock, to, flow, owner, Answer::Close { seq: 1 }).await;
-}
-
-fn v4(addr: SocketAddr) -> std::net::SocketAddrV4 {
-    match addr {
-        SocketAddr::V4(a) => a,
-        SocketAddr::V6(_) => std::net::SocketAddrV4::new(std::net::Ipv4Addr::UNSPECIFIED, 0),
-    }
-}
-
 /// Runs the agent of target `name` until it is told to stop (SIGTERM or
-/// SIGINT), then stops taking new flows and waits for open ones.
+/// SIGINT). It then announces that it leaves, takes new flows for the grace
+/// that lets the news spread, and waits for open ones.
 ///
 /// # Errors
 ///
@@ -199,38 +54,23 @@
         .with_context(|| format!("agent {name}: binding {}", me.agent))?;
     let store = store::Client::new(settings.store.addr, ms(settings.store.timeout_ms)).await;
     let keys = Keys::new(settings.store.prefix.clone());
-    let (done, mut finished) = mpsc::unbounded_channel();
-    let limits = settings
-        .profiles
-        .iter()
-        .map(|p| (p.listen.port(), (p.service, p.max_flows as usize)))
-        .collect();
-    let agent = Rc::new(RefCell::new(Agent {
-        me: me.clone(),
-        sock: Rc::new(sock),
-        flows: HashMap::new(),
-        drain: None,
-        stopping: false,
-        grace: ms(settings.agent.grace_ms),
-        idle: ms(settings.agent.idle_ms),
-        limits,
-        done,
-        tasks: Vec::new(),
-    }));
-    let rec = record::Target {
-        name: me.name.clone(),
-        zone: me.zone.clone(),
-        service: me.service,
-        agent: me.agent,
-        leaving: false,
-    };
-    let value = serde_json::to_vec(&rec)?;
+    let board = Board::new(format!("agent-{name}").into());
+    let desk = admin::Server::start(me.agent, board.clone()).await?;
+    let (done, finished) = mpsc::unbounded_channel();
+    let agent = Rc::new(RefCell::new(Agent::new(me.clone(), settings, sock, done, board.clone())));
+    let (announce, value) = watch::channel(announcement(&me, false)?);
     let key = keys.target(name);
-    let (s2, lease_ms) = (store.clone(), settings.agent.lease_ms);
+    let (held, lease_ms) = (store.clone(), settings.agent.lease_ms);
     let announcer = tokio::task::spawn_local(async move {
-        store::lease::hold(&s2, &key, &value, lease_ms).await;
+        store::lease::hold(&held, &key, value, lease_ms).await;
     });
-    let drainer = tokio::task::spawn_local(watch_drain(store.clone(), keys.clone(), agent.clone()));
+    let source = Source {
+        store: store.clone(),
+        prefix: keys.config(),
+        peers: settings.balancers.iter().map(|b| b.addr).collect(),
+    };
+    let follower =
+        tokio::task::spawn_local(follow_orders(source, keys.clone(), agent.clone(), board));
     log::info!(
         "{} agent of {name} ({}) in {} on {}",
         events::AGENT_START,
@@ -238,90 +78,106 @@
         me.zone,
         me.agent
     );
+    let mut inbox = Inbox::new(agent.clone(), finished);
     let mut term = signal(SignalKind::terminate()).context("agent: signal")?;
     let mut int = signal(SignalKind::interrupt()).context("agent: signal")?;
-    let sock = agent.borrow().sock.clone();
-    let mut buf = vec![0u8; DATAGRAM];
-    loop {
-        tokio::select! {
-            r = sock.recv_from(&mut buf) => {
-                let (n, _) = r.context("agent: receiving")?;
-                if let Ok(p) = wire::decode::<Packet>(&buf[..n]) {
-                    agent.borrow_mut().take(p);
-                }
-            }
-            Some(flow) = finished.recv() => {
-                agent.borrow_mut().flows.remove(&flow);
-            }
-            _ = term.recv() => break,
-            _ = int.recv() => break,
-        }
+    tokio::select! {
+        r = inbox.serve() => r?,
+        _ = term.recv() => {}
+        _ = int.recv() => {}
     }
-    stop(&agent, &mut finished, &sock, &mut buf, ms(settings.agent.stop_ms)).await;
-    drainer.abort();
+    announce.send_replace(announcement(&me, true)?);
+    stop(&agent, &mut inbox, settings).await;
+    follower.abort();
     announcer.abort();
-    let _ = drainer.await;
+    let _ = follower.await;
     let _ = announcer.await;
     let _ = store.delete(&keys.target(name)).await;
-    let tasks = std::mem::take(&mut agent.borrow_mut().tasks);
+    let tasks = agent.borrow_mut().take_tasks();
     for t in tasks {
         t.abort();
         let _ = t.await;
     }
+    desk.stop().await;
     for c in metrics::snapshot() {
         log::info!("{} {c}", events::COUNTERS);
     }
     Ok(())
 }
 
-/// Refuses new flows, keeps serving open ones, until none is left or `wait`
-/// has passed.
-async fn stop(
-    agent: &Rc<RefCell<Agent>>,
-    finished: &mut mpsc::UnboundedReceiver<u64>,
-    sock: &UdpSocket,
-    buf: &mut [u8],
-    wait: Duration,
-) {
-    agent.borrow_mut().stopping = true;
-    let open = agent.borrow().flows.len();
-    log::info!("{} stopping; waiting for {open} open flows", events::AGENT_STOP);
-    let deadline = Instant::now() + wait;
-    while !agent.borrow().flows.is_empty() && Instant::now() < deadline {
+fn announcement(me: &TargetSettings, leaving: bool) -> anyhow::Result<Vec<u8>> {
+    let rec = record::Target {
+        name: me.name.clone(),
+        zone: me.zone.clone(),
+        service: me.service,
+        agent: me.agent,
+        leaving,
+    };
+    serde_json::to_vec(&rec).context("agent: encoding its announcement")
+}
+
+/// Packets from the balancers and news of finished flows.
+struct Inbox {
+    agent: Rc<RefCell<Agent>>,
+    sock: Rc<UdpSocket>,
+    finished: mpsc::UnboundedReceiver<u64>,
+    buf: Vec<u8>,
+}
+
+impl Inbox {
+    fn new(agent: Rc<RefCell<Agent>>, finished: mpsc::UnboundedReceiver<u64>) -> Self {
+        let sock = agent.borrow().sock();
+        Self { agent, sock, finished, buf: vec![0; DATAGRAM] }
+    }
+
+    /// Takes one packet or one piece of news.
+    async fn next(&mut self) -> anyhow::Result<()> {
         tokio::select! {
-            r = sock.recv_from(buf) => {
-                if let Ok((n, _)) = r && let Ok(p) = wire::decode::<Packet>(&buf[..n]) {
-                    agent.borrow_mut().take(p);
+            r = self.sock.recv_from(&mut self.buf) => {
+                let (n, _) = r.context("agent: receiving")?;
+                if let Ok(p) = wire::decode::<Packet>(&self.buf[..n]) {
+                    self.agent.borrow_mut().take(p);
                 }
             }
-            Some(flow) = finished.recv() => {
-                agent.borrow_mut().flows.remove(&flow);
-            }
-            () = tokio::time::sleep(STOP_POLL) => {}
+            Some(flow) = self.finished.recv() => self.agent.borrow_mut().forget(flow),
+        }
+        Ok(())
+    }
+
+    async fn serve(&mut self) -> anyhow::Result<()> {
+        loop {
+            self.next().await?;
         }
     }
 }
 
-async fn watch_drain(store: store::Client, keys: Keys, agent: Rc<RefCell<Agent>>) {
-    let name = agent.borrow().me.name.clone();
-    let key = keys.drain(&name);
-    store::mirror::follow(
-        &store,
-        &key,
+/// Takes new flows for the grace, then only serves open ones, until none is
+/// left or the stop's wait has passed.
+async fn stop(agent: &RefCell<Agent>, inbox: &mut Inbox, settings: &Settings) {
+    let open = agent.borrow().len();
+    log::info!("{} stopping; waiting for {open} open flows", events::AGENT_STOP);
+    let start = Instant::now();
+    let (grace, wait) = (ms(settings.agent.grace_ms), ms(settings.agent.stop_ms));
+    while start.elapsed() < grace || !agent.borrow().is_empty() {
+        if start.elapsed() >= grace {
+            agent.borrow_mut().close();
+        }
+        if start.elapsed() >= grace + wait {
+            return;
+        }
+        let _ = tokio::time::timeout(STOP_POLL, inbox.next()).await;
+    }
+}
+
+/// Keeps the agent's orders current.
+async fn follow_orders(source: Source, keys: Keys, agent: Rc<RefCell<Agent>>, board: Board) {
+    let name = agent.borrow().name();
+    mirror::follow(
+        &source,
         |copy| {
-            let ordered = copy.contains_key(key.as_str());
-            let mut a = agent.borrow_mut();
-            match (ordered, a.drain) {
-                (true, None) => {
-                    log::info!("{} target {name} drains", events::AGENT_DRAIN);
-                    a.drain = Some(Instant::now());
-                }
-                (false, Some(_)) => {
-                    log::info!("{} target {name} back in service", events::AGENT_DRAIN);
-                    a.drain = None;
-                }
-                _ => {}
-            }
+            agent.borrow_mut().obey(Orders::read(&keys, copy, &name));
+            board.set_copy(std::sync::Arc::new(copy.clone()));
+            board.set_ready(true);
         },
         |e| log::warn!("{} {e:#}", events::AGENT_STORE),
     )
--- /dev/null
+++ b/src/agent/state.rs
@@ -0,0 +1,220 @@
+//! The agent's state: its open flows, the orders in force, and what it does
+//! with each packet.
+
+use std::collections::HashMap;
+use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use tokio::net::UdpSocket;
+use tokio::sync::mpsc;
+use tokio::task::JoinHandle;
+
+use super::orders::Orders;
+use super::{Admit, admit, flow};
+use crate::admin::Board;
+use crate::events;
+use crate::metrics::{self, Refusal};
+use crate::refusal;
+use crate::settings::{Settings, TargetSettings};
+use crate::wire::{Answer, Kind, Owner, Packet};
+
+/// One open flow.
+struct Held {
+    owner: Owner,
+    port: u16,
+    tx: mpsc::UnboundedSender<Packet>,
+}
+
+/// One agent: its target, its flows and its orders.
+pub struct Agent {
+    me: TargetSettings,
+    sock: Rc<UdpSocket>,
+    flows: HashMap<u64, Held>,
+    per_port: HashMap<u16, usize>,
+    orders: Orders,
+    drain: Option<Instant>,
+    closed: bool,
+    grace: Duration,
+    idle: Duration,
+    done: mpsc::UnboundedSender<u64>,
+    tasks: Vec<JoinHandle<()>>,
+    board: Board,
+}
+
+impl Agent {
+    /// An agent with no flows and no orders yet; `done` gets the id of each
+    /// flow that ends.
+    pub fn new(
+        me: TargetSettings,
+        settings: &Settings,
+        sock: UdpSocket,
+        done: mpsc::UnboundedSender<u64>,
+        board: Board,
+    ) -> Self {
+        Self {
+            me,
+            sock: Rc::new(sock),
+            flows: HashMap::new(),
+            per_port: HashMap::new(),
+            orders: Orders::default(),
+            drain: None,
+            closed: false,
+            grace: Duration::from_millis(settings.agent.grace_ms),
+            idle: Duration::from_millis(settings.agent.idle_ms),
+            done,
+            tasks: Vec::new(),
+            board,
+        }
+    }
+
+    /// The target's name.
+    pub fn name(&self) -> Arc<str> {
+        self.me.name.clone()
+    }
+
+    /// The socket that flows answer on.
+    pub fn sock(&self) -> Rc<UdpSocket> {
+        self.sock.clone()
+    }
+
+    /// Open flows.
+    pub fn len(&self) -> usize {
+        self.flows.len()
+    }
+
+    /// Whether no flow is open.
+    pub fn is_empty(&self) -> bool {
+        self.flows.is_empty()
+    }
+
+    /// Takes no new flow from now on.
+    pub fn close(&mut self) {
+        self.closed = true;
+    }
+
+    /// Every task started for a flow, for joining.
+    pub fn take_tasks(&mut self) -> Vec<JoinHandle<()>> {
+        std::mem::take(&mut self.tasks)
+    }
+
+    /// Puts new orders in force.
+    pub fn obey(&mut self, orders: Orders) {
+        let name = &self.me.name;
+        match (orders.drain, self.drain) {
+            (true, None) => {
+                log::info!("{} target {name} drains", events::AGENT_DRAIN);
+                self.drain = Some(Instant::now());
+            }
+            (false, Some(_)) => {
+                log::info!("{} target {name} back in service", events::AGENT_DRAIN);
+                self.drain = None;
+            }
+            _ => {}
+        }
+        self.orders = orders;
+    }
+
+    /// Removes a flow that ended.
+    pub fn forget(&mut self, flow: u64) {
+        if let Some(held) = self.flows.remove(&flow) {
+            if let Some(n) = self.per_port.get_mut(&held.port) {
+                *n -= 1;
+            }
+            self.publish();
+        }
+    }
+
+    /// Takes one packet.
+    pub fn take(&mut self, p: Packet) {
+        if p.kind == Kind::Open {
+            self.open(p);
+            return;
+        }
+        match self.flows.get(&p.flow) {
+            Some(h) if h.owner == p.owner => {
+                let _ = h.tx.send(p);
+            }
+            _ => metrics::refused(Refusal::UnknownFlow),
+        }
+    }
+
+    fn open(&mut self, p: Packet) {
+        if let Some(h) = self.flows.get(&p.flow) {
+            let _ = h.tx.send(p);
+            return;
+        }
+        let Some(profile) = self.orders.profiles.get(&p.port) else {
+            metrics::refused(Refusal::NoProfile);
+            return;
+        };
+        if profile.service != self.me.service {
+            metrics::refused(Refusal::ForeignOwner);
+            return;
+        }
+        let open = self.per_port.get(&p.port).copied().unwrap_or(0);
+        let since = self.drain.map(|d| d.elapsed());
+        match admit(since, self.grace, self.closed, open, profile.max_flows as usize) {
+            Admit::Refuse(reason) => self.refuse(&p, reason),
+            Admit::Accept => self.start(p),
+        }
+    }
+
+    fn refuse(&mut self, p: &Packet, reason: Refusal) {
+        metrics::refused(reason);
+        log::info!("{} flow {:x} refused as not run: {reason}", events::AGENT_REFUSE, p.flow);
+        let owner = Owner::new(v4(self.me.agent), 0);
+        let (sock, to, flow) = (self.sock.clone(), p.reply, p.flow);
+        self.spawn(async move { send_refusal(&sock, to, flow, owner, reason).await });
+    }
+
+    fn start(&mut self, p: Packet) {
+        let nonce = rand::random::<u16>().max(1);
+        let owner = Owner::new(v4(self.me.agent), nonce);
+        let (tx, rx) = mpsc::unbounded_channel();
+        let spec = flow::Spec {
+            flow: p.flow,
+            owner,
+            reply: p.reply,
+            target: self.me.addr,
+            idle: self.idle,
+        };
+        let (sock, done) = (self.sock.clone(), self.done.clone());
+        self.spawn(async move {
+            let end = flow::run(sock.clone(), spec.clone(), rx).await;
+            if end == flow::End::Unreachable {
+                let reason = Refusal::Unreachable;
+                metrics::refused(reason);
+                send_refusal(&sock, spec.reply, spec.flow, spec.owner, reason).await;
+            }
+            let _ = done.send(spec.flow);
+        });
+        *self.per_port.entry(p.port).or_default() += 1;
+        self.flows.insert(p.flow, Held { owner, port: p.port, tx });
+        self.publish();
+    }
+
+    fn spawn(&mut self, task: impl Future<Output = ()> + 'static) {
+        self.tasks.retain(|t| !t.is_finished());
+        self.tasks.push(tokio::task::spawn_local(task));
+    }
+
+    fn publish(&self) {
+        self.board.set_flows(u32::try_from(self.flows.len()).unwrap_or(u32::MAX), 0);
+    }
+}
+
+async fn send_refusal(sock: &UdpSocket, to: SocketAddr, flow: u64, owner: Owner, reason: Refusal) {
+    flow::send(sock, to, flow, owner, Answer::Accept).await;
+    let body = refusal::page(reason);
+    flow::send(sock, to, flow, owner, Answer::Data { seq: 0, body }).await;
+    flow::send(sock, to, flow, owner, Answer::Close { seq: 1 }).await;
+}
+
+fn v4(addr: SocketAddr) -> SocketAddrV4 {
+    match addr {
+        SocketAddr::V4(a) => a,
+        SocketAddr::V6(_) => SocketAddrV4::new(Ipv4Addr::UNSPECIFIED, 0),
+    }
+}
--- a/src/balancer/mod.rs
+++ b/src/balancer/mod.rs
@@ -12,6 +12,7 @@
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use anyhow::Context;
@@ -21,9 +22,10 @@
 pub use roster::Roster;
 pub use view::View;
 
+use crate::admin::{self, Board};
 use crate::metrics::{self, Refusal};
 use crate::settings::{BalancerSettings, Settings};
-use crate::store::mirror::Copy;
+use crate::store::mirror::{Copy, Source};
 use crate::store::{self, Keys};
 use crate::wire::{self, Kind, Packet};
 use crate::{events, record};
@@ -82,10 +84,15 @@
     let keys = Keys::new(settings.store.prefix.clone());
     let view = Rc::new(RefCell::new(View::default()));
     log::info!("{} balancer {name} in {} on {}", events::BALANCER_START, me.zone, me.addr);
+    let board = Board::new(me.name.clone());
+    let desk = admin::Server::start(me.addr, board.clone()).await?;
+    let source =
+        Source { store: store.clone(), prefix: keys.all(), peers: settings.peers(me.addr) };
     let watcher = tokio::task::spawn_local(follow(
-        store.clone(),
+        source,
         keys.clone(),
         view.clone(),
+        board,
         Hold { missing: ms(settings.entry.hold_ms), owners: ms(settings.entry.owner_ms) },
     ));
     let announcer = tokio::task::spawn_local(announce(
@@ -101,6 +108,7 @@
         _ = term.recv() => Ok(()),
         _ = int.recv() => Ok(()),
     };
+    desk.stop().await;
     watcher.abort();
     announcer.abort();
     let _ = watcher.await;
@@ -159,18 +167,18 @@
 
 /// Keeps the view current: after each change of the store, and when a held
 /// target's time is over.
-async fn follow(store: store::Client, keys: Keys, view: Rc<RefCell<View>>, hold: Hold) {
-    let prefix = keys.all();
+async fn follow(source: Source, keys: Keys, view: Rc<RefCell<View>>, board: Board, hold: Hold) {
     let roster = Roster::new(hold.missing, hold.owners);
     let judge =
         RefCell::new(Judge { keys, copy: Copy::new(), roster, view, built: Instant::now() });
     let changes = store::mirror::follow(
-        &store,
-        &prefix,
+        &source,
         |copy| {
             let mut j = judge.borrow_mut();
-            j.copy.clone_from(copy);
+            j.copy.clone_from(&copy.keys);
             j.rebuild();
+            board.set_copy(Arc::new(copy.clone()));
+            board.set_ready(true);
         },
         |e| {
             log::warn!("{} {e:#}", events::BALANCER_STORE);
@@ -195,7 +203,8 @@
     let Ok(value) = serde_json::to_vec(&rec) else {
         return;
     };
-    store::lease::hold(&store, &keys.balancer(&me.name), &value, lease_ms).await;
+    let (_keep, value) = tokio::sync::watch::channel(value);
+    store::lease::hold(&store, &keys.balancer(&me.name), value, lease_ms).await;
 }
 
 const fn ms(v: u64) -> Duration {
--- /dev/null
+++ b/src/ctl/fleet.rs
@@ -0,0 +1,102 @@
+//! What the processes of a site say of themselves: their status, and from
+//! when on a change is in force everywhere.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use anyhow::bail;
+
+use crate::admin::{self, Status};
+use crate::settings::Settings;
+
+/// How long one process may take to answer.
+const ASK: Duration = Duration::from_millis(500);
+
+/// Pause between two rounds of asking.
+const PAUSE: Duration = Duration::from_millis(20);
+
+/// One process of the site, as the settings name it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Process {
+    /// `balancer`, `agent` or `fabric`.
+    pub role: &'static str,
+    /// Its name.
+    pub name: Arc<str>,
+    /// Where it answers.
+    pub addr: SocketAddr,
+}
+
+/// Every process of the site that can be asked.
+#[must_use]
+pub fn processes(s: &Settings) -> Vec<Process> {
+    let balancers = s.balancers.iter().map(|b| Process {
+        role: "balancer",
+        name: b.name.clone(),
+        addr: b.addr,
+    });
+    let agents =
+        s.targets.iter().map(|t| Process { role: "agent", name: t.name.clone(), addr: t.agent });
+    let fabric = Process { role: "fabric", name: "fabric".into(), addr: s.fabric.addr };
+    balancers.chain(agents).chain([fabric]).collect()
+}
+
+/// Asks every process at once; a silent one has an error.
+pub async fn statuses(s: &Settings) -> Vec<(Process, anyhow::Result<Status>)> {
+    let asked = processes(s).into_iter().map(|p| async move {
+        let status = admin::ask(p.addr, ASK).await;
+        (p, status)
+    });
+    futures_util::future::join_all(asked).await
+}
+
+/// Waits until every balancer and agent that answers has reached the store's
+/// revision `rev`; returns how long that took.
+///
+/// # Errors
+///
+/// Fails, naming the processes that lag, when `timeout` passes first.
+pub async fn in_force(s: &Settings, rev: i64, timeout: Duration) -> anyhow::Result<Duration> {
+    let start = Instant::now();
+    loop {
+        let behind: Vec<String> = statuses(s)
+            .await
+            .into_iter()
+            .filter(|(p, _)| p.role != "fabric")
+            .filter_map(|(p, st)| {
+                let at = st.ok()?.rev;
+                (at < rev).then(|| format!("{} at {at}", p.name))
+            })
+            .collect();
+        if behind.is_empty() {
+            return Ok(start.elapsed());
+        }
+        if start.elapsed() >= timeout {
+            bail!("ctl: revision {rev} not in force within {timeout:?}: {}", behind.join(", "));
+        }
+        tokio::time::sleep(PAUSE).await;
+    }
+}
+
+/// Prints one line a process, then its counters.
+pub fn print(rows: &[(Process, anyhow::Result<Status>)]) {
+    for (p, status) in rows {
+        match status {
+            Ok(s) => {
+                println!(
+                    "{:<9} {:<16} {} rev {} flows {} waiting {}",
+                    p.role,
+                    p.name,
+                    if s.ready { "ready" } else { "not-ready" },
+                    s.rev,
+                    s.flows,
+                    s.waiting
+                );
+                for c in &s.counts {
+                    println!("          {c}");
+                }
+            }
+            Err(e) => println!("{:<9} {:<16} silent: {e:#}", p.role, p.name),
+        }
+    }
+}
--- a/src/ctl/mod.rs
+++ b/src/ctl/mod.rs
@@ -6,6 +6,8 @@
 //! wins and the other gets a conflict error. A write whose answer is lost is
 //! read back: each write carries a random `writer` identifier.
 
+pub mod fleet;
+
 use std::path::PathBuf;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
@@ -52,8 +54,16 @@
         /// The target's name.
         target: String,
     },
-    /// Prints profiles with their revisions, targets and drains.
+    /// Prints profiles with their revisions, targets and drains, then what
+    /// each process says of itself, with its counters.
     Status,
+    /// Waits until the store's present revision is in force in every balancer
+    /// and agent that answers.
+    Wait {
+        /// Give up after this long, in milliseconds.
+        #[arg(long, default_value_t = 10_000)]
+        timeout_ms: u64,
+    },
     /// Sets the store stand-in's injected faults.
     Fault {
         /// Every call fails while set.
@@ -120,7 +130,18 @@
             log::info!("{} target {target} back in service", events::CTL_WRITE);
             Ok(())
         }
-        Command::Status => status(&store, &keys).await,
+        Command::Status => {
+            // The store may be down: the processes still answer.
+            let stored = status(&store, &keys).await;
+            fleet::print(&fleet::statuses(&settings).await);
+            stored
+        }
+        Command::Wait { timeout_ms } => {
+            let (rev, _) = store.list(&keys.config()).await?;
+            let took = fleet::in_force(&settings, rev, Duration::from_millis(timeout_ms)).await?;
+            println!("revision {rev} in force after {took:?}");
+            Ok(())
+        }
         Command::Fault { outage, delay_ms, lose, lapse } => {
             fault(&settings, &Faults { outage, delay_ms, lose, lapse }).await
         }
--- a/src/fabric/mod.rs
+++ b/src/fabric/mod.rs
@@ -9,6 +9,8 @@
 //! (a balancer may die with the packet inside) and puts the agent's answers
 //! back in order.
 
+mod faults;
+
 use std::cell::RefCell;
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::net::SocketAddr;
@@ -20,6 +22,8 @@
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
 use tokio::sync::mpsc;
 
+pub use faults::Faults;
+
 use crate::events;
 use crate::metrics::{self, Refusal, Retry};
 use crate::settings::Settings;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,10 +8,12 @@
 //! - [`table`]: the consistent-hash lookup table that picks a target.
 //! - [`store`]: the key-value service stand-in and its client.
 //! - [`balancer`], [`agent`], [`fabric`], [`target`]: the roles.
+//! - [`admin`]: what the processes of a site ask each other.
 //! - [`ctl`]: the operator's tool.
 //! - [`bench`]: the load tool that prints broken flows and imbalance.
 //! - [`up`]: runs a whole deployment on one machine.
 
+pub mod admin;
 pub mod agent;
 pub mod balancer;
 pub mod bench;
@@ -21,6 +23,7 @@
 pub mod logs;
 pub mod metrics;
 pub mod record;
+pub mod refusal;
 pub mod settings;
 pub mod store;
 pub mod table;
--- a/src/metrics/mod.rs
+++ b/src/metrics/mod.rs
@@ -15,6 +15,7 @@
 use opentelemetry_sdk::metrics::{
     InstrumentKind, ManualReader, Pipeline, SdkMeterProvider, Temporality,
 };
+use serde::{Deserialize, Serialize};
 
 /// Why a flow or request was refused.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, derive_more::Display)]
@@ -122,7 +123,7 @@
 }
 
 /// One counter value with its reason.
-#[derive(Clone, Debug, PartialEq, Eq, derive_more::Display)]
+#[derive(Clone, Debug, PartialEq, Eq, derive_more::Display, Serialize, Deserialize)]
 #[display("{name}{{reason={reason}}} {value}")]
 pub struct Count {
     /// Counter name.
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -247,6 +247,13 @@
         Ok(settings)
     }
 
+    /// The balancers' addresses, but for `me`: whom to ask for a copy of the
+    /// store's keys.
+    #[must_use]
+    pub fn peers(&self, me: SocketAddr) -> Vec<SocketAddr> {
+        self.balancers.iter().map(|b| b.addr).filter(|a| *a != me).collect()
+    }
+
     /// The target of the given name.
     ///
     /// # Errors
--- a/src/store/mirror.rs
+++ b/src/store/mirror.rs
@@ -2,75 +2,155 @@
 //!
 //! The copy survives outages of the service: while calls fail it keeps what
 //! it last saw, retries with a pause, and lists again when the watch has
-//! fallen behind the kept history.
+//! fallen behind the kept history. It never goes back to an older revision. A
+//! process that starts while the service is down takes the newest copy that
+//! its peers hold.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
+
 use super::{Change, Client, Kv};
+use crate::admin::Peer;
 use crate::metrics::{self, Retry};
 
 /// Pause after a failed call, in milliseconds.
 const PAUSE_MS: u64 = 300;
 
+/// How long a peer may take to hand over its copy.
+const PEER_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// Keys under one prefix, as last seen.
 pub type Copy = BTreeMap<Arc<str>, Kv>;
 
-/// Keeps `copy` current and calls `seen` after each change, forever.
+/// A copy with the store's revision that it reflects; 0 for none yet.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Snapshot {
+    /// The store's revision.
+    pub rev: i64,
+    /// The keys at that revision.
+    pub keys: Copy,
+}
+
+impl Snapshot {
+    /// Applies changes seen by a watch up to revision `rev`.
+    pub fn apply(&mut self, rev: i64, changes: Vec<Change>) {
+        for change in changes {
+            match change {
+                Change::Put(kv) => {
+                    self.rev = self.rev.max(kv.rev);
+                    self.keys.insert(kv.key.clone(), kv);
+                }
+                Change::Delete(key) => {
+                    self.keys.remove(&key);
+                }
+            }
+        }
+        self.rev = self.rev.max(rev);
+    }
+
+    /// Takes `other` if it is newer; says whether it did.
+    pub fn advance(&mut self, other: Self) -> bool {
+        let newer = other.rev > self.rev;
+        if newer {
+            *self = other;
+        }
+        newer
+    }
+
+    /// Only the keys under `prefix`.
+    #[must_use]
+    pub fn under(&self, prefix: &str) -> Self {
+        let keys = self.keys.iter().filter(|(k, _)| k.starts_with(prefix));
+        Self { rev: self.rev, keys: keys.map(|(k, v)| (k.clone(), v.clone())).collect() }
+    }
+}
+
+/// Where a mirror gets its copy from.
+#[derive(Clone)]
+pub struct Source {
+    /// The key-value service.
+    pub store: Client,
+    /// The prefix to copy.
+    pub prefix: String,
+    /// Processes that hold a copy of at least this prefix.
+    pub peers: Vec<SocketAddr>,
+}
+
+/// Keeps a copy current and calls `seen` after each change, forever.
 ///
 /// `fail` is called with each error before the pause, for logging.
-pub async fn follow<F, E>(store: &Client, prefix: &str, mut seen: F, mut fail: E)
+pub async fn follow<F, E>(source: &Source, mut seen: F, mut fail: E)
 where
-    F: FnMut(&Copy),
+    F: FnMut(&Snapshot),
     E: FnMut(&anyhow::Error),
 {
-    let mut copy = Copy::new();
-    let mut next = 0;
+    let mut copy = Snapshot::default();
+    let mut list = true;
     loop {
-        if next == 0 {
-            match store.list(prefix).await {
-                Ok((rev, kvs)) => {
-                    copy = kvs.into_iter().map(|kv| (kv.key.clone(), kv)).collect();
-                    next = rev + 1;
-                    seen(&copy);
-                }
-                Err(e) => {
-                    fail(&e);
-                    metrics::retried(Retry::StoreError);
-                    ntex::time::sleep(Duration::from_millis(PAUSE_MS)).await;
-                }
+        let step =
+            if list { relist(source, &mut copy).await } else { watch(source, &mut copy).await };
+        match step {
+            Ok(Step::Same) => list = false,
+            Ok(Step::Changed) => {
+                list = false;
+                seen(&copy);
             }
-            continue;
-        }
-        match store.watch(prefix, next).await {
-            Ok(batch) if batch.compacted => {
+            Ok(Step::Compacted) => {
                 metrics::retried(Retry::WatchCompacted);
-                next = 0;
-            }
-            Ok(batch) => {
-                let changed = !batch.changes.is_empty();
-                for change in batch.changes {
-                    match change {
-                        Change::Put(kv) => {
-                            next = next.max(kv.rev + 1);
-                            copy.insert(kv.key.clone(), kv);
-                        }
-                        Change::Delete(key) => {
-                            copy.remove(&key);
-                        }
-                    }
-                }
-                next = next.max(batch.rev + 1);
-                if changed {
-                    seen(&copy);
-                }
+                list = true;
             }
             Err(e) => {
                 fail(&e);
                 metrics::retried(Retry::StoreError);
+                if copy.rev == 0 && from_peers(source, &mut copy).await {
+                    seen(&copy);
+                    list = false;
+                }
                 ntex::time::sleep(Duration::from_millis(PAUSE_MS)).await;
             }
         }
     }
 }
+
+/// What one call to the store did to the copy.
+enum Step {
+    Same,
+    Changed,
+    Compacted,
+}
+
+async fn relist(source: &Source, copy: &mut Snapshot) -> anyhow::Result<Step> {
+    let (rev, kvs) = source.store.list(&source.prefix).await?;
+    let keys = kvs.into_iter().map(|kv| (kv.key.clone(), kv)).collect();
+    if rev < copy.rev {
+        anyhow::bail!("list {}: revision {rev} is older than {}", source.prefix, copy.rev);
+    }
+    let first = copy.rev == 0;
+    Ok(if copy.advance(Snapshot { rev, keys }) || first { Step::Changed } else { Step::Same })
+}
+
+async fn watch(source: &Source, copy: &mut Snapshot) -> anyhow::Result<Step> {
+    let batch = source.store.watch(&source.prefix, copy.rev + 1).await?;
+    if batch.compacted {
+        return Ok(Step::Compacted);
+    }
+    let changed = !batch.changes.is_empty();
+    copy.apply(batch.rev, batch.changes);
+    Ok(if changed { Step::Changed } else { Step::Same })
+}
+
+/// Takes the newest copy that a peer holds; says whether there was one.
+async fn from_peers(source: &Source, copy: &mut Snapshot) -> bool {
+    let mut found = false;
+    for &addr in &source.peers {
+        let Ok(peer) = Peer::connect(addr, PEER_TIMEOUT).await else { continue };
+        if let Ok(theirs) = peer.copy().await {
+            found |= copy.advance(theirs.under(&source.prefix));
+        }
+    }
+    found
+}
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -14,11 +14,14 @@
 
 use std::sync::Arc;
 
+use serde::{Deserialize, Serialize};
+
 pub use client::Client;
+pub use mirror::Snapshot;
 pub use server::{Faults, serve};
 
 /// A key and its value as the rest of the crate sees them.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Kv {
     /// The key.
     pub key: Arc<str>,
@@ -40,6 +43,10 @@
 }
 
 /// The layout of jujubepost's keys under the prefix.
+///
+/// `config/` holds what operators order (profiles, drains) and `live/` what
+/// processes announce under leases. Agents follow `config/` only, so the
+/// announcements of a large fleet do not reach them.
 #[derive(Clone, Debug)]
 pub struct Keys {
     prefix: Arc<str>,
@@ -58,34 +65,47 @@
         format!("{}/", self.prefix)
     }
 
+    /// What operators order.
+    #[must_use]
+    pub fn config(&self) -> String {
+        format!("{}/config/", self.prefix)
+    }
+
+    /// Every target's announcement.
+    #[must_use]
+    pub fn targets(&self) -> String {
+        format!("{}/live/targets/", self.prefix)
+    }
+
     /// A profile, written by operators.
     #[must_use]
     pub fn profile(&self, name: &str) -> String {
-        format!("{}/profiles/{name}", self.prefix)
+        format!("{}/config/profiles/{name}", self.prefix)
     }
 
     /// A target's announcement, written by its agent under a lease.
     #[must_use]
     pub fn target(&self, name: &str) -> String {
-        format!("{}/targets/{name}", self.prefix)
+        format!("{}{name}", self.targets())
     }
 
     /// A drain order for a target, written by operators.
     #[must_use]
     pub fn drain(&self, name: &str) -> String {
-        format!("{}/drain/{name}", self.prefix)
+        format!("{}/config/drain/{name}", self.prefix)
     }
 
     /// A balancer's announcement, under a lease.
     #[must_use]
     pub fn balancer(&self, name: &str) -> String {
-        format!("{}/balancers/{name}", self.prefix)
+        format!("{}/live/balancers/{name}", self.prefix)
     }
 
     /// Splits a key into its kind (`profiles`, `targets`, ...) and name.
     #[must_use]
     pub fn split<'a>(&self, key: &'a str) -> Option<(&'a str, &'a str)> {
         let rest = key.strip_prefix(&*self.prefix)?.strip_prefix('/')?;
+        let (_, rest) = rest.split_once('/')?;
         rest.split_once('/')
     }
 }
--- /dev/null
+++ b/tests/in_force.rs
@@ -0,0 +1,73 @@
+//! An accepted configuration is in force on every balancer and agent within
+//! seconds, and never reverts: not in a store outage, not in a process that
+//! starts while the store is down.
+
+mod common;
+
+use std::time::Duration;
+
+use jujubepost::bench::{self, Args};
+use jujubepost::ctl::{self, Outcome, fleet};
+use jujubepost::settings::Settings;
+use jujubepost::store::{self, Faults, Keys, Snapshot};
+
+const BOUND: Duration = Duration::from_secs(3);
+
+/// Lowers the meter profile's flow limit and returns the store's revision.
+async fn limit(s: &Settings, flows: u32) -> i64 {
+    let store = store::Client::new(s.store.addr, Duration::from_secs(2)).await;
+    let keys = Keys::new(s.store.prefix.clone());
+    let rev = store.get(&keys.profile("meter")).await.unwrap().unwrap().rev;
+    let mut spec = s.profiles[0].clone();
+    spec.max_flows = flows;
+    assert_eq!(ctl::put(&store, &keys, &spec, rev).await.unwrap(), Outcome::Written);
+    store.get(&keys.profile("meter")).await.unwrap().unwrap().rev
+}
+
+/// Requests refused while `feeds` feeds hold the one target.
+async fn refused(s: &Settings, path: &std::path::Path, feeds: u32) -> (u32, u32) {
+    let args = Args { config: path.into(), feeds, requests: 10, secs: 2 };
+    let rows = bench::measure(s, &args).await;
+    let meter = rows.iter().find(|r| r.profile == "meter").unwrap();
+    (meter.ok, meter.refused)
+}
+
+#[ntex::test]
+async fn limit_reaches_agents() {
+    let site = common::start("limit", 25500, 2, 1, 0).await;
+    let s = site.settings.clone();
+    assert_eq!(refused(&s, &site.path, 2).await, (10, 0));
+    let rev = limit(&s, 2).await;
+    fleet::in_force(&s, rev, BOUND).await.unwrap();
+    assert_eq!(refused(&s, &site.path, 2).await, (0, 10));
+}
+
+#[ntex::test]
+async fn joins_in_outage() {
+    let mut site = common::start("joins", 26000, 2, 1, 0).await;
+    let s = site.settings.clone();
+    let rev = limit(&s, 2).await;
+    fleet::in_force(&s, rev, BOUND).await.unwrap();
+    ctl::fault(&s, &Faults { outage: true, ..Faults::default() }).await.unwrap();
+    // Every process is replaced in turn; nothing is read from the store.
+    for (label, args) in [
+        ("lb-0", ["balancer", "--name", "lb-0"]),
+        ("lb-1", ["balancer", "--name", "lb-1"]),
+        ("agent-meter-1", ["agent", "--name", "meter-1"]),
+    ] {
+        site.kill(label);
+        site.spawn(&common::exe(), label, &args).unwrap();
+        tokio::time::sleep(Duration::from_millis(1_500)).await;
+    }
+    fleet::in_force(&s, rev, BOUND).await.unwrap();
+    assert_eq!(refused(&s, &site.path, 2).await, (0, 10));
+    assert_eq!(refused(&s, &site.path, 1).await.1, 0);
+}
+
+#[test]
+fn older_copy_ignored() {
+    let mut copy = Snapshot { rev: 9, ..Snapshot::default() };
+    assert!(!copy.advance(Snapshot { rev: 8, ..Snapshot::default() }));
+    assert!(copy.advance(Snapshot { rev: 10, ..Snapshot::default() }));
+    assert_eq!(copy.rev, 10);
+}
--- a/tests/store_outage.rs
+++ b/tests/store_outage.rs
@@ -8,7 +8,7 @@
 
 use jujubepost::bench::{self, Args};
 use jujubepost::ctl;
-use jujubepost::store::{self, Faults};
+use jujubepost::store::{self, Faults, Keys};
 
 #[ntex::test]
 async fn outage_serves_on() {
@@ -26,7 +26,7 @@
     ctl::fault(&s, &Faults::default()).await.unwrap();
     tokio::time::sleep(Duration::from_millis(1_500)).await;
     let store = store::Client::new(s.store.addr, Duration::from_secs(2)).await;
-    let (_, kvs) = store.list(&format!("{}/targets/", s.store.prefix)).await.unwrap();
+    let (_, kvs) = store.list(&Keys::new(s.store.prefix.clone()).targets()).await.unwrap();
     assert_eq!(kvs.len(), 5, "{kvs:?}");
     let after = Args { config: site.path.clone(), feeds: 0, requests: 40, secs: 1 };
     let rows = bench::measure(&s, &after).await;
