Answers are acknowledged and resent; the fabric loses, doubles, delays, mutes

Cause: answers went from agent to fabric once. A refusal was three datagrams, any of which could be lost. A packet for a flow that the agent did not hold was dropped without a word, so the caller hung for good. A late open could leave a flow, and a target connection, at an agent until the idle timer. A target that answered and closed early lost its answer when the agent's next write failed. A target's reset looked like a clean end.

Change: `stream::{Window, Reorder}`, shared by both ends: pieces are kept until acknowledged, resent with back-off, taken once and in order. `Ack` packets and an `ack` in every packet; `Refuse` is one datagram; `Reset` for unknown flows; accepts are resent until confirmed, and an accept for a flow that is over is reset. `Close` says whether the end was clean. The fabric has faults (`lose`, `double`, `delay` per thousand, `mute`) set over `admin`, asks balancers whether they are ready, and takes them out after two misses. A stopping balancer says it is not ready and forwards on for `entry.linger_ms`. Each side gives a silent flow up after `give_up_ms`. Invariants log E999, count `jujubepost.violations`, and abort debug builds.

Ruled out: acknowledging through the balancers only in `Data` packets (a feed has none); holding the whole answer until the end (feeds never end).

Bench: answers must be whole and carry the request's own id, feed lines must have no gap and must keep coming (`wrong`, `broken`); a target's own shedding is counted apart (`shed`).

Library logs are at `warn`.

--- a/src/agent/state.rs
+++ b/src/agent/state.rs
@@ -11,6 +11,7 @@
 use tokio::sync::mpsc;
 use tokio::task::JoinHandle;
 
+use super::flow::{End, Timers, Waiting};
 use super::orders::Orders;
 use super::{Admit, admit, flow};
 use crate::admin::Board;
@@ -18,7 +19,7 @@
 use crate::metrics::{self, Refusal};
 use crate::refusal;
 use crate::settings::{Settings, TargetSettings};
-use crate::wire::{Answer, Kind, Owner, Packet};
+use crate::wire::{Answer, Kind, Owner, Packet, Reply};
 
 /// One open flow.
 struct Held {
@@ -37,7 +38,8 @@
     drain: Option<Instant>,
     closed: bool,
     grace: Duration,
-    idle: Duration,
+    timers: Timers,
+    waiting: Waiting,
     done: mpsc::UnboundedSender<u64>,
     tasks: Vec<JoinHandle<()>>,
     board: Board,
@@ -62,7 +64,12 @@
             drain: None,
             closed: false,
             grace: Duration::from_millis(settings.agent.grace_ms),
-            idle: Duration::from_millis(settings.agent.idle_ms),
+            timers: Timers {
+                idle: Duration::from_millis(settings.agent.idle_ms),
+                rto: Duration::from_millis(settings.agent.rto_ms),
+                give_up: Duration::from_millis(settings.agent.give_up_ms),
+            },
+            waiting: Waiting::default(),
             done,
             tasks: Vec::new(),
             board,
@@ -136,10 +143,21 @@
             Some(h) if h.owner == p.owner => {
                 let _ = h.tx.send(p);
             }
-            _ => metrics::refused(Refusal::UnknownFlow),
+            _ if p.kind == Kind::Reset => {}
+            _ => {
+                metrics::refused(Refusal::UnknownFlow);
+                self.reply(&p, p.owner, Answer::Reset);
+            }
         }
     }
 
+    /// Answers a packet whose flow this agent does not hold.
+    fn reply(&mut self, p: &Packet, owner: Owner, answer: Answer) {
+        let (sock, to) = (self.sock.clone(), p.reply);
+        let reply = Reply { flow: p.flow, port: p.port, owner, answer };
+        self.spawn(async move { flow::send(&sock, to, reply).await });
+    }
+
     fn open(&mut self, p: Packet) {
         if let Some(h) = self.flows.get(&p.flow) {
             let _ = h.tx.send(p);
@@ -165,8 +183,7 @@
         metrics::refused(reason);
         log::info!("{} flow {:x} refused as not run: {reason}", events::AGENT_REFUSE, p.flow);
         let owner = Owner::new(v4(self.me.agent), 0);
-        let (sock, to, flow) = (self.sock.clone(), p.reply, p.flow);
-        self.spawn(async move { send_refusal(&sock, to, flow, owner, reason).await });
+        self.reply(p, owner, Answer::Refuse { body: refusal::page(reason) });
     }
 
     fn start(&mut self, p: Packet) {
@@ -175,18 +192,23 @@
         let (tx, rx) = mpsc::unbounded_channel();
         let spec = flow::Spec {
             flow: p.flow,
+            port: p.port,
             owner,
             reply: p.reply,
             target: self.me.addr,
-            idle: self.idle,
+            timers: self.timers,
         };
         let (sock, done) = (self.sock.clone(), self.done.clone());
+        let waiting = self.waiting.clone();
         self.spawn(async move {
-            let end = flow::run(sock.clone(), spec.clone(), rx).await;
-            if end == flow::End::Unreachable {
-                let reason = Refusal::Unreachable;
-                metrics::refused(reason);
-                send_refusal(&sock, spec.reply, spec.flow, spec.owner, reason).await;
+            match flow::run(sock.clone(), spec.clone(), waiting, rx).await {
+                End::Unreachable => {
+                    let reason = Refusal::Unreachable;
+                    metrics::refused(reason);
+                    spec.send(&sock, Answer::Refuse { body: refusal::page(reason) }).await;
+                }
+                End::Idle | End::Silent => spec.send(&sock, Answer::Reset).await,
+                End::Closed | End::Reset => {}
             }
             let _ = done.send(spec.flow);
         });
@@ -201,17 +223,11 @@
     }
 
     fn publish(&self) {
-        self.board.set_flows(u32::try_from(self.flows.len()).unwrap_or(u32::MAX), 0);
+        let flows = u32::try_from(self.flows.len()).unwrap_or(u32::MAX);
+        self.board.set_flows(flows, self.waiting.count());
     }
 }
 
-async fn send_refusal(sock: &UdpSocket, to: SocketAddr, flow: u64, owner: Owner, reason: Refusal) {
-    flow::send(sock, to, flow, owner, Answer::Accept).await;
-    let body = refusal::page(reason);
-    flow::send(sock, to, flow, owner, Answer::Data { seq: 0, body }).await;
-    flow::send(sock, to, flow, owner, Answer::Close { seq: 1 }).await;
-}
-
 fn v4(addr: SocketAddr) -> SocketAddrV4 {
     match addr {
         SocketAddr::V4(a) => a,
--- a/src/balancer/mod.rs
+++ b/src/balancer/mod.rs
@@ -92,7 +92,7 @@
         source,
         keys.clone(),
         view.clone(),
-        board,
+        board.clone(),
         Hold { missing: ms(settings.entry.hold_ms), owners: ms(settings.entry.owner_ms) },
     ));
     let announcer = tokio::task::spawn_local(announce(
@@ -108,13 +108,15 @@
         _ = term.recv() => Ok(()),
         _ = int.recv() => Ok(()),
     };
-    desk.stop().await;
+    // A planned stop: say so, and forward what still comes meanwhile.
+    board.set_ready(false);
     watcher.abort();
+    let linger = ms(settings.entry.linger_ms);
+    let _ = tokio::time::timeout(linger, forward(&sock, &view)).await;
+    desk.stop().await;
     announcer.abort();
     let _ = watcher.await;
     let _ = announcer.await;
-    // A planned stop: leave the announcement to no one. Packets still on
-    // their way are resent by the fabric through the other balancers.
     let _ = store.delete(&keys.balancer(name)).await;
     log::info!("{} balancer {name} stopped", events::BALANCER_STOP);
     res
--- a/src/bench/mod.rs
+++ b/src/bench/mod.rs
@@ -20,6 +20,12 @@
 
 use crate::settings::{ProfileSettings, Service, Settings};
 
+/// A feed without a line for this long is broken.
+const STALE: Duration = Duration::from_secs(3);
+
+/// Bytes of one upload.
+const UPLOAD: usize = 40_000;
+
 /// Arguments of `jujubepost bench`.
 #[derive(Clone, Debug, clap::Args)]
 pub struct Args {
@@ -46,8 +52,10 @@
     pub flows: u32,
     /// Requests answered 200.
     pub ok: u32,
-    /// Requests refused as not run (503).
+    /// Requests refused by jujubepost as not run.
     pub refused: u32,
+    /// Requests refused by a target that sheds load.
+    pub shed: u32,
     /// Requests that failed otherwise.
     pub failed: u32,
     /// Feeds opened.
@@ -62,6 +70,8 @@
     pub doubled: u32,
     /// Answers from a target of another service.
     pub foreign: u32,
+    /// Answers that were cut, or not the request's own; feeds with a gap.
+    pub wrong: u32,
     /// Requests answered by each target, by name.
     pub served: std::collections::BTreeMap<String, u32>,
 }
@@ -82,33 +92,37 @@
 pub fn print(site: &str, rows: &[Row]) {
     println!("site {site}");
     println!(
-        "{:<12} {:>6} {:>6} {:>8} {:>6} {:>6} {:>7} {:>9} {:>9} {:>7} {:>7}",
+        "{:<12} {:>6} {:>6} {:>8} {:>5} {:>6} {:>6} {:>7} {:>9} {:>9} {:>7} {:>7} {:>6}",
         "profile",
         "flows",
         "ok",
         "refused",
+        "shed",
         "failed",
         "feeds",
         "broken",
         "imbalance",
         "feed_imb",
         "doubled",
-        "foreign"
+        "foreign",
+        "wrong"
     );
     for r in rows {
         println!(
-            "{:<12} {:>6} {:>6} {:>8} {:>6} {:>6} {:>7} {:>9.2} {:>9.2} {:>7} {:>7}",
+            "{:<12} {:>6} {:>6} {:>8} {:>5} {:>6} {:>6} {:>7} {:>9.2} {:>9.2} {:>7} {:>7} {:>6}",
             r.profile,
             r.flows,
             r.ok,
             r.refused,
+            r.shed,
             r.failed,
             r.feeds,
             r.broken,
             r.imbalance,
             r.feed_imbalance,
             r.doubled,
-            r.foreign
+            r.foreign,
+            r.wrong
         );
     }
     if let Ok(json) = serde_json::to_string(rows) {
@@ -176,6 +190,14 @@
     tally.row
 }
 
+/// Whether a 200 answer is whole and belongs to the request `id`.
+fn whole(service: Service, id: &str, text: &str) -> bool {
+    let Some((_, body)) = text.split_once("\r\n\r\n") else { return false };
+    let length = header(text, "Content-Length").and_then(|v| v.parse().ok());
+    let stored = service != Service::Fieldlog || body.contains(&format!("stored {UPLOAD} "));
+    length == Some(body.len()) && body.contains(id) && stored
+}
+
 /// Most loaded over mean; 0 when nothing was counted.
 #[must_use]
 pub fn imbalance(counts: impl Iterator<Item = u32>) -> f64 {
@@ -191,8 +213,8 @@
 fn path(service: Service, id: &str) -> (&'static str, String, Vec<u8>) {
     match service {
         Service::Meter => ("POST", format!("/pay?id={id}"), Vec::new()),
-        Service::Fieldlog => ("POST", "/upload".into(), vec![b'x'; 4096]),
-        Service::Calculadora => ("GET", format!("/quote?w={id}"), Vec::new()),
+        Service::Fieldlog => ("POST", format!("/upload?id={id}"), vec![b'x'; UPLOAD]),
+        Service::Calculadora => ("GET", format!("/quote?w=3&id={id}"), Vec::new()),
         Service::Validador => ("POST", format!("/check?id={id}"), Vec::new()),
     }
 }
@@ -238,11 +260,18 @@
     }
     if text.starts_with("HTTP/1.1 200") {
         t.row.ok += 1;
+        if !whole(service, id, &text) {
+            t.row.wrong += 1;
+        }
         if let Some(name) = header(&text, "X-Target") {
             *t.requests.entry(name.to_string()).or_default() += 1;
         }
     } else if text.starts_with("HTTP/1.1 503") {
-        t.row.refused += 1;
+        if header(&text, "X-Jujubepost-Run") == Some("no") {
+            t.row.refused += 1;
+        } else {
+            t.row.shed += 1;
+        }
     } else {
         t.row.failed += 1;
     }
@@ -277,35 +306,70 @@
         return false;
     }
     let deadline = tokio::time::Instant::now() + run;
+    let mut lines = Lines::default();
     let mut seen = Vec::new();
     let mut counted = false;
     let mut buf = vec![0u8; 4096];
     loop {
-        match tokio::time::timeout_at(deadline, s.read(&mut buf)).await {
-            Err(_) => return counted,
+        let n = match tokio::time::timeout_at(deadline, s.read(&mut buf)).await {
+            Err(_) => return counted && lines.fresh(),
             Ok(Ok(0) | Err(_)) => return false,
-            Ok(Ok(n)) => {
-                if counted {
-                    continue;
-                }
-                seen.extend_from_slice(&buf[..n]);
-                let text = String::from_utf8_lossy(&seen).to_string();
-                if !text.contains("\r\n\r\n") {
-                    continue;
-                }
-                if !text.starts_with("HTTP/1.1 200") {
-                    return false;
-                }
-                let mut t = tally.borrow_mut();
-                if header(&text, "X-Service").is_some_and(|v| v != service.to_string()) {
-                    t.row.foreign += 1;
-                }
-                if let Some(name) = header(&text, "X-Target") {
-                    *t.feeds.entry(name.to_string()).or_default() += 1;
-                }
-                counted = true;
+            Ok(Ok(n)) => n,
+        };
+        seen.extend_from_slice(&buf[..n]);
+        if !counted {
+            let text = String::from_utf8_lossy(&seen).to_string();
+            let Some((head, _)) = text.split_once("\r\n\r\n") else { continue };
+            if !text.starts_with("HTTP/1.1 200") {
+                return false;
+            }
+            count_feed(&text, service, &mut tally.borrow_mut());
+            seen.drain(..head.len() + 4);
+            counted = true;
+        }
+        if !lines.take(&mut seen) {
+            tally.borrow_mut().row.wrong += 1;
+            return true;
+        }
+    }
+}
+
+fn count_feed(text: &str, service: Service, t: &mut Tally) {
+    if header(text, "X-Service").is_some_and(|v| v != service.to_string()) {
+        t.row.foreign += 1;
+    }
+    if let Some(name) = header(text, "X-Target") {
+        *t.feeds.entry(name.to_string()).or_default() += 1;
+    }
+}
+
+/// The numbered lines of a feed, checked for gaps.
+#[derive(Default)]
+struct Lines {
+    next: u64,
+    last: Option<Instant>,
+}
+
+impl Lines {
+    /// Takes the whole lines out of `seen`; false when one is out of order.
+    fn take(&mut self, seen: &mut Vec<u8>) -> bool {
+        while let Some(end) = seen.iter().position(|&b| b == b'\n') {
+            let line: Vec<u8> = seen.drain(..=end).collect();
+            let line = String::from_utf8_lossy(&line);
+            // Chunk sizes and chunk ends come between the feed's lines.
+            let Some((_, n)) = line.trim().split_once(' ') else { continue };
+            if n.parse() != Ok(self.next) {
+                return false;
             }
+            self.next += 1;
+            self.last = Some(Instant::now());
         }
+        true
+    }
+
+    /// Whether a line came lately: a feed that went silent is broken.
+    fn fresh(&self) -> bool {
+        self.last.is_some_and(|at| at.elapsed() < STALE)
     }
 }
 
--- a/src/events/mod.rs
+++ b/src/events/mod.rs
@@ -31,6 +31,8 @@
 pub const AGENT_DRAIN: &str = "E303";
 /// An agent closed a flow that stayed silent too long.
 pub const AGENT_IDLE: &str = "E304";
+/// An agent gave up a flow whose caller acknowledged nothing for too long.
+pub const AGENT_SILENT: &str = "E307";
 /// An agent is stopping and waits for open flows.
 pub const AGENT_STOP: &str = "E305";
 /// An agent could not reach the store.
@@ -41,6 +43,13 @@
 /// The fabric gave up on a flow that no agent accepted.
 pub const FABRIC_OPEN: &str = "E401";
 
+/// The fabric gave up on a flow whose agent acknowledged nothing.
+pub const FABRIC_SILENT: &str = "E402";
+/// The fabric's injected faults changed.
+pub const FABRIC_FAULT: &str = "E403";
+/// A balancer went out of the fabric's rotation or came back.
+pub const FABRIC_ROTATION: &str = "E404";
+
 /// A target stand-in is listening.
 pub const TARGET_START: &str = "E500";
 /// A target stand-in got a request for another service.
@@ -51,5 +60,8 @@
 /// An operator's change lost a race to another change.
 pub const CTL_CONFLICT: &str = "E601";
 
+/// An invariant of the program did not hold.
+pub const VIOLATION: &str = "E999";
+
 /// Counter totals printed at stop.
 pub const COUNTERS: &str = "E900";
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,6 +5,7 @@
 //!
 //! - [`settings`]: typed, checked settings read from JSON with comments.
 //! - [`wire`]: the packets exchanged by fabric, balancers and agents.
+//! - [`stream`]: ordered delivery over datagrams.
 //! - [`table`]: the consistent-hash lookup table that picks a target.
 //! - [`store`]: the key-value service stand-in and its client.
 //! - [`balancer`], [`agent`], [`fabric`], [`target`]: the roles.
@@ -26,6 +27,7 @@
 pub mod refusal;
 pub mod settings;
 pub mod store;
+pub mod stream;
 pub mod table;
 pub mod target;
 pub mod up;
--- a/src/logs/mod.rs
+++ b/src/logs/mod.rs
@@ -1,21 +1,20 @@
 //! Logging through `logforth`: text lines on standard error.
 //!
-//! The level is `info` unless `JUJUBEPOST_LOG` names another one (`error`,
-//! `warn`, `info`, `debug`, `trace`).
+//! `JUJUBEPOST_LOG` holds a filter such as `debug` or
+//! `info,jujubepost::agent=debug`. Unless it does, jujubepost logs at `info`
+//! and the libraries at `warn`, so that every line of a quiet log is one of
+//! the numbered events of `docs/EVENTS.md`.
 
-use logforth::record::{Level, LevelFilter};
+use logforth::filter::rustlog::RustLogFilterBuilder;
 
-/// Environment variable that sets the log level.
-pub const LEVEL_VAR: &str = "JUJUBEPOST_LOG";
+/// Environment variable that holds the filter.
+pub const FILTER_VAR: &str = "JUJUBEPOST_LOG";
+
+/// Filter used when [`FILTER_VAR`] holds none.
+const FILTER: &str = "warn,jujubepost=info";
 
 /// Sets up logging once for the process.
 pub fn init() {
-    let level = match std::env::var(LEVEL_VAR).as_deref() {
-        Ok("error") => Level::Error,
-        Ok("warn") => Level::Warn,
-        Ok("debug") => Level::Debug,
-        Ok("trace") => Level::Trace,
-        _ => Level::Info,
-    };
-    logforth::starter_log::stderr().filter(LevelFilter::MoreSevereEqual(level)).apply();
+    let filter = RustLogFilterBuilder::from_env_or(FILTER_VAR, FILTER).build();
+    logforth::starter_log::stderr().filter(filter).apply();
 }
--- a/src/metrics/mod.rs
+++ b/src/metrics/mod.rs
@@ -44,6 +44,9 @@
     /// No agent accepted the flow in time.
     #[display("open_timeout")]
     OpenTimeout,
+    /// A flow's peer acknowledged nothing for too long.
+    #[display("silent")]
+    Silent,
 }
 
 /// Why something was tried again.
@@ -52,6 +55,12 @@
     /// A packet was not acknowledged in time and was sent again.
     #[display("packet_timeout")]
     PacketTimeout,
+    /// An answer was not acknowledged in time and was sent again.
+    #[display("answer_timeout")]
+    AnswerTimeout,
+    /// An accept was not confirmed in time and was sent again.
+    #[display("accept_timeout")]
+    AcceptTimeout,
     /// An open was not accepted in time and was sent again.
     #[display("open_timeout")]
     OpenTimeout,
@@ -96,6 +105,7 @@
     _provider: SdkMeterProvider,
     refusals: Counter<u64>,
     retries: Counter<u64>,
+    violations: Counter<u64>,
 }
 
 static METERS: OnceLock<Meters> = OnceLock::new();
@@ -108,7 +118,8 @@
         let meter = opentelemetry::global::meter("jujubepost");
         let refusals = meter.u64_counter("jujubepost.refusals").build();
         let retries = meter.u64_counter("jujubepost.retries").build();
-        Meters { reader, _provider: provider, refusals, retries }
+        let violations = meter.u64_counter("jujubepost.violations").build();
+        Meters { reader, _provider: provider, refusals, retries, violations }
     })
 }
 
@@ -122,6 +133,19 @@
     meters().retries.add(1, &[KeyValue::new("reason", reason.to_string())]);
 }
 
+/// Checks an invariant of the program: when it does not hold, logs it, counts
+/// it under `jujubepost.violations`, and in debug builds ends the process.
+pub fn invariant(holds: bool, name: &'static str, detail: impl FnOnce() -> String) {
+    if holds {
+        return;
+    }
+    log::error!("{} invariant {name} broken: {}", crate::events::VIOLATION, detail());
+    meters().violations.add(1, &[KeyValue::new("reason", name)]);
+    if cfg!(debug_assertions) {
+        std::process::abort();
+    }
+}
+
 /// One counter value with its reason.
 #[derive(Clone, Debug, PartialEq, Eq, derive_more::Display, Serialize, Deserialize)]
 #[display("{name}{{reason={reason}}} {value}")]
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -105,11 +105,23 @@
     pub rto_ms: u64,
     /// How long a new flow may wait to be accepted, in milliseconds.
     pub open_ms: u64,
+    /// How long a flow's agent may acknowledge nothing before the fabric
+    /// gives the flow up, in milliseconds.
+    pub give_up_ms: u64,
+    /// How often each balancer is asked whether it is ready, in
+    /// milliseconds; after two misses it is out of rotation.
+    pub probe_ms: u64,
 }
 
 impl Default for FabricSettings {
     fn default() -> Self {
-        Self { addr: SocketAddr::from(([127, 0, 0, 1], 7400)), rto_ms: 200, open_ms: 3_000 }
+        Self {
+            addr: SocketAddr::from(([127, 0, 0, 1], 7400)),
+            rto_ms: 200,
+            open_ms: 3_000,
+            give_up_ms: 10_000,
+            probe_ms: 250,
+        }
     }
 }
 
@@ -127,11 +139,23 @@
     pub idle_ms: u64,
     /// How long a planned stop waits for open flows, in milliseconds.
     pub stop_ms: u64,
+    /// Retransmission timeout of answers, in milliseconds.
+    pub rto_ms: u64,
+    /// How long a caller may acknowledge nothing before its flow is given
+    /// up, in milliseconds.
+    pub give_up_ms: u64,
 }
 
 impl Default for AgentSettings {
     fn default() -> Self {
-        Self { lease_ms: 3_000, grace_ms: 2_000, idle_ms: 300_000, stop_ms: 30_000 }
+        Self {
+            lease_ms: 3_000,
+            grace_ms: 2_000,
+            idle_ms: 300_000,
+            stop_ms: 30_000,
+            rto_ms: 200,
+            give_up_ms: 10_000,
+        }
     }
 }
 
@@ -145,11 +169,14 @@
     /// How long the owner of established flows is known after its
     /// announcement went missing, in milliseconds.
     pub owner_ms: u64,
+    /// How long a stopping balancer forwards after it said that it is not
+    /// ready, in milliseconds.
+    pub linger_ms: u64,
 }
 
 impl Default for EntrySettings {
     fn default() -> Self {
-        Self { hold_ms: 6_000, owner_ms: 300_000 }
+        Self { hold_ms: 6_000, owner_ms: 300_000, linger_ms: 1_500 }
     }
 }
 
--- a/src/target/mod.rs
+++ b/src/target/mod.rs
@@ -133,8 +133,8 @@
             *inner.runs.entry(id.clone()).or_default() += 1;
             format!("{} ran {id} on {}\n", &path[1..], st.me.name)
         }
-        "/quote" => format!("rate {} EUR\n", 1 + query(&req, "w").map_or(0, |w| w.len())),
-        _ => format!("stored {} bytes\n", body.len()),
+        "/quote" => format!("rate {} EUR for {id}\n", 1 + query(&req, "w").map_or(0, |w| w.len())),
+        _ => format!("stored {} bytes of {id}\n", body.len()),
     };
     drop(inner);
     st.answer(S::OK).body(text)
--- a/src/up/mod.rs
+++ b/src/up/mod.rs
@@ -34,6 +34,9 @@
 /// How long a stopping process may take before it is killed.
 const STOP: Duration = Duration::from_secs(10);
 
+/// How often a stopping process is looked at.
+const REAP_POLL: Duration = Duration::from_millis(20);
+
 /// Arguments of `jujubepost up`.
 #[derive(Clone, Debug, clap::Args)]
 pub struct Args {
@@ -143,12 +146,17 @@
         }
     }
 
-    /// Stops one process by label: SIGTERM, then waits for it.
-    pub fn stop(&mut self, label: &str) {
-        if let Some(i) = self.children.iter().position(|(l, _)| l == label) {
-            let (_, mut child) = self.children.remove(i);
-            terminate(&mut child);
+    /// Stops one process by label (SIGTERM) and waits for its end.
+    pub async fn stop(&mut self, label: &str) {
+        let Some(i) = self.children.iter().position(|(l, _)| l == label) else { return };
+        let (_, mut child) = self.children.remove(i);
+        signal(&child);
+        let deadline = Instant::now() + STOP;
+        while Instant::now() < deadline && !matches!(child.try_wait(), Ok(Some(_))) {
+            tokio::time::sleep(REAP_POLL).await;
         }
+        let _ = child.kill();
+        let _ = child.wait();
     }
 
     /// Sends a signal to one process by label, for example `SIGSTOP` to
@@ -190,17 +198,12 @@
         if let Ok(Some(_)) = child.try_wait() {
             return;
         }
-        std::thread::sleep(Duration::from_millis(20));
+        std::thread::sleep(REAP_POLL);
     }
     let _ = child.kill();
     let _ = child.wait();
 }
 
-fn terminate(child: &mut Child) {
-    signal(child);
-    reap(child);
-}
-
 impl Drop for Site {
     fn drop(&mut self) {
         // Every process is told at once, then each is joined.
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -20,12 +20,15 @@
 /// What a packet from the fabric does to its flow.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Kind {
-    /// Asks for a new flow; carries no bytes, like a TCP SYN.
+    /// Asks for a new flow; carries no bytes, like a TCP SYN. `seq` counts
+    /// the tries.
     Open,
     /// Carries caller bytes at position `seq`.
     Data,
     /// The caller has finished sending; `seq` is one past the last data.
     Close,
+    /// Carries no bytes, only the acknowledgement in `ack`.
+    Ack,
     /// The caller abandons the flow; the agent frees it.
     Reset,
 }
@@ -39,8 +42,10 @@
     pub port: u16,
     /// What the packet does.
     pub kind: Kind,
-    /// Sequence number: 0 for `Open`, then 1, 2, ... for data.
+    /// Sequence number: the try for `Open`, then 1, 2, ... for data.
     pub seq: u32,
+    /// Every answer below this position has reached the caller.
+    pub ack: u32,
     /// The agent that accepted the flow; [`Owner::NONE`] before that.
     pub owner: Owner,
     /// Where the agent sends its replies.
@@ -70,7 +75,18 @@
     Close {
         /// One past the last answer's position.
         seq: u32,
+        /// Whether the target ended in order; if not, the caller must see a
+        /// reset, so that a cut answer does not look whole.
+        clean: bool,
     },
+    /// The flow was not taken and nothing of it ran; the whole answer for the
+    /// caller.
+    Refuse {
+        /// HTTP answer that says so.
+        body: Vec<u8>,
+    },
+    /// The agent holds no such flow.
+    Reset,
 }
 
 /// One reply from an agent straight to the fabric.
@@ -78,6 +94,8 @@
 pub struct Reply {
     /// The flow it belongs to.
     pub flow: u64,
+    /// The caller-facing port of that flow.
+    pub port: u16,
     /// The agent that sends it.
     pub owner: Owner,
     /// What it says.
--- a/tests/balancer_stop.rs
+++ b/tests/balancer_stop.rs
@@ -19,7 +19,7 @@
     let s2 = s.clone();
     let run = tokio::task::spawn_local(async move { bench::measure(&s2, &args).await });
     tokio::time::sleep(Duration::from_millis(1_000)).await;
-    site.stop("lb-2");
+    site.stop("lb-2").await;
     assert!(store.get(&keys.balancer("lb-2")).await.unwrap().is_none());
     let rows = run.await.unwrap();
     for r in &rows {
--- a/tests/isolation.rs
+++ b/tests/isolation.rs
@@ -54,6 +54,7 @@
         port,
         kind,
         seq: 1,
+        ack: 0,
         owner,
         reply: SocketAddr::from(([127, 0, 0, 1], 1)),
         body: Vec::new(),
--- /dev/null
+++ b/tests/stream.rs
@@ -0,0 +1,72 @@
+//! The two halves of ordered delivery: every piece is taken once and in
+//! order, whatever is lost, doubled or reordered between them.
+
+use std::time::{Duration, Instant};
+
+use jujubepost::stream::{Reorder, Window};
+use rand::{Rng, SeedableRng, rngs::StdRng};
+
+const RTO: Duration = Duration::from_millis(200);
+
+#[test]
+fn doubled_taken_once() {
+    let mut r = Reorder::new(1);
+    r.insert(1, 'a');
+    r.insert(1, 'b');
+    assert_eq!(r.pop(), Some('a'));
+    r.insert(1, 'c');
+    assert_eq!(r.pop(), None);
+    assert_eq!(r.next(), 2);
+}
+
+#[test]
+fn resend_backs_off() {
+    let t0 = Instant::now();
+    let mut w = Window::new(RTO, t0);
+    w.push(1, 'a', t0);
+    assert_eq!(w.resend(t0).count(), 0);
+    assert_eq!(w.resend(t0 + RTO).count(), 1);
+    assert_eq!(w.due(), Some(t0 + RTO * 3));
+    assert_eq!(w.stalled(t0 + RTO), RTO);
+    w.ack(2, t0 + RTO);
+    assert!(w.is_empty());
+    assert_eq!((w.due(), w.stalled(t0 + RTO * 9)), (None, Duration::ZERO));
+}
+
+#[test]
+fn random_channel_delivers() {
+    for seed in 0..200 {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let mut now = Instant::now();
+        let (mut w, mut r) = (Window::new(RTO, now), Reorder::new(1));
+        let mut wire: Vec<(u32, u32)> = Vec::new();
+        let (mut sent, mut got) = (0, Vec::new());
+        while got.len() < 300 {
+            now += Duration::from_millis(10);
+            if sent < 300 && !w.is_full() {
+                sent += 1;
+                w.push(sent, (sent, sent), now);
+                wire.push((sent, sent));
+            }
+            wire.extend(w.resend(now).copied());
+            for _ in 0..rng.random_range(0..4) {
+                if wire.is_empty() {
+                    break;
+                }
+                let (seq, piece) = wire.swap_remove(rng.random_range(0..wire.len()));
+                match rng.random_range(0..10) {
+                    0 => {}
+                    1 => wire.extend([(seq, piece); 2]),
+                    _ => r.insert(seq, piece),
+                }
+            }
+            while let Some(piece) = r.pop() {
+                got.push(piece);
+            }
+            if rng.random_range(0..3) > 0 {
+                w.ack(r.next(), now);
+            }
+        }
+        assert!(got.iter().copied().eq(1..=300), "seed {seed}");
+    }
+}
