--- a/examples/capacity.rs
+++ b/examples/capacity.rs
@@ -106,7 +106,8 @@
         let agent_bps = store_bytes(agent, port).saturating_sub(a0) as f64 / secs;
         let (lb_rss, agent_rss) = (rss_kib(lb), rss_kib(agent));
         let feeds = 40 * u32::from(n);
-        let args = Args { config: site.path.clone(), feeds, requests: 0, secs: 6 };
+        let args =
+            Args { config: site.path.clone(), feeds, requests: 0, secs: 6, ..Args::default() };
         let s = site.settings.clone();
         let held = tokio::task::spawn_local(async move { bench::measure(&s, &args).await });
         tokio::time::sleep(Duration::from_secs(4)).await;
@@ -114,7 +115,8 @@
         let _ = held.await;
         let requests = 1_000;
         let cpu0 = cpu_ticks(lb) + cpu_ticks(site.pid("lb-1").unwrap());
-        let args = Args { config: site.path.clone(), feeds: 0, requests, secs: 4 };
+        let args =
+            Args { config: site.path.clone(), feeds: 0, requests, secs: 4, ..Args::default() };
         let _ = bench::measure(&site.settings, &args).await;
         let cpu1 = cpu_ticks(lb) + cpu_ticks(site.pid("lb-1").unwrap());
         // Each request is one meter and one fieldlog flow.
--- a/src/admin/client.rs
+++ b/src/admin/client.rs
@@ -10,8 +10,7 @@
 use tarpc::serde_transport::tcp;
 use tarpc::tokio_serde::formats::Bincode;
 
-use super::{AdminClient, Status};
-use crate::fabric::Faults;
+use super::{AdminClient, Faults, Status};
 use crate::store::Snapshot;
 
 /// A connection to one process of the site.
@@ -74,7 +73,7 @@
         res.with_context(|| format!("admin: copy of {}", self.addr))
     }
 
-    /// Sets the fabric stand-in's injected faults.
+    /// Sets the process's injected faults.
     ///
     /// # Errors
     ///
--- a/src/admin/mod.rs
+++ b/src/admin/mod.rs
@@ -6,6 +6,7 @@
 //! port at which it takes packets over UDP.
 
 mod client;
+mod faults;
 mod server;
 
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
@@ -14,9 +15,9 @@
 use serde::{Deserialize, Serialize};
 
 pub use client::{Peer, ask};
+pub use faults::Faults;
 pub use server::Server;
 
-use crate::fabric::Faults;
 use crate::metrics::Count;
 use crate::store::Snapshot;
 
@@ -29,7 +30,7 @@
     async fn ready() -> bool;
     /// The process's copy of the store's keys.
     async fn copy() -> Arc<Snapshot>;
-    /// Sets the fabric stand-in's injected faults; other roles ignore it.
+    /// Sets the process's injected faults.
     async fn disturb(faults: Faults);
 }
 
@@ -42,6 +43,10 @@
     pub ready: bool,
     /// The store's revision that its view reflects; 0 before the first.
     pub rev: i64,
+    /// Stamp of the operators' orders that it obeys, as
+    /// [`Snapshot::stamp`]; the same in every process once a change is in
+    /// force everywhere.
+    pub orders: u64,
     /// Open flows it holds (agents; 0 for balancers, which hold none).
     pub flows: u32,
     /// Flows that wait for their target's answer (agents).
@@ -54,6 +59,7 @@
 #[derive(Clone, Debug)]
 pub struct Board {
     name: Arc<str>,
+    config: Arc<str>,
     inner: Arc<Inner>,
 }
 
@@ -67,10 +73,11 @@
 }
 
 impl Board {
-    /// A board for the process `name`, not ready yet.
+    /// A board for the process `name`, not ready yet, of a site whose orders
+    /// lie under the prefix `config`.
     #[must_use]
-    pub fn new(name: Arc<str>) -> Self {
-        Self { name, inner: Arc::default() }
+    pub fn new(name: Arc<str>, config: Arc<str>) -> Self {
+        Self { name, config, inner: Arc::default() }
     }
 
     /// Says whether the process takes new work.
@@ -115,10 +122,12 @@
     /// The process's status, with its counters read now.
     #[must_use]
     pub fn status(&self) -> Status {
+        let copy = self.copy();
         Status {
             name: self.name.clone(),
             ready: self.ready(),
-            rev: self.copy().rev,
+            rev: copy.rev,
+            orders: copy.stamp(&self.config),
             flows: self.inner.flows.load(Ordering::Relaxed),
             waiting: self.inner.waiting.load(Ordering::Relaxed),
             counts: crate::metrics::snapshot(),
--- a/src/admin/server.rs
+++ b/src/admin/server.rs
@@ -10,8 +10,7 @@
 use tarpc::server::{BaseChannel, Channel};
 use tarpc::tokio_serde::formats::Bincode;
 
-use super::{Admin, Board, Status};
-use crate::fabric::Faults;
+use super::{Admin, Board, Faults, Status};
 use crate::store::Snapshot;
 
 /// Calls of one connection answered at the same time.
--- a/src/agent/mod.rs
+++ b/src/agent/mod.rs
@@ -56,7 +56,7 @@
         .with_context(|| format!("agent {name}: binding {}", me.agent))?;
     let store = store::Client::new(settings.store.addr, ms(settings.store.timeout_ms)).await;
     let keys = Keys::new(settings.store.prefix.clone());
-    let board = Board::new(format!("agent-{name}").into());
+    let board = Board::new(format!("agent-{name}").into(), keys.config().into());
     let desk = admin::Server::start(me.agent, board.clone()).await?;
     let (done, finished) = mpsc::unbounded_channel();
     let agent = Rc::new(RefCell::new(Agent::new(me.clone(), settings, sock, done, board.clone())));
--- a/src/balancer/mod.rs
+++ b/src/balancer/mod.rs
@@ -25,7 +25,7 @@
 use crate::admin::{self, Board};
 use crate::metrics::{self, Refusal};
 use crate::settings::{BalancerSettings, Policy, Settings};
-use crate::store::mirror::{Copy, Source};
+use crate::store::mirror::{Snapshot, Source};
 use crate::store::{self, Keys};
 use crate::wire::{self, Answer, Kind, Offer, Owner, Packet, Reply, Stage};
 use crate::{events, record, refusal};
@@ -100,7 +100,7 @@
     let keys = Keys::new(settings.store.prefix.clone());
     let view = Rc::new(RefCell::new(View::default()));
     log::info!("{} balancer {name} in {} on {}", events::BALANCER_START, me.zone, me.addr);
-    let board = Board::new(me.name.clone());
+    let board = Board::new(me.name.clone(), keys.config().into());
     let desk = admin::Server::start(me.addr, board.clone()).await?;
     let source =
         Source { store: store.clone(), prefix: keys.all(), peers: settings.peers(me.addr) };
@@ -191,16 +191,31 @@
 /// What the balancer's view is made of, kept between changes of the store.
 struct Judge {
     keys: Keys,
-    copy: Copy,
+    copy: Arc<Snapshot>,
     roster: Roster,
     view: Rc<RefCell<View>>,
+    board: Board,
     built: Instant,
+    stale: bool,
 }
 
 impl Judge {
+    /// Brings the view up to the copy, unless a fault keeps the balancer
+    /// blind.
+    fn catch_up(&mut self) {
+        if self.stale && !self.board.faults().blind {
+            self.stale = false;
+            self.rebuild();
+            let back = self.copy.rev < self.board.copy().rev;
+            metrics::invariant(!back, "view_never_reverts", || format!("to {}", self.copy.rev));
+            self.board.set_copy(self.copy.clone());
+            self.board.set_ready(true);
+        }
+    }
+
     fn rebuild(&mut self) {
         self.built = Instant::now();
-        let next = View::judge(&self.keys, &self.copy, &mut self.roster, self.built);
+        let next = View::judge(&self.keys, &self.copy.keys, &mut self.roster, self.built);
         let sizes: Vec<String> = next
             .routes
             .values()
@@ -215,16 +230,22 @@
 /// target's time is over.
 async fn follow(source: Source, keys: Keys, view: Rc<RefCell<View>>, board: Board, hold: Hold) {
     let roster = Roster::new(hold.missing, hold.owners);
-    let judge =
-        RefCell::new(Judge { keys, copy: Copy::new(), roster, view, built: Instant::now() });
+    let judge = RefCell::new(Judge {
+        keys,
+        copy: Arc::default(),
+        roster,
+        view,
+        board,
+        built: Instant::now(),
+        stale: false,
+    });
     let changes = store::mirror::follow(
         &source,
         |copy| {
             let mut j = judge.borrow_mut();
-            j.copy.clone_from(&copy.keys);
-            j.rebuild();
-            board.set_copy(Arc::new(copy.clone()));
-            board.set_ready(true);
+            j.copy = Arc::new(copy.clone());
+            j.stale = true;
+            j.catch_up();
         },
         |e| {
             log::warn!("{} {e:#}", events::BALANCER_STORE);
@@ -235,9 +256,8 @@
         loop {
             ntex::time::sleep(HOLD_TICK).await;
             let mut j = judge.borrow_mut();
-            if j.roster.hold_ended(j.built, Instant::now()) {
-                j.rebuild();
-            }
+            j.stale |= j.roster.hold_ended(j.built, Instant::now());
+            j.catch_up();
         }
     };
     tokio::join!(changes, expiry);
--- a/src/bench/mod.rs
+++ b/src/bench/mod.rs
@@ -19,6 +19,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
+use crate::script::{self, Step};
 use crate::settings::{ProfileSettings, Service, Settings};
 
 /// A feed without a line for this long is broken.
@@ -31,7 +32,7 @@
 const UPLOAD: usize = 40_000;
 
 /// Arguments of `jujubepost bench`.
-#[derive(Clone, Debug, clap::Args)]
+#[derive(Clone, Debug, Default, clap::Args)]
 pub struct Args {
     /// Settings file of the running site.
     #[arg(long)]
@@ -45,6 +46,10 @@
     /// Length of the run, in seconds.
     #[arg(long, default_value_t = 5)]
     pub secs: u64,
+    /// A change while the run goes on, as `MS ACTION [ARG]`, such as
+    /// `1500 drain meter-1`; may be given more than once, in order of time.
+    #[arg(long)]
+    pub change: Vec<Step>,
 }
 
 /// What one profile saw.
@@ -74,8 +79,10 @@
     pub imbalance: f64,
     /// Feeds on the most loaded target / mean.
     pub feed_imbalance: f64,
-    /// Non-idempotent request ids that ran more than once.
+    /// Request ids that ran more than once.
     pub doubled: u32,
+    /// Requests refused as not run that a target ran all the same.
+    pub lied: u32,
     /// Answers from a target of another service.
     pub foreign: u32,
     /// Answers that were cut, or not the request's own; feeds with a gap.
@@ -91,9 +98,10 @@
 /// Fails when the settings cannot be loaded.
 pub async fn run(args: Args) -> anyhow::Result<()> {
     let settings = Settings::load(&args.config)?;
-    let rows = measure(&settings, &args).await;
+    let (rows, changes) =
+        futures_util::join!(measure(&settings, &args), script::play(&args.change, &settings));
     print(&settings.site, &rows);
-    Ok(())
+    changes
 }
 
 /// Prints rows as a table and as one JSON line.
@@ -101,12 +109,12 @@
     println!("site {site}");
     println!(
         "profile       flows     ok refused  shed failed feeds broken p50_ms p99_ms   imb feed_imb \
-         doubled foreign wrong"
+         doubled lied foreign wrong"
     );
     for r in rows {
         println!(
             "{:<12} {:>6} {:>6} {:>7} {:>5} {:>6} {:>5} {:>6} {:>6.1} {:>6.1} {:>5.2} {:>8.2} \
-             {:>7} {:>7} {:>5}",
+             {:>7} {:>4} {:>7} {:>5}",
             r.profile,
             r.flows,
             r.ok,
@@ -120,6 +128,7 @@
             r.imbalance,
             r.feed_imbalance,
             r.doubled,
+            r.lied,
             r.foreign,
             r.wrong
         );
@@ -149,6 +158,7 @@
 struct Tally {
     row: Row,
     times: Option<Histogram<u64>>,
+    refused: Vec<String>,
     requests: HashMap<String, u32>,
     feeds: HashMap<String, u32>,
 }
@@ -195,9 +205,9 @@
     tally.row.feed_imbalance =
         imbalance(names.iter().map(|t| tally.feeds.get(&*t.name).copied().unwrap_or(0)));
     tally.row.served = tally.requests.iter().map(|(k, v)| (k.clone(), *v)).collect();
-    if !p.idempotent && matches!(p.service, Service::Meter | Service::Validador) {
-        tally.row.doubled = doubled(names.iter().map(|t| t.addr)).await;
-    }
+    let runs = runs(names.iter().map(|t| t.addr)).await;
+    tally.row.doubled = runs.values().filter(|&&n| n > 1).count() as u32;
+    tally.row.lied = tally.refused.iter().filter(|id| runs.contains_key(*id)).count() as u32;
     tally.row
 }
 
@@ -285,6 +295,7 @@
     } else if text.starts_with("HTTP/1.1 503") {
         if header(&text, "X-Jujubepost-Run") == Some("no") {
             t.row.refused += 1;
+            t.refused.push(id.to_string());
         } else {
             t.row.shed += 1;
         }
@@ -389,7 +400,8 @@
     }
 }
 
-async fn doubled(targets: impl Iterator<Item = SocketAddr>) -> u32 {
+/// How often each request id ran, over the targets that answer.
+async fn runs(targets: impl Iterator<Item = SocketAddr>) -> HashMap<String, u32> {
     let mut runs: HashMap<String, u32> = HashMap::new();
     for addr in targets {
         let Ok(bytes) = exchange(addr, "GET", "/runs", &[]).await else { continue };
@@ -401,5 +413,5 @@
             }
         }
     }
-    runs.values().filter(|&&n| n > 1).count() as u32
+    runs
 }
--- a/src/ctl/fleet.rs
+++ b/src/ctl/fleet.rs
@@ -9,6 +9,7 @@
 
 use crate::admin::{self, Status};
 use crate::settings::Settings;
+use crate::store::{self, Keys, Snapshot};
 
 /// How long one process may take to answer.
 const ASK: Duration = Duration::from_millis(500);
@@ -50,29 +51,38 @@
     futures_util::future::join_all(asked).await
 }
 
-/// Waits until every balancer and agent that answers has reached the store's
-/// revision `rev`; returns how long that took.
+/// Waits until every balancer and agent that answers obeys the orders now in
+/// the store; returns how long that took.
 ///
 /// # Errors
 ///
-/// Fails, naming the processes that lag, when `timeout` passes first.
-pub async fn in_force(s: &Settings, rev: i64, timeout: Duration) -> anyhow::Result<Duration> {
+/// Fails when the store cannot be read or, naming the processes that lag,
+/// when `timeout` passes first.
+pub async fn in_force(s: &Settings, timeout: Duration) -> anyhow::Result<Duration> {
     let start = Instant::now();
+    let prefix = Keys::new(s.store.prefix.clone()).config();
+    let store = store::Client::new(s.store.addr, Duration::from_millis(s.store.timeout_ms)).await;
+    let want = Snapshot::list(&store, &prefix).await?;
+    let stamp = want.stamp(&prefix);
     loop {
         let behind: Vec<String> = statuses(s)
             .await
             .into_iter()
             .filter(|(p, _)| p.role != "fabric")
             .filter_map(|(p, st)| {
-                let at = st.ok()?.rev;
-                (at < rev).then(|| format!("{} at {at}", p.name))
+                let st = st.ok()?;
+                (st.orders != stamp).then(|| format!("{} at {}", p.name, st.rev))
             })
             .collect();
         if behind.is_empty() {
             return Ok(start.elapsed());
         }
         if start.elapsed() >= timeout {
-            bail!("ctl: revision {rev} not in force within {timeout:?}: {}", behind.join(", "));
+            bail!(
+                "ctl: orders of revision {} not in force within {timeout:?}: {}",
+                want.rev,
+                behind.join(", ")
+            );
         }
         tokio::time::sleep(PAUSE).await;
     }
@@ -84,11 +94,12 @@
         match status {
             Ok(s) => {
                 println!(
-                    "{:<9} {:<16} {} rev {} flows {} waiting {}",
+                    "{:<9} {:<16} {} rev {} orders {:016x} flows {} waiting {}",
                     p.role,
                     p.name,
                     if s.ready { "ready" } else { "not-ready" },
                     s.rev,
+                    s.orders,
                     s.flows,
                     s.waiting
                 );
--- a/src/ctl/mod.rs
+++ b/src/ctl/mod.rs
@@ -57,7 +57,7 @@
     /// Prints profiles with their revisions, targets and drains, then what
     /// each process says of itself, with its counters.
     Status,
-    /// Waits until the store's present revision is in force in every balancer
+    /// Waits until the orders now in the store are in force in every balancer
     /// and agent that answers.
     Wait {
         /// Give up after this long, in milliseconds.
@@ -98,10 +98,7 @@
 /// lost a race (conflict).
 pub async fn run(args: Args) -> anyhow::Result<()> {
     let settings = Settings::load(&args.config)?;
-    let store =
-        store::Client::new(settings.store.addr, Duration::from_millis(settings.store.timeout_ms))
-            .await;
-    let keys = Keys::new(settings.store.prefix.clone());
+    let (store, keys) = open(&settings).await;
     match args.command {
         Command::Apply => apply(&store, &keys, &settings.profiles).await,
         Command::Put { name, rev } => {
@@ -117,19 +114,8 @@
                 }
             }
         }
-        Command::Drain { target } => {
-            let since_ms =
-                SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_millis() as u64);
-            let value = serde_json::to_vec(&record::Drain { since_ms })?;
-            store.put(&keys.drain(&target), &value, 0).await?;
-            log::info!("{} target {target} drains", events::CTL_WRITE);
-            Ok(())
-        }
-        Command::Resume { target } => {
-            store.delete(&keys.drain(&target)).await?;
-            log::info!("{} target {target} back in service", events::CTL_WRITE);
-            Ok(())
-        }
+        Command::Drain { target } => drain(&settings, &target).await,
+        Command::Resume { target } => resume(&settings, &target).await,
         Command::Status => {
             // The store may be down: the processes still answer.
             let stored = status(&store, &keys).await;
@@ -137,9 +123,8 @@
             stored
         }
         Command::Wait { timeout_ms } => {
-            let (rev, _) = store.list(&keys.config()).await?;
-            let took = fleet::in_force(&settings, rev, Duration::from_millis(timeout_ms)).await?;
-            println!("revision {rev} in force after {took:?}");
+            let took = fleet::in_force(&settings, Duration::from_millis(timeout_ms)).await?;
+            println!("in force everywhere after {took:?}");
             Ok(())
         }
         Command::Fault { outage, delay_ms, lose, lapse } => {
@@ -148,6 +133,59 @@
     }
 }
 
+/// A client of the site's store, and its keys.
+async fn open(s: &Settings) -> (store::Client, Keys) {
+    let timeout = Duration::from_millis(s.store.timeout_ms);
+    (store::Client::new(s.store.addr, timeout).await, Keys::new(s.store.prefix.clone()))
+}
+
+/// Takes a target out of service.
+///
+/// # Errors
+///
+/// Fails when the target is not in the settings or the store cannot be
+/// reached.
+pub async fn drain(s: &Settings, target: &str) -> anyhow::Result<()> {
+    s.target(target)?;
+    let (store, keys) = open(s).await;
+    let since_ms = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_millis() as u64);
+    let value = serde_json::to_vec(&record::Drain { since_ms })?;
+    store.put(&keys.drain(target), &value, 0).await?;
+    log::info!("{} target {target} drains", events::CTL_WRITE);
+    Ok(())
+}
+
+/// Puts a drained target back in service.
+///
+/// # Errors
+///
+/// As [`drain`].
+pub async fn resume(s: &Settings, target: &str) -> anyhow::Result<()> {
+    s.target(target)?;
+    let (store, keys) = open(s).await;
+    store.delete(&keys.drain(target)).await?;
+    log::info!("{} target {target} back in service", events::CTL_WRITE);
+    Ok(())
+}
+
+/// Sets the flow limit of a profile, based on its present revision.
+///
+/// # Errors
+///
+/// Fails when the profile is not in the store, the store cannot be reached,
+/// or another operator changed the profile meanwhile.
+pub async fn limit(s: &Settings, profile: &str, flows: u32) -> anyhow::Result<()> {
+    let (store, keys) = open(s).await;
+    let key = keys.profile(profile);
+    let kv = store.get(&key).await?.with_context(|| format!("ctl: no profile `{profile}`"))?;
+    let rec: record::Profile = serde_json::from_slice(&kv.value)?;
+    let spec = ProfileSettings { max_flows: flows, ..rec.spec };
+    match put(&store, &keys, &spec, kv.rev).await? {
+        Outcome::Written => Ok(()),
+        Outcome::Conflict => bail!("ctl: profile `{profile}` changed meanwhile: conflict"),
+    }
+}
+
 /// Writes each profile whose stored form differs, based on the revision just
 /// read.
 ///
--- a/src/fabric/mod.rs
+++ b/src/fabric/mod.rs
@@ -10,7 +10,6 @@
 //! back in order. On order it loses, doubles, delays or mutes packets.
 
 mod carry;
-mod faults;
 mod rotation;
 mod spray;
 
@@ -18,6 +17,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use anyhow::Context;
@@ -26,10 +26,9 @@
 use tokio::sync::mpsc;
 use tokio::task::JoinSet;
 
-pub use faults::Faults;
 use spray::{Fate, Spray};
 
-use crate::admin::{self, Board};
+use crate::admin::{self, Board, Faults};
 use crate::events;
 use crate::settings::{FabricSettings, Settings};
 use crate::wire::{self, Answer, Kind, Owner, Packet, Reply};
@@ -86,7 +85,7 @@
     let sock =
         UdpSocket::bind(f.addr).await.with_context(|| format!("fabric: binding {}", f.addr))?;
     let balancers: Vec<SocketAddr> = settings.balancers.iter().map(|b| b.addr).collect();
-    let board = Board::new("fabric".into());
+    let board = Board::new("fabric".into(), Arc::default());
     board.set_ready(true);
     let desk = admin::Server::start(f.addr, board.clone()).await?;
     let spray = Spray::new(sock, balancers.clone(), board.clone());
--- a/src/fabric/spray.rs
+++ b/src/fabric/spray.rs
@@ -8,8 +8,7 @@
 
 use tokio::net::UdpSocket;
 
-use super::Faults;
-use crate::admin::Board;
+use crate::admin::{Board, Faults};
 use crate::metrics;
 use crate::wire::{self, Kind, Owner, Packet};
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -12,6 +12,7 @@
 //! - [`admin`]: what the processes of a site ask each other.
 //! - [`ctl`]: the operator's tool.
 //! - [`bench`]: the load tool that prints broken flows and imbalance.
+//! - [`script`]: scripted changes and faults for trials and tests.
 //! - [`up`]: runs a whole deployment on one machine.
 
 pub mod admin;
@@ -25,6 +26,7 @@
 pub mod metrics;
 pub mod record;
 pub mod refusal;
+pub mod script;
 pub mod settings;
 pub mod store;
 pub mod stream;
--- a/src/store/mirror.rs
+++ b/src/store/mirror.rs
@@ -12,6 +12,7 @@
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::Xxh3;
 
 use super::{Change, Client, Kv};
 use crate::admin::Peer;
@@ -36,6 +37,17 @@
 }
 
 impl Snapshot {
+    /// Reads every key under `prefix` from the store.
+    ///
+    /// # Errors
+    ///
+    /// As [`Client::list`].
+    pub async fn list(store: &Client, prefix: &str) -> anyhow::Result<Self> {
+        let (rev, kvs) = store.list(prefix).await?;
+        let keys = kvs.into_iter().map(|kv| (kv.key.clone(), kv)).collect();
+        Ok(Self { rev, keys })
+    }
+
     /// Applies changes seen by a watch up to revision `rev`.
     pub fn apply(&mut self, rev: i64, changes: Vec<Change>) {
         for change in changes {
@@ -61,6 +73,18 @@
         newer
     }
 
+    /// A stamp of the keys under `prefix`, the same wherever the same keys are
+    /// at the same revisions.
+    #[must_use]
+    pub fn stamp(&self, prefix: &str) -> u64 {
+        let mut hash = Xxh3::new();
+        for (key, kv) in self.keys.iter().filter(|(k, _)| k.starts_with(prefix)) {
+            hash.update(key.as_bytes());
+            hash.update(&kv.rev.to_le_bytes());
+        }
+        hash.digest()
+    }
+
     /// Only the keys under `prefix`.
     #[must_use]
     pub fn under(&self, prefix: &str) -> Self {
@@ -124,13 +148,13 @@
 }
 
 async fn relist(source: &Source, copy: &mut Snapshot) -> anyhow::Result<Step> {
-    let (rev, kvs) = source.store.list(&source.prefix).await?;
-    let keys = kvs.into_iter().map(|kv| (kv.key.clone(), kv)).collect();
-    if rev < copy.rev {
-        anyhow::bail!("list {}: revision {rev} is older than {}", source.prefix, copy.rev);
+    let listed = Snapshot::list(&source.store, &source.prefix).await?;
+    if listed.rev < copy.rev {
+        let (rev, prefix) = (listed.rev, &source.prefix);
+        anyhow::bail!("list {prefix}: revision {rev} is older than {}", copy.rev);
     }
     let first = copy.rev == 0;
-    Ok(if copy.advance(Snapshot { rev, keys }) || first { Step::Changed } else { Step::Same })
+    Ok(if copy.advance(listed) || first { Step::Changed } else { Step::Same })
 }
 
 async fn watch(source: &Source, copy: &mut Snapshot) -> anyhow::Result<Step> {
--- a/src/store/server.rs
+++ b/src/store/server.rs
@@ -27,6 +27,9 @@
 /// Longest time a watch waits for a change before it answers empty.
 const WATCH_WAIT: Duration = Duration::from_secs(10);
 
+/// How long a stop waits for calls in progress; a waiting watch is cut.
+const STOP: ntex::time::Seconds = ntex::time::Seconds(1);
+
 /// How often lapsed leases are looked for.
 const LEASE_TICK: Duration = Duration::from_millis(100);
 
@@ -404,6 +407,7 @@
             .route("/stats", web::get().to(stats))
     })
     .workers(1)
+    .shutdown_timeout(STOP)
     .bind(addr)
     .map_err(|e| anyhow::anyhow!("store: binding {addr}: {e}"))?
     .run();
--- a/src/target/mod.rs
+++ b/src/target/mod.rs
@@ -4,9 +4,11 @@
 //! - `GET /feed` (meter, calculadora): a live feed, one line every
 //!   [`FEED_EVERY`], until the caller leaves.
 //! - `POST /pay?id=` (meter) and `POST /check?id=` (validador): runs that are
-//!   not idempotent; each run is counted by id (`GET /runs`).
-//! - `GET /quote?w=` (calculadora) and `POST /upload` (fieldlog).
-//! - `GET /load`: requests in progress and runs so far.
+//!   not idempotent.
+//! - `GET /quote?w=&id=` (calculadora) and `POST /upload?id=` (fieldlog).
+//! - `GET /runs`: how often each id ran.
+//! - `GET /load` and `GET /health`: what it says of itself, which may be a lie.
+//! - `POST /fault`: sets its [`Faults`].
 //!
 //! It sheds load above its slots (503 with `Retry-After`), answers slowly for
 //! its cold start, honours an `X-Deadline-Ms` header, and refuses with 421 a
@@ -42,8 +44,35 @@
     pub served: u64,
 }
 
+/// Faults that a target stand-in can be told to show, with `POST /fault`.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Faults {
+    /// Each request takes this much longer, in milliseconds.
+    pub slow_ms: u64,
+    /// Every request is shed.
+    pub shed: bool,
+    /// `GET /health` says the opposite of the truth, and `GET /load` reports
+    /// nothing in progress.
+    pub lie: bool,
+}
+
+/// Sets the faults of the target stand-in at `addr`.
+///
+/// # Errors
+///
+/// Fails when the stand-in cannot be reached.
+pub async fn disturb(addr: std::net::SocketAddr, faults: &Faults) -> anyhow::Result<()> {
+    let http = ntex::client::Client::new().await;
+    let res = http.post(format!("http://{addr}/fault")).send_json(faults).await;
+    let res = res.map_err(|e| anyhow::anyhow!("target: setting faults at {addr}: {e}"))?;
+    anyhow::ensure!(res.status().is_success(), "target: setting faults at {addr}: {res:?}");
+    Ok(())
+}
+
 #[derive(Debug, Default)]
 struct Inner {
+    faults: Faults,
     load: Load,
     runs: HashMap<String, u32>,
 }
@@ -88,9 +117,22 @@
     use ntex::http::StatusCode as S;
     let path = req.path().to_string();
     if path == "/load" {
-        let load = st.lock().load.clone();
+        let inner = st.lock();
+        let load = if inner.faults.lie { Load::default() } else { inner.load.clone() };
         return st.answer(S::OK).json(&load);
     }
+    if path == "/health" {
+        let faults = st.lock().faults.clone();
+        let well = faults.shed == faults.lie;
+        return st.answer(if well { S::OK } else { S::SERVICE_UNAVAILABLE }).finish();
+    }
+    if path == "/fault" {
+        let Ok(faults) = serde_json::from_slice(&body) else {
+            return st.answer(S::BAD_REQUEST).finish();
+        };
+        st.lock().faults = faults;
+        return st.answer(S::OK).finish();
+    }
     if path == "/runs" {
         let runs = st.lock().runs.clone();
         return st.answer(S::OK).json(&runs);
@@ -102,16 +144,17 @@
     if path == "/feed" {
         return feed(&st);
     }
-    {
+    let slow = {
         let mut inner = st.lock();
-        if inner.load.busy >= st.me.slots {
+        if inner.faults.shed || inner.load.busy >= st.me.slots {
             return st.answer(S::SERVICE_UNAVAILABLE).header("Retry-After", "1").finish();
         }
         inner.load.busy += 1;
-    }
+        Duration::from_millis(inner.faults.slow_ms)
+    };
     let cold = st.started.elapsed() < Duration::from_millis(st.me.cold_ms);
     let warm = Duration::from_millis(st.me.work_ms);
-    let work = if cold { warm + COLD_EXTRA } else { warm };
+    let work = slow + if cold { warm + COLD_EXTRA } else { warm };
     let deadline = req
         .headers()
         .get("X-Deadline-Ms")
@@ -126,11 +169,9 @@
     inner.load.busy -= 1;
     inner.load.served += 1;
     let id = query(&req, "id").unwrap_or_default();
+    *inner.runs.entry(id.clone()).or_default() += 1;
     let text = match path.as_str() {
-        "/pay" | "/check" => {
-            *inner.runs.entry(id.clone()).or_default() += 1;
-            format!("{} ran {id} on {}\n", &path[1..], st.me.name)
-        }
+        "/pay" | "/check" => format!("{} ran {id} on {}\n", &path[1..], st.me.name),
         "/quote" => format!("rate {} EUR for {id}\n", 1 + query(&req, "w").map_or(0, |w| w.len())),
         _ => format!("stored {} bytes of {id}\n", body.len()),
     };
--- a/src/up/mod.rs
+++ b/src/up/mod.rs
@@ -20,6 +20,7 @@
 pub use plan::Plan;
 
 use crate::bench;
+use crate::script::{self, Step};
 use crate::settings::Settings;
 use crate::store::{self, Keys};
 
@@ -52,6 +53,10 @@
     /// Length of the bench run, in seconds.
     #[arg(long, default_value_t = 5)]
     pub secs: u64,
+    /// A change while the run goes on, as `MS ACTION [ARG]`, such as
+    /// `1500 kill lb-gjw-a`; may be given more than once, in order of time.
+    #[arg(long)]
+    pub change: Vec<Step>,
 }
 
 /// A running site: its processes, joined on drop.
@@ -60,6 +65,7 @@
     pub settings: Settings,
     /// The settings file its processes read.
     pub path: PathBuf,
+    exe: PathBuf,
     children: Vec<(String, Child)>,
 }
 
@@ -74,8 +80,12 @@
     pub async fn start(exe: &Path, path: &Path) -> anyhow::Result<Self> {
         let settings = Settings::load(path)?;
         let exe = exe.to_path_buf();
-        let mut site =
-            Self { settings: settings.clone(), path: path.to_path_buf(), children: Vec::new() };
+        let mut site = Self {
+            settings: settings.clone(),
+            path: path.to_path_buf(),
+            exe: exe.clone(),
+            children: Vec::new(),
+        };
         site.spawn(&exe, "store", &["store"])?;
         for t in &settings.targets {
             site.spawn(&exe, &t.name, &["target", "--name", &t.name])?;
@@ -100,8 +110,11 @@
     pub fn spawn(&mut self, exe: &Path, label: &str, args: &[&str]) -> anyhow::Result<()> {
         let (role, rest) = args.split_first().context("up: no role")?;
         let log = self.path.with_file_name(format!("{}-{label}.log", self.settings.site));
-        let log = std::fs::File::create(&log)
-            .with_context(|| format!("up: creating {}", log.display()))?;
+        let log = std::fs::File::options()
+            .create(true)
+            .append(true)
+            .open(&log)
+            .with_context(|| format!("up: opening {}", log.display()))?;
         let child = Command::new(exe)
             .arg(role)
             .arg("--config")
@@ -152,13 +165,50 @@
         let (_, mut child) = self.children.remove(i);
         signal(&child);
         let deadline = Instant::now() + STOP;
-        while Instant::now() < deadline && !matches!(child.try_wait(), Ok(Some(_))) {
+        while Instant::now() < deadline && runs(&mut child) {
             tokio::time::sleep(REAP_POLL).await;
         }
         let _ = child.kill();
         let _ = child.wait();
     }
 
+    /// Starts a process of the settings again, by its label.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the label names none, or the process cannot be started.
+    pub fn restart(&mut self, label: &str) -> anyhow::Result<()> {
+        let exe = self.exe.clone();
+        if self.settings.balancer(label).is_ok() {
+            self.spawn(&exe, label, &["balancer", "--name", label])
+        } else if let Some(target) = label.strip_prefix("agent-") {
+            self.spawn(&exe, label, &["agent", "--name", target])
+        } else {
+            self.settings.target(label)?;
+            self.spawn(&exe, label, &["target", "--name", label])
+        }
+    }
+
+    /// Stops every process, at once, and waits for their ends; returns the
+    /// labels of those that had to be killed.
+    pub async fn down(mut self) -> Vec<String> {
+        for (_, child) in &self.children {
+            signal(child);
+        }
+        let deadline = Instant::now() + STOP;
+        while Instant::now() < deadline && self.children.iter_mut().any(|(_, c)| runs(c)) {
+            tokio::time::sleep(REAP_POLL).await;
+        }
+        let mut killed = Vec::new();
+        for (label, child) in &mut self.children {
+            if runs(child) {
+                let _ = child.kill();
+                killed.push(label.clone());
+            }
+        }
+        killed
+    }
+
     /// Sends a signal to one process by label, for example `SIGSTOP` to
     /// freeze it and `SIGCONT` to let it run on.
     pub fn send(&self, label: &str, sig: Signal) {
@@ -185,6 +235,10 @@
     }
 }
 
+fn runs(child: &mut Child) -> bool {
+    matches!(child.try_wait(), Ok(None))
+}
+
 fn signal(child: &Child) {
     if let Ok(pid) = i32::try_from(child.id()) {
         let _ = kill(Pid::from_raw(pid), Signal::SIGTERM);
@@ -195,7 +249,7 @@
 fn reap(child: &mut Child) {
     let deadline = Instant::now() + STOP;
     while Instant::now() < deadline {
-        if let Ok(Some(_)) = child.try_wait() {
+        if !runs(child) {
             return;
         }
         std::thread::sleep(REAP_POLL);
@@ -234,16 +288,22 @@
     }
     let exe = std::env::current_exe().context("up: finding this binary")?;
     for path in &paths {
-        let site = Site::start(&exe, path).await?;
+        let mut site = Site::start(&exe, path).await?;
         let bargs = bench::Args {
             config: path.clone(),
             feeds: args.feeds,
             requests: args.requests,
             secs: args.secs,
+            change: Vec::new(),
         };
-        let rows = bench::measure(&site.settings, &bargs).await;
-        bench::print(&site.settings.site, &rows);
-        drop(site);
+        let settings = site.settings.clone();
+        let (rows, changes) = futures_util::join!(
+            bench::measure(&settings, &bargs),
+            script::play_on(&args.change, &mut site)
+        );
+        bench::print(&settings.site, &rows);
+        site.down().await;
+        changes?;
     }
     let _ = std::fs::remove_dir_all(&dir);
     Ok(())
--- a/src/up/plan.rs
+++ b/src/up/plan.rs
@@ -80,8 +80,8 @@
 {{
   "site": "{site}",
   "store": {{ "addr": "127.0.0.1:{b}" }},
-  "fabric": {{ "addr": "127.0.0.1:{}", "rto_ms": 100 }},
-  "agent": {{ "lease_ms": {}, "grace_ms": 1000, "stop_ms": 5000 }},
+  "fabric": {{ "addr": "127.0.0.1:{}", "rto_ms": 100, "give_up_ms": 3000 }},
+  "agent": {{ "lease_ms": {}, "grace_ms": 1000, "stop_ms": 5000, "give_up_ms": 3000 }},
   "balancers": [{}],
   "profiles": [
     {{ "name": "meter", "service": "meter", "listen": "127.0.0.1:{}" }},
--- a/tests/balancer_death.rs
+++ b/tests/balancer_death.rs
@@ -11,7 +11,8 @@
 #[ntex::test]
 async fn death_breaks_nothing() {
     let mut site = common::start("death", 21300, 3, 3, 2).await;
-    let args = Args { config: site.path.clone(), feeds: 6, requests: 60, secs: 3 };
+    let args =
+        Args { config: site.path.clone(), feeds: 6, requests: 60, secs: 3, ..Args::default() };
     let settings = site.settings.clone();
     let run = tokio::task::spawn_local(async move { bench::measure(&settings, &args).await });
     tokio::time::sleep(Duration::from_millis(1_000)).await;
--- a/tests/dead_side.rs
+++ b/tests/dead_side.rs
@@ -14,7 +14,8 @@
 }
 
 async fn all_served(site: &Site) {
-    let args = Args { config: site.path.clone(), feeds: 4, requests: 60, secs: 3 };
+    let args =
+        Args { config: site.path.clone(), feeds: 4, requests: 60, secs: 3, ..Args::default() };
     for r in bench::measure(&site.settings, &args).await {
         assert_eq!((r.ok, r.broken, r.doubled, r.wrong), (60, 0, 0, 0), "{r:?}");
     }
--- a/tests/in_force.rs
+++ b/tests/in_force.rs
@@ -13,25 +13,24 @@
 
 const BOUND: Duration = Duration::from_secs(3);
 
-/// Lowers the meter profile's flow limit and returns the store's revision.
-async fn limit(s: &Settings, flows: u32) -> i64 {
+/// Lowers the meter profile's flow limit.
+async fn limit(s: &Settings, flows: u32) {
     let store = store::Client::new(s.store.addr, Duration::from_secs(2)).await;
     let keys = Keys::new(s.store.prefix.clone());
     let rev = store.get(&keys.profile("meter")).await.unwrap().unwrap().rev;
     let mut spec = s.profiles[0].clone();
     spec.max_flows = flows;
     assert_eq!(ctl::put(&store, &keys, &spec, rev).await.unwrap(), Outcome::Written);
-    store.get(&keys.profile("meter")).await.unwrap().unwrap().rev
 }
 
 /// Requests answered and refused while `feeds` open feeds, opened before
 /// them, hold the one target.
 async fn answered(s: &Settings, path: &std::path::Path, feeds: u32) -> (u32, u32) {
-    let held = Args { config: path.into(), feeds, requests: 0, secs: 4 };
+    let held = Args { config: path.into(), feeds, requests: 0, secs: 4, ..Args::default() };
     let s2 = s.clone();
     let holder = tokio::task::spawn_local(async move { bench::measure(&s2, &held).await });
     tokio::time::sleep(Duration::from_millis(1_500)).await;
-    let args = Args { config: path.into(), feeds: 0, requests: 10, secs: 2 };
+    let args = Args { config: path.into(), feeds: 0, requests: 10, secs: 2, ..Args::default() };
     let rows = bench::measure(s, &args).await;
     let meter = rows.iter().find(|r| r.profile == "meter").unwrap();
     let held = holder.await.unwrap();
@@ -39,13 +38,20 @@
     (meter.ok, meter.refused)
 }
 
+/// The orders that each balancer and agent obeys.
+async fn orders(s: &Settings) -> Vec<u64> {
+    let all = fleet::statuses(s).await;
+    let obeying = all.into_iter().filter(|(p, _)| p.role != "fabric");
+    obeying.map(|(_, st)| st.unwrap().orders).collect()
+}
+
 #[ntex::test]
 async fn limit_reaches_agents() {
     let site = common::start("limit", 25500, 2, 1, 0).await;
     let s = site.settings.clone();
     assert_eq!(answered(&s, &site.path, 2).await, (10, 0));
-    let rev = limit(&s, 2).await;
-    fleet::in_force(&s, rev, BOUND).await.unwrap();
+    limit(&s, 2).await;
+    fleet::in_force(&s, BOUND).await.unwrap();
     assert_eq!(answered(&s, &site.path, 2).await, (0, 10));
 }
 
@@ -53,8 +59,9 @@
 async fn joins_in_outage() {
     let mut site = common::start("joins", 26000, 2, 1, 0).await;
     let s = site.settings.clone();
-    let rev = limit(&s, 2).await;
-    fleet::in_force(&s, rev, BOUND).await.unwrap();
+    limit(&s, 2).await;
+    fleet::in_force(&s, BOUND).await.unwrap();
+    let before = orders(&s).await;
     ctl::fault(&s, &Faults { outage: true, ..Faults::default() }).await.unwrap();
     // Every process is replaced in turn; nothing is read from the store.
     for (label, args) in [
@@ -66,7 +73,7 @@
         site.spawn(&common::exe(), label, &args).unwrap();
         tokio::time::sleep(Duration::from_millis(1_500)).await;
     }
-    fleet::in_force(&s, rev, BOUND).await.unwrap();
+    assert_eq!(orders(&s).await, before);
     assert_eq!(answered(&s, &site.path, 2).await, (0, 10));
     assert_eq!(answered(&s, &site.path, 1).await, (10, 0));
 }
--- a/tests/lossy.rs
+++ b/tests/lossy.rs
@@ -6,16 +6,16 @@
 
 use std::time::Duration;
 
-use jujubepost::admin::Peer;
+use jujubepost::admin::{Faults, Peer};
 use jujubepost::bench::{self, Args};
-use jujubepost::fabric::Faults;
 
 async fn disturbed(name: &str, base: u16, faults: Faults) {
     let site = common::start(name, base, 3, 3, 2).await;
     let s = site.settings.clone();
     let fabric = Peer::connect(s.fabric.addr, Duration::from_secs(1)).await.unwrap();
     fabric.disturb(faults).await.unwrap();
-    let args = Args { config: site.path.clone(), feeds: 10, requests: 100, secs: 4 };
+    let args =
+        Args { config: site.path.clone(), feeds: 10, requests: 100, secs: 4, ..Args::default() };
     let rows = bench::measure(&s, &args).await;
     for r in &rows {
         assert_eq!((r.ok, r.refused, r.failed), (100, 0, 0), "{r:?}");
@@ -40,6 +40,6 @@
 
 #[ntex::test]
 async fn all_at_once() {
-    let faults = Faults { lose: 30, double: 100, delay: 200, mute: false };
+    let faults = Faults { lose: 30, double: 100, delay: 200, ..Faults::default() };
     disturbed("mixed", 28000, faults).await;
 }
--- a/tests/path.rs
+++ b/tests/path.rs
@@ -8,7 +8,8 @@
 #[ntex::test]
 async fn serves_both_services() {
     let site = common::start("path", 21000, 3, 3, 2).await;
-    let args = Args { config: site.path.clone(), feeds: 4, requests: 40, secs: 2 };
+    let args =
+        Args { config: site.path.clone(), feeds: 4, requests: 40, secs: 2, ..Args::default() };
     let rows = bench::measure(&site.settings, &args).await;
     assert_eq!(rows.len(), 2);
     for r in &rows {
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -35,7 +35,8 @@
         round += 1;
         let fault = FAULTS[rng.random_range(0..FAULTS.len())];
         let k = rng.random_range(0..3u16);
-        let args = Args { config: site.path.clone(), feeds: 4, requests: 40, secs: 2 };
+        let args =
+            Args { config: site.path.clone(), feeds: 4, requests: 40, secs: 2, ..Args::default() };
         let s2 = s.clone();
         let run = tokio::task::spawn_local(async move { bench::measure(&s2, &args).await });
         tokio::time::sleep(Duration::from_millis(rng.random_range(100..800))).await;
