--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -4,6 +4,7 @@
 
 use std::path::PathBuf;
 
+use jujubepost::ctl::fleet;
 use jujubepost::up::{Plan, Site};
 
 /// The binary under test.
@@ -18,3 +19,23 @@
     let path = plan.write(name).unwrap();
     Site::start(&exe(), &path).await.unwrap()
 }
+
+/// Invariants that the site's processes broke: as the living ones count them,
+/// and as any of them logged.
+pub async fn violations(site: &Site) -> u64 {
+    let counted: u64 = fleet::statuses(&site.settings)
+        .await
+        .into_iter()
+        .filter_map(|(_, st)| st.ok())
+        .flat_map(|st| st.counts)
+        .filter(|c| c.name == "jujubepost.violations")
+        .map(|c| c.value)
+        .sum();
+    let folder = site.path.parent().unwrap();
+    let logged = std::fs::read_dir(folder)
+        .unwrap()
+        .filter_map(|f| std::fs::read_to_string(f.unwrap().path()).ok())
+        .map(|text| text.matches(" E999 ").count() as u64)
+        .sum::<u64>();
+    counted + logged
+}
--- a/tests/matrix.rs
+++ b/tests/matrix.rs
@@ -164,24 +164,6 @@
     [a.unwrap(), b.unwrap()]
 }
 
-async fn violations(site: &Site) -> u64 {
-    let counted: u64 = fleet::statuses(&site.settings)
-        .await
-        .into_iter()
-        .filter_map(|(_, st)| st.ok())
-        .flat_map(|st| st.counts)
-        .filter(|c| c.name == "jujubepost.violations")
-        .map(|c| c.value)
-        .sum();
-    let folder = site.path.parent().unwrap();
-    let logged = std::fs::read_dir(folder)
-        .unwrap()
-        .filter_map(|f| std::fs::read_to_string(f.unwrap().path()).ok())
-        .map(|text| text.matches(" E999 ").count() as u64)
-        .sum::<u64>();
-    counted + logged
-}
-
 async fn strike(case: &Case, when: When, site: &mut Site) -> Line {
     let s = site.settings.clone();
     for action in &case.before {
@@ -220,7 +202,7 @@
         Action::Resume("meter-2".into()).take(&s).await.unwrap();
         fleet::in_force(&s, IN_FORCE).await.unwrap();
     }
-    let broken = violations(site).await;
+    let broken = common::violations(site).await;
     let cells = judge(case, &rows, broken, leaves, raced, in_force.map(drop));
     Line { case: case.name, when, cells }
 }
