Agent: a flow's queue holds no buffer while it waits

A channel's first block holds 32 packets, more than the rest of the flow.

Change: `agent::mailbox`, a queue inside one thread that frees its buffer when empty. `examples/capacity.rs` holds 200 feeds an agent, measures control bytes and time in force as changes come faster, and uses ports of its own (it met `stop_breaks_nothing` on the same ports once: address in use).

--- a/examples/capacity.rs
+++ b/examples/capacity.rs
@@ -4,6 +4,8 @@
 //! idle, the store's calls a second and each role's control bytes a second
 //! (the kernel's per-connection byte counters, through `ss`), then memory with feeds held open (`VmRSS`), then
 //! processor time per new flow over a burst of requests (`/proc/<pid>/stat`).
+//! Then, on a site of 8 targets, control bytes as changes come faster, and how
+//! soon each change is in force everywhere.
 //!
 //! Run: `cargo build --release && cargo run --release --example capacity`.
 
@@ -11,11 +13,18 @@
 use std::time::{Duration, Instant};
 
 use jujubepost::bench::{self, Args};
+use jujubepost::ctl::{self, fleet};
 use jujubepost::up::{Plan, Site};
 
 const POINTS: [u16; 3] = [4, 8, 16];
+/// Feeds held open per agent.
+const HELD: u32 = 200;
 const IDLE: Duration = Duration::from_secs(10);
 
+/// Changes a second tried, and for how many seconds each.
+const RATES: [u32; 4] = [0, 1, 4, 12];
+const CHANGES_S: u32 = 6;
+
 fn proc_field(pid: u32, file: &str, key: &str) -> u64 {
     let text = std::fs::read_to_string(format!("/proc/{pid}/{file}")).unwrap_or_default();
     text.lines()
@@ -79,13 +88,43 @@
     me.parent().and_then(|p| p.parent()).unwrap().join("jujubepost")
 }
 
+/// Control bytes and the time until a change is in force, as changes come
+/// faster: one row for each rate, on a site of 8 targets.
+async fn changes() {
+    println!("changes/s lb_B/s agent_B/s in_force_median_ms in_force_max_ms");
+    let path = Plan::new(16_600).balancers(2).meters(8).lease_ms(3_000).write("changes").unwrap();
+    let site = Site::start(&exe(), &path).await.unwrap();
+    let s = site.settings.clone();
+    let (lb, agent) = (site.pid("lb-0").unwrap(), site.pid("agent-meter-1").unwrap());
+    let port = s.store.addr.port();
+    for rate in RATES {
+        let (l0, a0, t0) = (store_bytes(lb, port), store_bytes(agent, port), Instant::now());
+        let mut took = Vec::new();
+        for i in 0..rate * CHANGES_S {
+            let at = Duration::from_secs_f64(f64::from(i) / f64::from(rate));
+            tokio::time::sleep_until((t0 + at).into()).await;
+            ctl::limit(&s, "meter", 1_000 + i).await.unwrap();
+            took.push(fleet::in_force(&s, Duration::from_secs(5)).await.unwrap());
+        }
+        tokio::time::sleep_until((t0 + Duration::from_secs(u64::from(CHANGES_S))).into()).await;
+        let secs = t0.elapsed().as_secs_f64();
+        let lb_bps = store_bytes(lb, port).saturating_sub(l0) as f64 / secs;
+        let agent_bps = store_bytes(agent, port).saturating_sub(a0) as f64 / secs;
+        took.sort();
+        let ms = |d: Option<&Duration>| d.map_or(0.0, |d| d.as_secs_f64() * 1_000.0);
+        let (median, max) = (ms(took.get(took.len() / 2)), ms(took.last()));
+        println!("{rate} {lb_bps:.0} {agent_bps:.0} {median:.1} {max:.1}");
+    }
+    site.down().await;
+}
+
 #[ntex::main]
 async fn main() {
     println!(
         "targets calls/s lb_B/s agent_B/s lb_cpu% agent_cpu% lb_rss_KiB agent_rss_KiB flows/agent agent_rss_loaded_KiB lb_rss_loaded_KiB lb_ms/1k_flows"
     );
     for (k, n) in POINTS.into_iter().enumerate() {
-        let base = 23_000 + 500 * k as u16;
+        let base = 15_000 + 500 * k as u16;
         let path =
             Plan::new(base).balancers(2).meters(n).lease_ms(3_000).write("capacity").unwrap();
         let site = Site::start(&exe(), &path).await.unwrap();
@@ -105,12 +144,12 @@
         let lb_bps = store_bytes(lb, port).saturating_sub(l0) as f64 / secs;
         let agent_bps = store_bytes(agent, port).saturating_sub(a0) as f64 / secs;
         let (lb_rss, agent_rss) = (rss_kib(lb), rss_kib(agent));
-        let feeds = 40 * u32::from(n);
+        let feeds = HELD * u32::from(n);
         let args =
-            Args { config: site.path.clone(), feeds, requests: 0, secs: 6, ..Args::default() };
+            Args { config: site.path.clone(), feeds, requests: 0, secs: 8, ..Args::default() };
         let s = site.settings.clone();
         let held = tokio::task::spawn_local(async move { bench::measure(&s, &args).await });
-        tokio::time::sleep(Duration::from_secs(4)).await;
+        tokio::time::sleep(Duration::from_secs(5)).await;
         let (agent_loaded, lb_loaded) = (rss_kib(agent), rss_kib(lb));
         let _ = held.await;
         let requests = 1_000;
@@ -125,6 +164,7 @@
             "{n} {calls:.1} {lb_bps:.0} {agent_bps:.0} {lb_cpu:.2} {agent_cpu:.2} {lb_rss} {agent_rss} {} {agent_loaded} {lb_loaded} {ms_per_k:.1}",
             feeds / u32::from(n)
         );
-        drop(site);
+        site.down().await;
     }
+    changes().await;
 }
--- a/src/agent/flow.rs
+++ b/src/agent/flow.rs
@@ -10,8 +10,8 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpStream, UdpSocket};
-use tokio::sync::mpsc;
 
+use super::mailbox::Mailbox;
 use crate::events;
 use crate::metrics::{self, Refusal, Retry};
 use crate::stream::{Reorder, Window};
@@ -139,12 +139,7 @@
 }
 
 /// Runs the flow until it ends.
-pub async fn run(
-    sock: Rc<UdpSocket>,
-    spec: Spec,
-    waiting: Waiting,
-    rx: mpsc::UnboundedReceiver<Packet>,
-) -> End {
+pub async fn run(sock: Rc<UdpSocket>, spec: Spec, waiting: Waiting, rx: Mailbox<Packet>) -> End {
     let stream = match tokio::time::timeout(CONNECT, TcpStream::connect(spec.target)).await {
         Ok(Ok(s)) => s,
         _ => return End::Unreachable,
@@ -178,7 +173,7 @@
     sock: Rc<UdpSocket>,
     rd: OwnedReadHalf,
     wr: OwnedWriteHalf,
-    rx: mpsc::UnboundedReceiver<Packet>,
+    rx: Mailbox<Packet>,
     caller: Reorder<Packet>,
     answers: Window<Answer>,
     answered: u32,
@@ -201,7 +196,6 @@
             let timer = tokio::time::Instant::from_std(self.next_timer());
             tokio::select! {
                 p = self.rx.recv() => {
-                    let Some(p) = p else { return End::Reset };
                     self.heard = Instant::now();
                     if p.kind == Kind::Reset {
                         return End::Reset;
--- a/src/agent/mod.rs
+++ b/src/agent/mod.rs
@@ -10,6 +10,7 @@
 
 pub mod admit;
 pub mod flow;
+pub mod mailbox;
 pub mod orders;
 pub mod place;
 mod state;
--- a/src/agent/state.rs
+++ b/src/agent/state.rs
@@ -12,6 +12,7 @@
 use tokio::task::JoinHandle;
 
 use super::flow::{End, Timers, Waiting};
+use super::mailbox::Mailbox;
 use super::orders::Orders;
 use super::place::{self, give_back, place};
 use super::{Admit, Step, admit, flow};
@@ -29,7 +30,7 @@
 struct Held {
     owner: Owner,
     port: u16,
-    tx: mpsc::UnboundedSender<Packet>,
+    inbox: Mailbox<Packet>,
 }
 
 /// One agent: its target, its flows and its orders.
@@ -151,7 +152,7 @@
         }
         match self.flows.get(&p.flow) {
             Some(h) if h.owner == p.owner => {
-                let _ = h.tx.send(p);
+                h.inbox.send(p);
             }
             _ if p.kind == Kind::Reset => {}
             _ => {
@@ -170,7 +171,7 @@
 
     fn open(&mut self, p: Packet) {
         if let Some(h) = self.flows.get(&p.flow) {
-            let _ = h.tx.send(p);
+            h.inbox.send(p);
             return;
         }
         let Some(profile) = self.orders.profiles.get(&p.port) else {
@@ -219,7 +220,8 @@
     fn start(&mut self, p: Packet, offer: Offer) {
         let nonce = rand::random::<u16>().max(1);
         let owner = Owner::new(v4(self.me.agent), nonce);
-        let (tx, rx) = mpsc::unbounded_channel();
+        let inbox = Mailbox::default();
+        let rx = inbox.clone();
         let spec = flow::Spec {
             flow: p.flow,
             port: p.port,
@@ -231,7 +233,7 @@
         let (sock, done) = (self.sock.clone(), self.done.clone());
         let waiting = self.waiting.clone();
         *self.per_port.entry(p.port).or_default() += 1;
-        self.flows.insert(p.flow, Held { owner, port: p.port, tx });
+        self.flows.insert(p.flow, Held { owner, port: p.port, inbox });
         self.spawn(async move {
             let end = flow::run(sock.clone(), spec.clone(), waiting, rx).await;
             match end {
