--- a/src/bench/mod.rs
+++ b/src/bench/mod.rs
@@ -89,6 +89,9 @@
     pub wrong: u32,
     /// Requests answered by each target, by name.
     pub served: std::collections::BTreeMap<String, u32>,
+    /// When each target's last answered request was sent, in milliseconds
+    /// from the start of the run.
+    pub last_ms: std::collections::BTreeMap<String, u64>,
 }
 
 /// Runs the bench against the site of `args.config` and prints the rows.
@@ -159,6 +162,7 @@
     row: Row,
     times: Option<Histogram<u64>>,
     refused: Vec<String>,
+    began: Option<Instant>,
     requests: HashMap<String, u32>,
     feeds: HashMap<String, u32>,
 }
@@ -167,6 +171,7 @@
     let tally = Rc::new(std::cell::RefCell::new(Tally::default()));
     tally.borrow_mut().row.profile = p.name.to_string();
     tally.borrow_mut().times = Histogram::new_with_bounds(1, SLOWEST_US, 3).ok();
+    tally.borrow_mut().began = Some(Instant::now());
     let run = Duration::from_secs(args.secs);
     let has_feed = matches!(p.service, Service::Meter | Service::Calculadora);
     let mut tasks = Vec::new();
@@ -291,6 +296,9 @@
         }
         if let Some(name) = header(&text, "X-Target") {
             *t.requests.entry(name.to_string()).or_default() += 1;
+            let sent = start.duration_since(t.began.unwrap_or(start)).as_millis() as u64;
+            let last = t.row.last_ms.entry(name.to_string()).or_default();
+            *last = sent.max(*last);
         }
     } else if text.starts_with("HTTP/1.1 503") {
         if header(&text, "X-Jujubepost-Run") == Some("no") {
--- a/src/ctl/mod.rs
+++ b/src/ctl/mod.rs
@@ -78,6 +78,9 @@
         /// Keepalives are refused so leases lapse.
         #[arg(long)]
         lapse: bool,
+        /// The history kept for watches is forgotten at once.
+        #[arg(long)]
+        forget: bool,
     },
 }
 
@@ -127,8 +130,8 @@
             println!("in force everywhere after {took:?}");
             Ok(())
         }
-        Command::Fault { outage, delay_ms, lose, lapse } => {
-            fault(&settings, &Faults { outage, delay_ms, lose, lapse }).await
+        Command::Fault { outage, delay_ms, lose, lapse, forget } => {
+            fault(&settings, &Faults { outage, delay_ms, lose, lapse, forget }).await
         }
     }
 }
--- a/src/script/mod.rs
+++ b/src/script/mod.rs
@@ -88,6 +88,7 @@
                 let n = n.parse().context("lose")?;
                 Self::store(|f| f.lose = n)
             }
+            ["store", "forget"] => Self::store(|f| f.forget = true),
             ["store", "lapse"] => Self::store(|f| f.lapse = true),
             ["fabric", "lose", n] => Self::fabric(Faults { lose: n.parse()?, ..Faults::default() }),
             ["fabric", "mute"] => Self::fabric(Faults { mute: true, ..Faults::default() }),
--- a/src/store/server.rs
+++ b/src/store/server.rs
@@ -45,6 +45,8 @@
     pub lose: u32,
     /// Keepalives are refused, so leases lapse while their holders run on.
     pub lapse: bool,
+    /// The history kept for watches is forgotten at once.
+    pub forget: bool,
 }
 
 /// Calls counted by kind.
@@ -364,7 +366,11 @@
 
 async fn fault(st: State<Shared>, req: Json<Faults>) -> HttpResponse {
     log::warn!("{} faults set to {:?}", events::STORE_FAULT, req.0);
-    st.lock().faults = req.0;
+    let mut db = st.lock();
+    if req.forget {
+        db.history.clear();
+    }
+    db.faults = req.0;
     HttpResponse::Ok().finish()
 }
 
--- /dev/null
+++ b/tests/compaction.rs
@@ -0,0 +1,31 @@
+//! A balancer that missed changes while frozen, and a store that has forgotten
+//! them by the time it asks: it lists again and obeys the newest orders.
+
+mod common;
+
+use std::time::Duration;
+
+use jujubepost::admin;
+use jujubepost::ctl::fleet;
+use jujubepost::script::Action;
+
+#[ntex::test]
+async fn lists_again() {
+    let mut site = common::start("compact", 21_200, 2, 1, 0).await;
+    let s = site.settings.clone();
+    let steps =
+        ["freeze lb-0", "limit meter 77", "limit meter 78", "store forget", "limit meter 79"];
+    for step in steps {
+        step.parse::<Action>().unwrap().take_on(&mut site).await.unwrap();
+    }
+    // The waiting watch of the frozen balancer has been answered; its next
+    // one starts at a revision that is forgotten.
+    "store forget".parse::<Action>().unwrap().take(&s).await.unwrap();
+    "thaw lb-0".parse::<Action>().unwrap().take_on(&mut site).await.unwrap();
+    fleet::in_force(&s, Duration::from_secs(5)).await.unwrap();
+    let addr = s.balancer("lb-0").unwrap().addr;
+    let status = admin::ask(addr, Duration::from_secs(1)).await.unwrap();
+    let relisted = status.counts.iter().any(|c| c.reason == "watch_compacted" && c.value > 0);
+    assert!(relisted, "{status:?}");
+    site.down().await;
+}
--- /dev/null
+++ b/tests/events.rs
@@ -0,0 +1,47 @@
+//! The catalogue lists every numbered event, refusal and retry reason.
+
+use jujubepost::metrics::{Refusal, Retry};
+
+const CATALOGUE: &str = include_str!("../docs/EVENTS.md");
+const EVENTS: &str = include_str!("../src/events/mod.rs");
+
+#[test]
+fn every_event_listed() {
+    let codes: Vec<&str> = EVENTS.lines().filter_map(|l| l.split('"').nth(1)).collect();
+    assert!(codes.len() > 20, "{codes:?}");
+    for code in codes {
+        assert!(CATALOGUE.contains(&format!("| {code} |")), "{code} is not in docs/EVENTS.md");
+    }
+}
+
+#[test]
+fn every_reason_listed() {
+    use Refusal::{
+        Draining, ForeignOwner, Full, NoProfile, NoTarget, Silent, UnknownFlow, Unreachable,
+    };
+    let refusals = [
+        Draining,
+        Full,
+        Unreachable,
+        NoProfile,
+        NoTarget,
+        ForeignOwner,
+        UnknownFlow,
+        Refusal::OpenTimeout,
+        Silent,
+    ];
+    let retries = [
+        Retry::PacketTimeout,
+        Retry::AnswerTimeout,
+        Retry::AcceptTimeout,
+        Retry::OpenTimeout,
+        Retry::PassedOn,
+        Retry::StoreError,
+        Retry::LeaseLapsed,
+        Retry::WatchCompacted,
+    ];
+    let names = refusals.map(|r| r.to_string()).into_iter().chain(retries.map(|r| r.to_string()));
+    for name in names {
+        assert!(CATALOGUE.contains(&format!("`{name}`")), "{name} is not in docs/EVENTS.md");
+    }
+}
