Bench: one `Load` for bench and up; up names a process that ended at its start

Cause: `bench` and `up` repeated the load's four arguments, and `measure` took a settings path it did not read. A site whose ports were taken waited 20 s and said only "not up": two runs of mine met on the same ports (a test against an example, a test against a second copy of itself) and the cause had to be read out of the logs.

Change: `bench::Load`, flattened into both; `Site::start` names the process that ended and its log. The capacity example also gives the agents' processor time.

--- a/examples/capacity.rs
+++ b/examples/capacity.rs
@@ -12,7 +12,7 @@
 use std::path::PathBuf;
 use std::time::{Duration, Instant};
 
-use jujubepost::bench::{self, Args};
+use jujubepost::bench::{self, Load};
 use jujubepost::ctl::{self, fleet};
 use jujubepost::up::{Plan, Site};
 
@@ -121,7 +121,7 @@
 #[ntex::main]
 async fn main() {
     println!(
-        "targets calls/s lb_B/s agent_B/s lb_cpu% agent_cpu% lb_rss_KiB agent_rss_KiB flows/agent agent_rss_loaded_KiB lb_rss_loaded_KiB lb_ms/1k_flows"
+        "targets calls/s lb_B/s agent_B/s lb_cpu% agent_cpu% lb_rss_KiB agent_rss_KiB flows/agent agent_rss_loaded_KiB lb_rss_loaded_KiB lb_busy% agent_busy% lb_ms/1k_flows agent_ms/1k_flows"
     );
     for (k, n) in POINTS.into_iter().enumerate() {
         let base = 15_000 + 500 * k as u16;
@@ -145,23 +145,32 @@
         let agent_bps = store_bytes(agent, port).saturating_sub(a0) as f64 / secs;
         let (lb_rss, agent_rss) = (rss_kib(lb), rss_kib(agent));
         let feeds = HELD * u32::from(n);
-        let args =
-            Args { config: site.path.clone(), feeds, requests: 0, secs: 8, ..Args::default() };
+        let args = Load { feeds, requests: 0, secs: 8, ..Load::default() };
         let s = site.settings.clone();
         let held = tokio::task::spawn_local(async move { bench::measure(&s, &args).await });
         tokio::time::sleep(Duration::from_secs(5)).await;
         let (agent_loaded, lb_loaded) = (rss_kib(agent), rss_kib(lb));
+        let (k1, j1, t1) = (cpu_ticks(lb), cpu_ticks(agent), Instant::now());
+        tokio::time::sleep(Duration::from_secs(2)).await;
+        // Busy processor share with the feeds held, in percent of one core.
+        let busy = |ticks: u64| ticks as f64 / t1.elapsed().as_secs_f64();
+        let (lb_busy, agent_busy) = (busy(cpu_ticks(lb) - k1), busy(cpu_ticks(agent) - j1));
         let _ = held.await;
         let requests = 1_000;
-        let cpu0 = cpu_ticks(lb) + cpu_ticks(site.pid("lb-1").unwrap());
-        let args =
-            Args { config: site.path.clone(), feeds: 0, requests, secs: 4, ..Args::default() };
+        let lbs = ["lb-0".to_string(), "lb-1".to_string()];
+        let agents: Vec<String> = (1..=n).map(|i| format!("agent-meter-{i}")).collect();
+        let spent = |labels: &[String]| -> u64 {
+            labels.iter().filter_map(|l| site.pid(l)).map(cpu_ticks).sum()
+        };
+        let (cpu0, agents0) = (spent(&lbs), spent(&agents));
+        let args = Load { feeds: 0, requests, secs: 4, ..Load::default() };
         let _ = bench::measure(&site.settings, &args).await;
-        let cpu1 = cpu_ticks(lb) + cpu_ticks(site.pid("lb-1").unwrap());
-        // Each request is one meter and one fieldlog flow.
-        let ms_per_k = (cpu1 - cpu0) as f64 * 10.0 / (2.0 * f64::from(requests)) * 1_000.0;
+        // One tick is 10 ms. The site has no fieldlog targets: those flows are
+        // refused, and cost the balancers but no agent.
+        let ms_per_k = (spent(&lbs) - cpu0) as f64 * 10.0 / f64::from(2 * requests) * 1_000.0;
+        let agent_ms = (spent(&agents) - agents0) as f64 * 10.0 / f64::from(requests) * 1_000.0;
         println!(
-            "{n} {calls:.1} {lb_bps:.0} {agent_bps:.0} {lb_cpu:.2} {agent_cpu:.2} {lb_rss} {agent_rss} {} {agent_loaded} {lb_loaded} {ms_per_k:.1}",
+            "{n} {calls:.1} {lb_bps:.0} {agent_bps:.0} {lb_cpu:.2} {agent_cpu:.2} {lb_rss} {agent_rss} {} {agent_loaded} {lb_loaded} {lb_busy:.1} {agent_busy:.1} {ms_per_k:.1} {agent_ms:.1}",
             feeds / u32::from(n)
         );
         site.down().await;
--- a/src/bench/mod.rs
+++ b/src/bench/mod.rs
@@ -32,12 +32,21 @@
 const UPLOAD: usize = 40_000;
 
 /// Arguments of `jujubepost bench`.
-#[derive(Clone, Debug, Default, clap::Args)]
+#[derive(Clone, Debug, clap::Args)]
 pub struct Args {
     /// Settings file of the running site.
     #[arg(long)]
     pub config: PathBuf,
-    /// Long feeds held open per profile that has feeds.
+    /// The load.
+    #[command(flatten)]
+    pub load: Load,
+}
+
+/// The load on a site, and what changes meanwhile.
+#[derive(Clone, Debug, Default, clap::Args)]
+pub struct Load {
+    /// Long feeds per profile that has feeds, opened over the first quarter of
+    /// the run.
     #[arg(long, default_value_t = 20)]
     pub feeds: u32,
     /// Short requests per profile over the run.
@@ -101,8 +110,10 @@
 /// Fails when the settings cannot be loaded.
 pub async fn run(args: Args) -> anyhow::Result<()> {
     let settings = Settings::load(&args.config)?;
-    let (rows, changes) =
-        futures_util::join!(measure(&settings, &args), script::play(&args.change, &settings));
+    let (rows, changes) = futures_util::join!(
+        measure(&settings, &args.load),
+        script::play(&args.load.change, &settings)
+    );
     print(&settings.site, &rows);
     changes
 }
@@ -142,11 +153,11 @@
 }
 
 /// Drives every profile of the site at once and returns a row each.
-pub async fn measure(settings: &Settings, args: &Args) -> Vec<Row> {
+pub async fn measure(settings: &Settings, load: &Load) -> Vec<Row> {
     let mut tasks = Vec::new();
     for p in &settings.profiles {
-        let (s, a, p) = (settings.clone(), args.clone(), p.clone());
-        tasks.push(tokio::task::spawn_local(async move { profile(&s, &a, &p).await }));
+        let (s, l, p) = (settings.clone(), load.clone(), p.clone());
+        tasks.push(tokio::task::spawn_local(async move { profile(&s, &l, &p).await }));
     }
     let mut rows = Vec::new();
     for t in tasks {
@@ -167,18 +178,18 @@
     feeds: HashMap<String, u32>,
 }
 
-async fn profile(settings: &Settings, args: &Args, p: &ProfileSettings) -> Row {
+async fn profile(settings: &Settings, load: &Load, p: &ProfileSettings) -> Row {
     let tally = Rc::new(std::cell::RefCell::new(Tally::default()));
     tally.borrow_mut().row.profile = p.name.to_string();
     tally.borrow_mut().times = Histogram::new_with_bounds(1, SLOWEST_US, 3).ok();
     tally.borrow_mut().began = Some(Instant::now());
-    let run = Duration::from_secs(args.secs);
+    let run = Duration::from_secs(load.secs);
     let has_feed = matches!(p.service, Service::Meter | Service::Calculadora);
     let mut tasks = Vec::new();
     if has_feed {
         // Feeds open over the first quarter of the run and last to its end.
-        let gap = run.div_f64(4.0 * f64::from(args.feeds.max(1)));
-        for i in 0..args.feeds {
+        let gap = run.div_f64(4.0 * f64::from(load.feeds.max(1)));
+        for i in 0..load.feeds {
             let (t, addr, svc) = (tally.clone(), p.listen, p.service);
             let after = gap * i;
             tasks.push(tokio::task::spawn_local(async move {
@@ -187,9 +198,9 @@
             }));
         }
     }
-    let gap = run.div_f64(f64::from(args.requests.max(1)));
+    let gap = run.div_f64(f64::from(load.requests.max(1)));
     let start = Instant::now();
-    for i in 0..args.requests {
+    for i in 0..load.requests {
         let at = start + gap * i;
         tokio::time::sleep_until(at.into()).await;
         let (t, addr, svc) = (tally.clone(), p.listen, p.service);
--- a/src/up/mod.rs
+++ b/src/up/mod.rs
@@ -20,7 +20,7 @@
 pub use plan::Plan;
 
 use crate::bench;
-use crate::script::{self, Step};
+use crate::script;
 use crate::settings::Settings;
 use crate::store::{self, Keys};
 
@@ -44,19 +44,9 @@
     /// Settings files of the sites; the embedded examples when none.
     #[arg(long)]
     pub config: Vec<PathBuf>,
-    /// Long feeds per profile.
-    #[arg(long, default_value_t = 20)]
-    pub feeds: u32,
-    /// Short requests per profile.
-    #[arg(long, default_value_t = 200)]
-    pub requests: u32,
-    /// Length of the bench run, in seconds.
-    #[arg(long, default_value_t = 5)]
-    pub secs: u64,
-    /// A change while the run goes on, as `MS ACTION [ARG]`, such as
-    /// `1500 kill lb-gjw-a`; may be given more than once, in order of time.
-    #[arg(long)]
-    pub change: Vec<Step>,
+    /// The load, whose changes may also start, end and freeze processes.
+    #[command(flatten)]
+    pub load: bench::Load,
 }
 
 /// A running site: its processes, joined on drop.
@@ -129,12 +119,25 @@
         Ok(())
     }
 
-    async fn ready(&self) -> anyhow::Result<()> {
-        let s = &self.settings;
+    /// Fails when a process has ended by itself, as one does whose address is
+    /// taken.
+    fn check_alive(&mut self) -> anyhow::Result<()> {
+        for (label, child) in &mut self.children {
+            if !runs(child) {
+                let log = self.path.with_file_name(format!("{}-{label}.log", self.settings.site));
+                bail!("up: {label} ended at its start; see {}", log.display());
+            }
+        }
+        Ok(())
+    }
+
+    async fn ready(&mut self) -> anyhow::Result<()> {
+        let s = self.settings.clone();
         let store = store::Client::new(s.store.addr, Duration::from_millis(500)).await;
         let keys = Keys::new(s.store.prefix.clone());
         let deadline = Instant::now() + READY;
         loop {
+            self.check_alive()?;
             if Instant::now() > deadline {
                 bail!("up: site {} not up within {READY:?}", s.site);
             }
@@ -289,17 +292,10 @@
     let exe = std::env::current_exe().context("up: finding this binary")?;
     for path in &paths {
         let mut site = Site::start(&exe, path).await?;
-        let bargs = bench::Args {
-            config: path.clone(),
-            feeds: args.feeds,
-            requests: args.requests,
-            secs: args.secs,
-            change: Vec::new(),
-        };
         let settings = site.settings.clone();
         let (rows, changes) = futures_util::join!(
-            bench::measure(&settings, &bargs),
-            script::play_on(&args.change, &mut site)
+            bench::measure(&settings, &args.load),
+            script::play_on(&args.load.change, &mut site)
         );
         bench::print(&settings.site, &rows);
         site.down().await;
--- a/tests/balancer_death.rs
+++ b/tests/balancer_death.rs
@@ -6,13 +6,12 @@
 
 use std::time::Duration;
 
-use jujubepost::bench::{self, Args};
+use jujubepost::bench::{self, Load};
 
 #[ntex::test]
 async fn death_breaks_nothing() {
     let mut site = common::start("death", 21300, 3, 3, 2).await;
-    let args =
-        Args { config: site.path.clone(), feeds: 6, requests: 60, secs: 3, ..Args::default() };
+    let args = Load { feeds: 6, requests: 60, secs: 3, ..Load::default() };
     let settings = site.settings.clone();
     let run = tokio::task::spawn_local(async move { bench::measure(&settings, &args).await });
     tokio::time::sleep(Duration::from_millis(1_000)).await;
--- a/tests/balancer_stop.rs
+++ b/tests/balancer_stop.rs
@@ -6,7 +6,7 @@
 
 use std::time::Duration;
 
-use jujubepost::bench::{self, Args};
+use jujubepost::bench::{self, Load};
 use jujubepost::store::{self, Keys};
 
 #[ntex::test]
@@ -15,8 +15,7 @@
     let s = site.settings.clone();
     let store = store::Client::new(s.store.addr, Duration::from_secs(2)).await;
     let keys = Keys::new(s.store.prefix.clone());
-    let args =
-        Args { config: site.path.clone(), feeds: 6, requests: 60, secs: 3, ..Args::default() };
+    let args = Load { feeds: 6, requests: 60, secs: 3, ..Load::default() };
     let s2 = s.clone();
     let run = tokio::task::spawn_local(async move { bench::measure(&s2, &args).await });
     tokio::time::sleep(Duration::from_millis(1_000)).await;
--- a/tests/dead_side.rs
+++ b/tests/dead_side.rs
@@ -3,7 +3,7 @@
 
 mod common;
 
-use jujubepost::bench::{self, Args};
+use jujubepost::bench::{self, Load};
 use jujubepost::up::{Plan, Site};
 
 /// A site whose leases are far longer than the test.
@@ -14,8 +14,7 @@
 }
 
 async fn all_served(site: &Site) {
-    let args =
-        Args { config: site.path.clone(), feeds: 4, requests: 60, secs: 3, ..Args::default() };
+    let args = Load { feeds: 4, requests: 60, secs: 3, ..Load::default() };
     for r in bench::measure(&site.settings, &args).await {
         assert_eq!((r.ok, r.broken, r.doubled, r.wrong), (60, 0, 0, 0), "{r:?}");
     }
--- a/tests/drain.rs
+++ b/tests/drain.rs
@@ -5,7 +5,7 @@
 
 use std::time::Duration;
 
-use jujubepost::bench::{self, Args};
+use jujubepost::bench::{self, Load};
 use jujubepost::store::{self, Keys};
 
 #[ntex::test]
@@ -14,8 +14,7 @@
     let settings = site.settings.clone();
     let store = store::Client::new(settings.store.addr, Duration::from_secs(2)).await;
     let keys = Keys::new(settings.store.prefix.clone());
-    let feeds =
-        Args { config: site.path.clone(), feeds: 9, requests: 1, secs: 5, ..Args::default() };
+    let feeds = Load { feeds: 9, requests: 1, secs: 5, ..Load::default() };
     let s2 = settings.clone();
     let run = tokio::task::spawn_local(async move { bench::measure(&s2, &feeds).await });
     tokio::time::sleep(Duration::from_millis(1_000)).await;
@@ -25,8 +24,7 @@
     assert_eq!(meter.broken, 0, "{meter:?}");
     assert_eq!(meter.feeds, 9, "{meter:?}");
     // The grace (1 s in the test site) has passed: no new work for meter-1.
-    let after =
-        Args { config: site.path.clone(), feeds: 0, requests: 60, secs: 1, ..Args::default() };
+    let after = Load { feeds: 0, requests: 60, secs: 1, ..Load::default() };
     let rows = bench::measure(&settings, &after).await;
     let meter = rows.iter().find(|r| r.profile == "meter").unwrap();
     assert_eq!(meter.ok, 60, "{meter:?}");
--- a/tests/in_force.rs
+++ b/tests/in_force.rs
@@ -6,7 +6,7 @@
 
 use std::time::Duration;
 
-use jujubepost::bench::{self, Args};
+use jujubepost::bench::{self, Load};
 use jujubepost::ctl::{self, Outcome, fleet};
 use jujubepost::settings::Settings;
 use jujubepost::store::{self, Faults, Keys, Snapshot};
@@ -25,12 +25,12 @@
 
 /// Requests answered and refused while `feeds` open feeds, opened before
 /// them, hold the one target.
-async fn answered(s: &Settings, path: &std::path::Path, feeds: u32) -> (u32, u32) {
-    let held = Args { config: path.into(), feeds, requests: 0, secs: 4, ..Args::default() };
+async fn answered(s: &Settings, feeds: u32) -> (u32, u32) {
+    let held = Load { feeds, requests: 0, secs: 4, ..Load::default() };
     let s2 = s.clone();
     let holder = tokio::task::spawn_local(async move { bench::measure(&s2, &held).await });
     tokio::time::sleep(Duration::from_millis(1_500)).await;
-    let args = Args { config: path.into(), feeds: 0, requests: 10, secs: 2, ..Args::default() };
+    let args = Load { feeds: 0, requests: 10, secs: 2, ..Load::default() };
     let rows = bench::measure(s, &args).await;
     let meter = rows.iter().find(|r| r.profile == "meter").unwrap();
     let held = holder.await.unwrap();
@@ -49,10 +49,10 @@
 async fn limit_reaches_agents() {
     let site = common::start("limit", 25500, 2, 1, 0).await;
     let s = site.settings.clone();
-    assert_eq!(answered(&s, &site.path, 2).await, (10, 0));
+    assert_eq!(answered(&s, 2).await, (10, 0));
     limit(&s, 2).await;
     fleet::in_force(&s, BOUND).await.unwrap();
-    assert_eq!(answered(&s, &site.path, 2).await, (0, 10));
+    assert_eq!(answered(&s, 2).await, (0, 10));
 }
 
 #[ntex::test]
@@ -74,8 +74,8 @@
         tokio::time::sleep(Duration::from_millis(1_500)).await;
     }
     assert_eq!(orders(&s).await, before);
-    assert_eq!(answered(&s, &site.path, 2).await, (0, 10));
-    assert_eq!(answered(&s, &site.path, 1).await, (10, 0));
+    assert_eq!(answered(&s, 2).await, (0, 10));
+    assert_eq!(answered(&s, 1).await, (10, 0));
 }
 
 #[test]
--- a/tests/lease_lapse.rs
+++ b/tests/lease_lapse.rs
@@ -6,7 +6,7 @@
 
 use std::time::Duration;
 
-use jujubepost::bench::{self, Args};
+use jujubepost::bench::{self, Load};
 use jujubepost::store::{self, Keys};
 use jujubepost::up::Signal;
 
@@ -20,8 +20,7 @@
     // Lease is 1 s in the test site: wait until the store has dropped it.
     tokio::time::sleep(Duration::from_millis(2_500)).await;
     assert!(store.get(&keys.target("meter-1")).await.unwrap().is_none());
-    let during =
-        Args { config: site.path.clone(), feeds: 0, requests: 30, secs: 1, ..Args::default() };
+    let during = Load { feeds: 0, requests: 30, secs: 1, ..Load::default() };
     let rows = bench::measure(&s, &during).await;
     let meter = rows.iter().find(|r| r.profile == "meter").unwrap();
     assert_eq!(meter.ok, 30, "{meter:?}");
@@ -29,8 +28,7 @@
     site.send("agent-meter-1", Signal::SIGCONT);
     tokio::time::sleep(Duration::from_millis(1_500)).await;
     assert!(store.get(&keys.target("meter-1")).await.unwrap().is_some());
-    let after =
-        Args { config: site.path.clone(), feeds: 0, requests: 60, secs: 1, ..Args::default() };
+    let after = Load { feeds: 0, requests: 60, secs: 1, ..Load::default() };
     let rows = bench::measure(&s, &after).await;
     let meter = rows.iter().find(|r| r.profile == "meter").unwrap();
     assert_eq!(meter.ok, 60, "{meter:?}");
--- a/tests/lossy.rs
+++ b/tests/lossy.rs
@@ -7,15 +7,14 @@
 use std::time::Duration;
 
 use jujubepost::admin::{Faults, Peer};
-use jujubepost::bench::{self, Args};
+use jujubepost::bench::{self, Load};
 
 async fn disturbed(name: &str, base: u16, faults: Faults) {
     let site = common::start(name, base, 3, 3, 2).await;
     let s = site.settings.clone();
     let fabric = Peer::connect(s.fabric.addr, Duration::from_secs(1)).await.unwrap();
     fabric.disturb(faults).await.unwrap();
-    let args =
-        Args { config: site.path.clone(), feeds: 10, requests: 100, secs: 4, ..Args::default() };
+    let args = Load { feeds: 10, requests: 100, secs: 4, ..Load::default() };
     let rows = bench::measure(&s, &args).await;
     for r in &rows {
         assert_eq!((r.ok, r.refused, r.failed), (100, 0, 0), "{r:?}");
--- a/tests/matrix.rs
+++ b/tests/matrix.rs
@@ -15,7 +15,7 @@
 use std::time::Duration;
 
 use jujubepost::admin;
-use jujubepost::bench::{self, Args, Row};
+use jujubepost::bench::{self, Load, Row};
 use jujubepost::ctl::{self, Outcome, fleet};
 use jujubepost::script::{self, Action, Step};
 use jujubepost::settings::Settings;
@@ -169,13 +169,7 @@
     for action in &case.before {
         action.take_on(site).await.unwrap();
     }
-    let load = Args {
-        config: site.path.clone(),
-        feeds: FEEDS,
-        requests: REQUESTS,
-        secs: 3,
-        ..Args::default()
-    };
+    let load = Load { feeds: FEEDS, requests: REQUESTS, secs: 3, ..Load::default() };
     let s2 = s.clone();
     let run = tokio::task::spawn_local(async move { bench::measure(&s2, &load).await });
     let step = |at, action: &Action| Step { at: Duration::from_millis(at), action: action.clone() };
@@ -209,7 +203,7 @@
 
 /// Requests that a target gets now, past its grace.
 async fn new_work(site: &Site, name: &str) -> u32 {
-    let args = Args { config: site.path.clone(), requests: 30, secs: 1, ..Args::default() };
+    let args = Load { requests: 30, secs: 1, ..Load::default() };
     let rows = bench::measure(&site.settings, &args).await;
     rows.iter().filter_map(|r| r.served.get(name)).sum()
 }
--- a/tests/path.rs
+++ b/tests/path.rs
@@ -3,13 +3,12 @@
 
 mod common;
 
-use jujubepost::bench::{self, Args};
+use jujubepost::bench::{self, Load};
 
 #[ntex::test]
 async fn serves_both_services() {
     let site = common::start("path", 21000, 3, 3, 2).await;
-    let args =
-        Args { config: site.path.clone(), feeds: 4, requests: 40, secs: 2, ..Args::default() };
+    let args = Load { feeds: 4, requests: 40, secs: 2, ..Load::default() };
     let rows = bench::measure(&site.settings, &args).await;
     assert_eq!(rows.len(), 2);
     for r in &rows {
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -11,7 +11,7 @@
 use std::time::{Duration, Instant};
 
 use jujubepost::admin::Faults;
-use jujubepost::bench::{self, Args};
+use jujubepost::bench::{self, Load};
 use jujubepost::ctl::fleet;
 use jujubepost::script::Action;
 use jujubepost::target;
@@ -86,13 +86,7 @@
     let mut round = 0;
     while start.elapsed() < length {
         round += 1;
-        let load = Args {
-            config: site.path.clone(),
-            feeds: 4,
-            requests: REQUESTS,
-            secs: 3,
-            ..Args::default()
-        };
+        let load = Load { feeds: 4, requests: REQUESTS, secs: 3, ..Load::default() };
         let s2 = s.clone();
         let run = tokio::task::spawn_local(async move { bench::measure(&s2, &load).await });
         let count = rng.random_range(1..=2);
--- a/tests/store_outage.rs
+++ b/tests/store_outage.rs
@@ -6,7 +6,7 @@
 
 use std::time::Duration;
 
-use jujubepost::bench::{self, Args};
+use jujubepost::bench::{self, Load};
 use jujubepost::ctl;
 use jujubepost::store::{self, Faults, Keys};
 
@@ -17,8 +17,7 @@
     ctl::fault(&s, &Faults { outage: true, ..Faults::default() }).await.unwrap();
     // Longer than the 1 s lease of the test site.
     tokio::time::sleep(Duration::from_millis(3_000)).await;
-    let during =
-        Args { config: site.path.clone(), feeds: 2, requests: 40, secs: 2, ..Args::default() };
+    let during = Load { feeds: 2, requests: 40, secs: 2, ..Load::default() };
     let rows = bench::measure(&s, &during).await;
     for r in &rows {
         assert_eq!(r.ok, 40, "during outage: {r:?}");
@@ -29,8 +28,7 @@
     let store = store::Client::new(s.store.addr, Duration::from_secs(2)).await;
     let (_, kvs) = store.list(&Keys::new(s.store.prefix.clone()).targets()).await.unwrap();
     assert_eq!(kvs.len(), 5, "{kvs:?}");
-    let after =
-        Args { config: site.path.clone(), feeds: 0, requests: 40, secs: 1, ..Args::default() };
+    let after = Load { feeds: 0, requests: 40, secs: 1, ..Load::default() };
     let rows = bench::measure(&s, &after).await;
     for r in &rows {
         assert_eq!(r.ok, 40, "after outage: {r:?}");
