--- a/examples/capacity.rs
+++ b/examples/capacity.rs
@@ -156,6 +156,8 @@
         let busy = |ticks: u64| ticks as f64 / t1.elapsed().as_secs_f64();
         let (lb_busy, agent_busy) = (busy(cpu_ticks(lb) - k1), busy(cpu_ticks(agent) - j1));
         let _ = held.await;
+        // Let the held feeds' ends pass before the burst is charged.
+        tokio::time::sleep(Duration::from_secs(2)).await;
         let requests = 1_000;
         let lbs = ["lb-0".to_string(), "lb-1".to_string()];
         let agents: Vec<String> = (1..=n).map(|i| format!("agent-meter-{i}")).collect();
