--- a/src/agent/mod.rs
+++ b/src/agent/mod.rs
@@ -96,11 +96,8 @@
     let _ = follower.await;
     let _ = announcer.await;
     let _ = store.delete(&keys.target(name)).await;
-    let tasks = agent.borrow_mut().take_tasks();
-    for t in tasks {
-        t.abort();
-        let _ = t.await;
-    }
+    let mut tasks = agent.borrow_mut().take_tasks();
+    tasks.shutdown().await;
     desk.stop().await;
     for c in metrics::snapshot() {
         log::info!("{} {c}", events::COUNTERS);
--- a/src/agent/place.rs
+++ b/src/agent/place.rs
@@ -48,26 +48,31 @@
     }
 }
 
+/// Units of load of one busy slot.
+const SLOT: u32 = 1_024;
+
 /// The load of an agent with `flows` open, of which `waiting` have sent their
 /// target something and heard nothing since.
 ///
-/// Each waiting flow takes one of the target's `slots`, and so counts for the
-/// `max / slots` connections that a slot stands for. With all slots busy the
-/// load is the highest there is. What the target says of its own load is not
-/// used: it lags and lies.
+/// Each waiting flow takes one of the target's `slots`; `max` open flows weigh
+/// as much as all slots. With all slots busy the load is the highest there
+/// is. What the target says of its own load is not used: it lags and lies.
 #[must_use]
 pub fn load(flows: u32, waiting: u32, slots: u32, max: u32) -> u32 {
     if waiting >= slots {
         return UNABLE - 1;
     }
-    flows.saturating_add(waiting.saturating_mul(max / slots))
+    let open = u64::from(flows) * u64::from(slots) * u64::from(SLOT) / u64::from(max.max(1));
+    let busy = u64::from(waiting) * u64::from(SLOT);
+    u32::try_from(open + busy).unwrap_or(UNABLE - 1)
 }
 
 /// Whether `load` is below `theirs` by enough to move a flow: by more than a
-/// sixteenth and one. Without the margin, short requests all follow small
-/// differences in long feeds, and pile up where the feeds are fewest.
+/// sixteenth and an eighth of a slot. Without the margin, short requests all
+/// follow small differences in long feeds, and pile up where the feeds are
+/// fewest.
 const fn lighter(load: u32, theirs: u32) -> bool {
-    theirs == UNABLE || load.saturating_add(load / 16).saturating_add(1) < theirs
+    theirs == UNABLE || load.saturating_add(load / 16).saturating_add(SLOT / 8) < theirs
 }
 
 /// What an agent does with an offer it took when its target then could not
--- a/src/agent/state.rs
+++ b/src/agent/state.rs
@@ -9,7 +9,7 @@
 
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
-use tokio::task::JoinHandle;
+use tokio::task::JoinSet;
 
 use super::flow::{End, Timers, Waiting};
 use super::mailbox::Mailbox;
@@ -47,7 +47,7 @@
     timers: Timers,
     waiting: Waiting,
     done: mpsc::UnboundedSender<(u64, End)>,
-    tasks: Vec<JoinHandle<()>>,
+    tasks: JoinSet<()>,
     board: Board,
 }
 
@@ -78,7 +78,7 @@
             },
             waiting: Waiting::default(),
             done,
-            tasks: Vec::new(),
+            tasks: JoinSet::new(),
             board,
         }
     }
@@ -108,8 +108,8 @@
         self.closed = true;
     }
 
-    /// Every task started for a flow, for joining.
-    pub fn take_tasks(&mut self) -> Vec<JoinHandle<()>> {
+    /// Every task that the agent has started, for joining.
+    pub fn take_tasks(&mut self) -> JoinSet<()> {
         std::mem::take(&mut self.tasks)
     }
 
@@ -247,8 +247,8 @@
     }
 
     fn spawn(&mut self, task: impl Future<Output = ()> + 'static) {
-        self.tasks.retain(|t| !t.is_finished());
-        self.tasks.push(tokio::task::spawn_local(task));
+        while self.tasks.try_join_next().is_some() {}
+        self.tasks.spawn_local(task);
     }
 
     fn publish(&self) {
