Settings: a timer of zero is refused, naming the field

Cause: `fabric.probe_ms` or `agent.rto_ms` of 0 would loop without a pause; only `fabric.rto_ms` was checked.

Red first: `zero_probe.jsonc`, `zero_rto.jsonc`; green after.

--- a/src/settings/check.rs
+++ b/src/settings/check.rs
@@ -13,8 +13,22 @@
 ///
 /// Names the first offending field, for example `targets[2].slots`.
 pub fn check(s: &Settings) -> anyhow::Result<()> {
-    if s.fabric.rto_ms == 0 {
-        bail!("field `fabric.rto_ms`: must be at least 1");
+    // A zero here would mean a loop without a pause, or giving up at once.
+    let timers = [
+        ("store.timeout_ms", s.store.timeout_ms),
+        ("fabric.rto_ms", s.fabric.rto_ms),
+        ("fabric.open_ms", s.fabric.open_ms),
+        ("fabric.give_up_ms", s.fabric.give_up_ms),
+        ("fabric.probe_ms", s.fabric.probe_ms),
+        ("agent.rto_ms", s.agent.rto_ms),
+        ("agent.idle_ms", s.agent.idle_ms),
+        ("agent.give_up_ms", s.agent.give_up_ms),
+        ("entry.hold_ms", s.entry.hold_ms),
+    ];
+    for (field, value) in timers {
+        if value == 0 {
+            bail!("field `{field}`: must be at least 1");
+        }
     }
     if s.agent.lease_ms < 500 {
         bail!("field `agent.lease_ms`: must be at least 500");
