Roster: a store failure no longer brings long-dead targets back

Cause: `postpone` renewed the hold of every missing target at each failed store call, those that died alone minutes before included. Counted as fresh, they outnumbered the living and were put back in the table: after four single deaths of seven, one failed call made serving 7 instead of 3 for a hold time.

Ruled out: renewing only what is still within its hold.

Change: what lapsed together is marked when it is seen to go, by the same rule as before (more missing lately than left); only marked targets are held and renewed.

--- a/src/balancer/roster.rs
+++ b/src/balancer/roster.rs
@@ -11,18 +11,20 @@
 //! Owners of established flows are remembered longer: a lapsed lease must not
 //! cut a flow whose agent is alive.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use crate::record::Target;
 use crate::settings::Service;
 
-/// One target and, when its announcement is missing, since when.
+/// One target and, when its announcement is missing, since when and whether
+/// most of its service went with it.
 #[derive(Clone, Debug)]
 struct Seen {
     target: Target,
     gone: Option<Instant>,
+    together: bool,
 }
 
 /// The targets as last announced, with those that went missing.
@@ -47,30 +49,25 @@
             s.gone = s.gone.or(Some(now));
         }
         for target in announced {
-            self.seen.insert(target.name.clone(), Seen { target, gone: None });
+            self.seen.insert(target.name.clone(), Seen { target, gone: None, together: false });
         }
+        self.mark_together(now);
         let keep = self.keep.max(self.hold);
         self.seen.retain(|_, s| s.gone.is_none_or(|at| now.duration_since(at) < keep));
     }
 
-    /// The store failed at `now`: what is missing stays held, since its
-    /// holders could not renew.
+    /// The store failed at `now`: the hold of what lapsed together starts
+    /// anew, since its holders could not renew. What died alone stays gone.
     pub fn postpone(&mut self, now: Instant) {
-        for s in self.seen.values_mut() {
+        for s in self.seen.values_mut().filter(|s| s.together) {
             s.gone = s.gone.map(|_| now);
         }
     }
 
     /// Targets of `service` that may get new flows, drains not considered.
     pub fn serving(&self, service: Service, now: Instant) -> impl Iterator<Item = &Target> {
-        let held = self.lapsed_together(service, now);
-        self.of(service)
-            .filter(move |s| match s.gone {
-                None => true,
-                Some(at) => held && self.fresh(at, now) && !s.target.leaving,
-            })
-            .map(|s| &s.target)
-            .filter(|t| !t.leaving)
+        let used = move |s: &&Seen| s.gone.is_none_or(|at| s.together && self.fresh(at, now));
+        self.of(service).filter(used).map(|s| &s.target).filter(|t| !t.leaving)
     }
 
     /// Targets of `service` whose agents may own established flows.
@@ -95,12 +92,18 @@
         now.duration_since(at) < self.hold
     }
 
-    /// Whether more targets of `service` went missing lately than are left.
-    fn lapsed_together(&self, service: Service, now: Instant) -> bool {
-        let lately = |s: &&Seen| s.gone.is_some_and(|at| self.fresh(at, now)) && !s.target.leaving;
-        let missing = self.of(service).filter(lately).count();
-        let present = self.of(service).filter(|s| s.gone.is_none()).count();
-        missing > present
+    /// Marks the targets of each service of which more went missing lately
+    /// than are left.
+    fn mark_together(&mut self, now: Instant) {
+        let mut balance: HashMap<Service, i64> = HashMap::new();
+        for s in self.seen.values().filter(|s| s.gone.is_none() || lately(s, self.hold, now)) {
+            *balance.entry(s.target.service).or_default() += if s.gone.is_some() { 1 } else { -1 };
+        }
+        let hold = self.hold;
+        for s in self.seen.values_mut() {
+            let more = balance.get(&s.target.service).is_some_and(|n| *n > 0);
+            s.together |= more && lately(s, hold, now);
+        }
     }
 
     /// Whether another target now announces this agent address.
@@ -108,3 +111,9 @@
         self.seen.values().any(|s| s.gone.is_none() && s.target.agent == agent)
     }
 }
+
+/// Whether a target went missing less than `hold` ago, without having said
+/// that it was leaving.
+fn lately(s: &Seen, hold: Duration, now: Instant) -> bool {
+    !s.target.leaving && s.gone.is_some_and(|at| now.duration_since(at) < hold)
+}
--- a/tests/roster.rs
+++ b/tests/roster.rs
@@ -84,3 +84,19 @@
     assert_eq!(r.owners(Service::Meter).count(), 1);
     assert_eq!(r.owners(Service::Fieldlog).count(), 1);
 }
+
+#[test]
+fn long_dead_stay_out() {
+    let t0 = Instant::now();
+    let mut r = Roster::new(HOLD, KEEP);
+    r.update(meters(7), t0);
+    // Four die, one after the other, each alone within its hold.
+    for left in (3..7).rev() {
+        r.update(meters(left), t0 + HOLD * u32::from(7 - left));
+    }
+    let later = t0 + HOLD * 6;
+    assert_eq!(serving(&r, later), 3);
+    // A moment's failure of the store is no reason to use them again.
+    r.postpone(later);
+    assert_eq!(serving(&r, later), 3);
+}
