Site and faults: what stood twice stands once

Behaviour unchanged.

The assertions of tests/in_force.rs are as they were; it starts its processes with `launch`.

--- a/src/admin/mod.rs
+++ b/src/admin/mod.rs
@@ -6,7 +6,7 @@
 //! port at which it takes packets over UDP.
 
 mod client;
-mod faults;
+pub mod faults;
 mod server;
 
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
--- a/src/ctl/mod.rs
+++ b/src/ctl/mod.rs
@@ -14,6 +14,7 @@
 use anyhow::{Context, bail};
 use clap::Subcommand;
 
+use crate::admin;
 use crate::events;
 use crate::record;
 use crate::settings::{ProfileSettings, Settings};
@@ -271,13 +272,5 @@
 ///
 /// Fails when the stand-in cannot be reached.
 pub async fn fault(settings: &Settings, faults: &Faults) -> anyhow::Result<()> {
-    let http = ntex::client::Client::new().await;
-    let url = format!("http://{}/fault", settings.store.addr);
-    let res = http.post(&url).send_json(faults).await.map_err(|e| {
-        anyhow::anyhow!("ctl: setting faults at store {}: {e}", settings.store.addr)
-    })?;
-    if !res.status().is_success() {
-        bail!("ctl: setting faults at store {}: status {}", settings.store.addr, res.status());
-    }
-    Ok(())
+    admin::faults::post(settings.store.addr, faults).await.context("ctl: the store stand-in")
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -11,7 +11,7 @@
 //! - [`balancer`], [`agent`], [`fabric`], [`target`]: the roles.
 //! - [`admin`]: what the processes of a site ask each other.
 //! - [`ctl`]: the operator's tool.
-//! - [`bench`]: the load tool that prints broken flows and imbalance.
+//! - [`mod@bench`]: the load tool that prints broken flows and imbalance.
 //! - [`script`]: scripted changes and faults for trials and tests.
 //! - [`up`]: runs a whole deployment on one machine.
 
--- a/src/script/mod.rs
+++ b/src/script/mod.rs
@@ -10,7 +10,7 @@
 
 use anyhow::{Context, bail};
 
-use crate::admin::{Faults, Peer};
+use crate::admin::{Faults, Peer, faults};
 use crate::ctl;
 use crate::settings::Settings;
 use crate::store;
@@ -90,9 +90,9 @@
             }
             ["store", "forget"] => Self::store(|f| f.forget = true),
             ["store", "lapse"] => Self::store(|f| f.lapse = true),
-            ["fabric", "lose", n] => Self::fabric(Faults { lose: n.parse()?, ..Faults::default() }),
-            ["fabric", "mute"] => Self::fabric(Faults { mute: true, ..Faults::default() }),
-            ["fabric", "ok"] => Self::fabric(Faults::default()),
+            ["fabric", "lose", n] => Self::Fabric(Faults { lose: n.parse()?, ..Faults::default() }),
+            ["fabric", "mute"] => Self::Fabric(Faults { mute: true, ..Faults::default() }),
+            ["fabric", "ok"] => Self::Fabric(Faults::default()),
             ["kill", p] => Self::Kill((*p).into()),
             ["stop", p] => Self::Stop((*p).into()),
             ["start", p] => Self::Start((*p).into()),
@@ -111,12 +111,6 @@
         Self::Store(faults)
     }
 
-    /// The fabric stand-in's faults.
-    #[must_use]
-    pub const fn fabric(faults: Faults) -> Self {
-        Self::Fabric(faults)
-    }
-
     /// Takes the action on a running site, over its interfaces only.
     ///
     /// # Errors
@@ -131,7 +125,7 @@
             Self::Store(faults) => ctl::fault(s, faults).await,
             Self::Fabric(faults) => disturb(s.fabric.addr, faults).await,
             Self::Balancer(name, faults) => disturb(s.balancer(name)?.addr, faults).await,
-            Self::Target(name, faults) => target::disturb(s.target(name)?.addr, faults).await,
+            Self::Target(name, faults) => faults::post(s.target(name)?.addr, faults).await,
             Self::Kill(p) | Self::Stop(p) | Self::Start(p) | Self::Freeze(p) | Self::Thaw(p) => {
                 bail!("script: only `up` can do that to process {p}")
             }
@@ -147,7 +141,7 @@
         match self {
             Self::Kill(p) => site.kill(p),
             Self::Stop(p) => site.stop(p).await,
-            Self::Start(p) => site.restart(p)?,
+            Self::Start(p) => site.launch(p)?,
             Self::Freeze(p) => site.send(p, Signal::SIGSTOP),
             Self::Thaw(p) => site.send(p, Signal::SIGCONT),
             _ => self.take(&site.settings.clone()).await?,
--- a/src/target/mod.rs
+++ b/src/target/mod.rs
@@ -57,19 +57,6 @@
     pub lie: bool,
 }
 
-/// Sets the faults of the target stand-in at `addr`.
-///
-/// # Errors
-///
-/// Fails when the stand-in cannot be reached.
-pub async fn disturb(addr: std::net::SocketAddr, faults: &Faults) -> anyhow::Result<()> {
-    let http = ntex::client::Client::new().await;
-    let res = http.post(format!("http://{addr}/fault")).send_json(faults).await;
-    let res = res.map_err(|e| anyhow::anyhow!("target: setting faults at {addr}: {e}"))?;
-    anyhow::ensure!(res.status().is_success(), "target: setting faults at {addr}: {res:?}");
-    Ok(())
-}
-
 #[derive(Debug, Default)]
 struct Inner {
     faults: Faults,
--- a/src/up/mod.rs
+++ b/src/up/mod.rs
@@ -22,7 +22,7 @@
 use crate::bench;
 use crate::script;
 use crate::settings::Settings;
-use crate::store::{self, Keys};
+use crate::store::{self, Keys, Kv};
 
 /// The embedded Suryakosh example.
 pub const SURYAKOSH: &str = include_str!("../../examples/suryakosh.jsonc");
@@ -69,43 +69,41 @@
     /// Fails when a process cannot start or the site is not up in time.
     pub async fn start(exe: &Path, path: &Path) -> anyhow::Result<Self> {
         let settings = Settings::load(path)?;
-        let exe = exe.to_path_buf();
-        let mut site = Self {
-            settings: settings.clone(),
-            path: path.to_path_buf(),
-            exe: exe.clone(),
-            children: Vec::new(),
-        };
-        site.spawn(&exe, "store", &["store"])?;
-        for t in &settings.targets {
-            site.spawn(&exe, &t.name, &["target", "--name", &t.name])?;
+        let targets = settings.targets.iter().map(|t| t.name.to_string());
+        let agents = settings.targets.iter().map(|t| format!("agent-{}", t.name));
+        let balancers = settings.balancers.iter().map(|b| b.name.to_string());
+        let labels: Vec<String> = targets.chain(agents).chain(balancers).collect();
+        let (path, exe) = (path.to_path_buf(), exe.to_path_buf());
+        let mut site = Self { settings, path, exe, children: Vec::new() };
+        site.spawn("store", &["store"])?;
+        for label in &labels {
+            site.launch(label)?;
         }
-        for t in &settings.targets {
-            site.spawn(&exe, &format!("agent-{}", t.name), &["agent", "--name", &t.name])?;
-        }
-        for b in &settings.balancers {
-            site.spawn(&exe, &b.name, &["balancer", "--name", &b.name])?;
-        }
-        site.spawn(&exe, "fabric", &["fabric"])?;
+        site.spawn("fabric", &["fabric"])?;
         site.ready().await?;
         Ok(site)
     }
 
-    /// Starts one more process of this site; its log goes to
-    /// `<site>-<label>.log` beside the settings file.
-    ///
-    /// # Errors
-    ///
-    /// Fails when the process cannot be started.
-    pub fn spawn(&mut self, exe: &Path, label: &str, args: &[&str]) -> anyhow::Result<()> {
+    /// Where the process `label` logs.
+    fn log(&self, label: &str) -> PathBuf {
+        self.path.with_file_name(format!("{}-{label}.log", self.settings.site))
+    }
+
+    /// Takes a process out of the site's list.
+    fn take(&mut self, label: &str) -> Option<Child> {
+        let i = self.children.iter().position(|(l, _)| l == label)?;
+        Some(self.children.remove(i).1)
+    }
+
+    fn spawn(&mut self, label: &str, args: &[&str]) -> anyhow::Result<()> {
         let (role, rest) = args.split_first().context("up: no role")?;
-        let log = self.path.with_file_name(format!("{}-{label}.log", self.settings.site));
+        let log = self.log(label);
         let log = std::fs::File::options()
             .create(true)
             .append(true)
             .open(&log)
             .with_context(|| format!("up: opening {}", log.display()))?;
-        let child = Command::new(exe)
+        let child = Command::new(&self.exe)
             .arg(role)
             .arg("--config")
             .arg(&self.path)
@@ -122,11 +120,9 @@
     /// Fails when a process has ended by itself, as one does whose address is
     /// taken.
     fn check_alive(&mut self) -> anyhow::Result<()> {
-        for (label, child) in &mut self.children {
-            if !runs(child) {
-                let log = self.path.with_file_name(format!("{}-{label}.log", self.settings.site));
-                bail!("up: {label} ended at its start; see {}", log.display());
-            }
+        let ended = self.children.iter_mut().position(|(_, child)| !runs(child));
+        if let Some(label) = ended.map(|i| self.children[i].0.clone()) {
+            bail!("up: {label} ended at its start; see {}", self.log(&label).display());
         }
         Ok(())
     }
@@ -144,14 +140,11 @@
             if crate::ctl::apply(&store, &keys, &s.profiles).await.is_ok()
                 && let Ok((_, kvs)) = store.list(&keys.all()).await
             {
-                let targets = kvs
-                    .iter()
-                    .filter(|kv| matches!(keys.split(&kv.key), Some(("targets", _))))
-                    .count();
-                let balancers = kvs
-                    .iter()
-                    .filter(|kv| matches!(keys.split(&kv.key), Some(("balancers", _))))
-                    .count();
+                let count = |kind| {
+                    let of_kind = |kv: &&Kv| keys.split(&kv.key).is_some_and(|(k, _)| k == kind);
+                    kvs.iter().filter(of_kind).count()
+                };
+                let (targets, balancers) = (count("targets"), count("balancers"));
                 if targets == s.targets.len() && balancers == s.balancers.len() {
                     // Let the balancers' watches catch up.
                     tokio::time::sleep(Duration::from_millis(500)).await;
@@ -164,8 +157,7 @@
 
     /// Stops one process by label (SIGTERM) and waits for its end.
     pub async fn stop(&mut self, label: &str) {
-        let Some(i) = self.children.iter().position(|(l, _)| l == label) else { return };
-        let (_, mut child) = self.children.remove(i);
+        let Some(mut child) = self.take(label) else { return };
         signal(&child);
         let deadline = Instant::now() + STOP;
         while Instant::now() < deadline && runs(&mut child) {
@@ -175,20 +167,21 @@
         let _ = child.wait();
     }
 
-    /// Starts a process of the settings again, by its label.
+    /// Starts a process of the settings by its label: a balancer's or a
+    /// target's name, or `agent-` and a target's name. Its log goes to
+    /// `<site>-<label>.log` beside the settings file.
     ///
     /// # Errors
     ///
     /// Fails when the label names none, or the process cannot be started.
-    pub fn restart(&mut self, label: &str) -> anyhow::Result<()> {
-        let exe = self.exe.clone();
+    pub fn launch(&mut self, label: &str) -> anyhow::Result<()> {
         if self.settings.balancer(label).is_ok() {
-            self.spawn(&exe, label, &["balancer", "--name", label])
+            self.spawn(label, &["balancer", "--name", label])
         } else if let Some(target) = label.strip_prefix("agent-") {
-            self.spawn(&exe, label, &["agent", "--name", target])
+            self.spawn(label, &["agent", "--name", target])
         } else {
             self.settings.target(label)?;
-            self.spawn(&exe, label, &["target", "--name", label])
+            self.spawn(label, &["target", "--name", label])
         }
     }
 
@@ -230,8 +223,7 @@
 
     /// Kills one process by label at once (SIGKILL), then reaps it.
     pub fn kill(&mut self, label: &str) {
-        if let Some(i) = self.children.iter().position(|(l, _)| l == label) {
-            let (_, mut child) = self.children.remove(i);
+        if let Some(mut child) = self.take(label) {
             let _ = child.kill();
             let _ = child.wait();
         }
--- a/tests/in_force.rs
+++ b/tests/in_force.rs
@@ -64,13 +64,9 @@
     let before = orders(&s).await;
     ctl::fault(&s, &Faults { outage: true, ..Faults::default() }).await.unwrap();
     // Every process is replaced in turn; nothing is read from the store.
-    for (label, args) in [
-        ("lb-0", ["balancer", "--name", "lb-0"]),
-        ("lb-1", ["balancer", "--name", "lb-1"]),
-        ("agent-meter-1", ["agent", "--name", "meter-1"]),
-    ] {
+    for label in ["lb-0", "lb-1", "agent-meter-1"] {
         site.kill(label);
-        site.spawn(&common::exe(), label, &args).unwrap();
+        site.launch(label).unwrap();
         tokio::time::sleep(Duration::from_millis(1_500)).await;
     }
     assert_eq!(orders(&s).await, before);
