--- a/src/agent/mod.rs
+++ b/src/agent/mod.rs
@@ -172,7 +172,12 @@
 }
 
 /// Keeps the agent's orders current.
-async fn follow_orders(source: Source, keys: Keys, agent: Rc<RefCell<Agent>>, board: Board) {
+async fn follow_orders(
+    source: Source<store::Client>,
+    keys: Keys,
+    agent: Rc<RefCell<Agent>>,
+    board: Board,
+) {
     let name = agent.borrow().name();
     mirror::follow(
         &source,
--- a/src/agent/place.rs
+++ b/src/agent/place.rs
@@ -49,7 +49,7 @@
 }
 
 /// Units of load of one busy slot.
-const SLOT: u32 = 1_024;
+pub const SLOT: u32 = 1_024;
 
 /// The load of an agent with `flows` open, of which `waiting` have sent their
 /// target something and heard nothing since.
--- a/src/balancer/follow.rs
+++ b/src/balancer/follow.rs
@@ -64,7 +64,13 @@
 
 /// Keeps the view current: after each change of the store, and when a held
 /// target's time is over.
-pub async fn follow(source: Source, keys: Keys, view: Rc<RefCell<View>>, board: Board, hold: Hold) {
+pub async fn follow(
+    source: Source<store::Client>,
+    keys: Keys,
+    view: Rc<RefCell<View>>,
+    board: Board,
+    hold: Hold,
+) {
     let roster = Roster::new(hold.missing, hold.owners);
     let judge = RefCell::new(Judge {
         builder: Builder::new(keys, roster),
--- /dev/null
+++ b/src/bus/mod.rs
@@ -0,0 +1,121 @@
+//! What balancers and agents say to each other about flows: one UDP datagram
+//! a message, a `postcard`-encoded [`Message`] followed, where the message
+//! carries one, by a caller's packet as it came.
+
+use std::net::SocketAddrV4;
+
+use serde::{Deserialize, Serialize};
+
+use crate::flow::Flow;
+use crate::metrics::Refusal;
+use crate::wire::Offer;
+
+/// Largest datagram between balancers and agents, in bytes: a packet of 1,236
+/// bytes and a message head of at most 200.
+pub const DATAGRAM: usize = 2_048;
+
+/// One message.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Message<'a> {
+    /// The packet that follows asks to open a flow.
+    Open(#[serde(borrow)] Open<'a>),
+    /// The packet that follows belongs to an open flow.
+    Carry {
+        /// The service that the flow's route names.
+        service: &'a str,
+        /// What the agent does if it does not know the flow.
+        mode: Mode,
+    },
+    /// An agent tells a balancer of a flow.
+    Note(Note),
+    /// A balancer asks whether the agent is there.
+    Ping {
+        /// Whether the store lists the agent.
+        listed: bool,
+    },
+    /// An agent is there.
+    Pong {
+        /// The service of its target.
+        service: &'a str,
+        /// Its load, as [`crate::agent::place::load`].
+        load: u32,
+    },
+}
+
+/// An open as offered to agents.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Open<'a> {
+    /// The service that the flow's route names.
+    pub service: &'a str,
+    /// Open flows that a target of the service holds at most.
+    pub max_flows: u32,
+    /// The agents it is offered to.
+    pub offer: Offer,
+    /// The balancer that wants to know what became of it.
+    pub reply: SocketAddrV4,
+}
+
+/// What an agent does with a packet of a flow that it does not know.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Mode {
+    /// The balancer believes that the flow is the agent's: an agent that may
+    /// have forgotten flows tries its target.
+    Owner,
+    /// Every agent of the service is asked: only one that knows the flow
+    /// hands it on.
+    Ask,
+    /// No agent knew it: an agent that may have forgotten flows tries its
+    /// target.
+    Try,
+}
+
+/// What became of a flow at an agent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Note {
+    /// The flow.
+    pub flow: Flow,
+    /// What became of it.
+    pub word: Word,
+    /// The agent's load, as [`crate::agent::place::load`].
+    pub load: u32,
+}
+
+/// What an agent knows of a flow.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Word {
+    /// Its target holds the flow.
+    Held,
+    /// Its target does not hold the flow.
+    Unknown,
+    /// The agent started after its target and has never seen the flow; the
+    /// target may hold it.
+    Unsure,
+    /// The offered agents may not take it; nothing ran.
+    Refused(Refusal),
+}
+
+/// Encodes `message`, followed by `packet`, into `buf`.
+///
+/// # Errors
+///
+/// Fails when the message does not fit a datagram.
+pub fn encode(message: &Message<'_>, packet: &[u8], buf: &mut Vec<u8>) -> postcard::Result<()> {
+    buf.clear();
+    buf.resize(DATAGRAM, 0);
+    let used = postcard::to_slice(message, buf)?.len();
+    if used + packet.len() > DATAGRAM {
+        return Err(postcard::Error::SerializeBufferFull);
+    }
+    buf.truncate(used);
+    buf.extend_from_slice(packet);
+    Ok(())
+}
+
+/// Decodes a message and the packet that follows it.
+///
+/// # Errors
+///
+/// Fails when the bytes are no message.
+pub fn decode(bytes: &[u8]) -> postcard::Result<(Message<'_>, &[u8])> {
+    postcard::take_from_bytes(bytes)
+}
--- /dev/null
+++ b/src/edge/entry.rs
@@ -0,0 +1,202 @@
+//! The balancer on an entry VM: takes callers' packets from the platform's
+//! routers and hands each to an agent, as [`Steer`] decides.
+
+use std::cell::RefCell;
+use std::net::SocketAddrV4;
+use std::path::Path;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use anyhow::Context;
+use ntex::http::StatusCode;
+use tokio::signal::unix::{SignalKind, signal};
+
+use super::socket::Socket;
+use super::{AGENTS, Settings, follow, store};
+use crate::admin::{self, Board};
+use crate::bus::{self, Message};
+use crate::flow::Flow;
+use crate::listen::{Answer, Server};
+use crate::platform::{self, packet};
+use crate::steer::{self, Announced, Steer};
+use crate::store::Snapshot;
+use crate::store::mirror::Source;
+use crate::{events, metrics};
+
+/// Largest packet of a caller, in bytes.
+const PACKET: usize = 2_048;
+
+/// How long a stopping balancer forwards after it said that it is not ready:
+/// the routers ask twice a second and need two misses, so after 1.5 s at the
+/// latest they hand it nothing new; the rest is for packets on their way.
+const LINGER: Duration = Duration::from_millis(2_200);
+
+/// Longest sleep without a timer due, so that old flows are forgotten.
+const IDLE_TICK: Duration = Duration::from_secs(5);
+
+struct Wires {
+    packets: Socket,
+    bus: Socket,
+}
+
+/// The wires with a buffer to encode messages in.
+struct Sender<'a> {
+    wires: &'a Wires,
+    port: u16,
+    buf: &'a mut Vec<u8>,
+}
+
+impl steer::Out for Sender<'_> {
+    fn agent(&mut self, to: SocketAddrV4, message: &Message<'_>, packet: &[u8]) {
+        self.wires.bus.message(to, message, packet, self.buf);
+    }
+
+    fn reset(&mut self, flow: Flow, seq: u32) {
+        let to = SocketAddrV4::new(*flow.caller.ip(), self.port);
+        self.wires.packets.send(to, &packet::reset(flow, seq));
+    }
+}
+
+/// Runs the balancer until it is told to stop.
+///
+/// # Errors
+///
+/// Fails when the settings are refused or an address is taken.
+pub async fn run(path: &Path) -> anyhow::Result<()> {
+    let settings = Settings::load(path)?;
+    let wires = Wires {
+        packets: Socket::bind(settings.packets, "callers' packets").await?,
+        bus: Socket::bind(settings.bus(), "agents").await?,
+    };
+    let board = Board::new(settings.name.clone(), platform::config::PREFIX.into());
+    let desk = admin::Server::start(settings.bus().into(), board.clone()).await?;
+    let ready = match settings.ready {
+        Some(addr) => Some(readiness(addr, board.clone()).await?),
+        None => None,
+    };
+    let steer = Steer::new(settings.bus(), settings.zone.clone(), settings.flow_life());
+    let steer = Rc::new(RefCell::new(steer));
+    log::info!("{} balancer {} zone={}", events::EDGE_START, settings.name, settings.zone);
+    let source =
+        Source { store: store(&settings).await, prefix: String::new(), peers: settings.peers() };
+    let (view, seen) = (steer.clone(), board.clone());
+    let follower = tokio::task::spawn_local(async move {
+        follow(source, |copy| {
+            learn(&mut view.borrow_mut(), copy);
+            seen.set_ready(view.borrow().version().is_some());
+            seen.set_copy(copy.clone());
+        })
+        .await;
+    });
+    let mut term = signal(SignalKind::terminate()).context("signal")?;
+    let mut hup = signal(SignalKind::hangup()).context("signal")?;
+    let port = settings.packets.port();
+    loop {
+        tokio::select! {
+            () = forward(&wires, &steer, port) => {}
+            _ = term.recv() => break,
+            _ = hup.recv() => super::reload(path),
+        }
+    }
+    log::info!(
+        "{} balancer {} flows={}",
+        events::EDGE_STOP,
+        settings.name,
+        steer.borrow().remembered()
+    );
+    follower.abort();
+    let _ = follower.await;
+    board.set_ready(false);
+    let linger = LINGER.min(settings.grace() / 2);
+    let _ = tokio::time::timeout(linger, forward(&wires, &steer, port)).await;
+    desk.stop().await;
+    if let Some(server) = ready {
+        server.stop().await;
+    }
+    for c in metrics::snapshot() {
+        log::info!("{} {c}", events::COUNTERS);
+    }
+    Ok(())
+}
+
+async fn readiness(addr: std::net::SocketAddr, board: Board) -> anyhow::Result<Server> {
+    Server::start(addr, move |asked| {
+        Answer::empty(match asked.path.as_str() {
+            platform::READY_PATH if board.ready() => StatusCode::OK,
+            platform::READY_PATH => StatusCode::SERVICE_UNAVAILABLE,
+            _ => StatusCode::NOT_FOUND,
+        })
+    })
+    .await
+}
+
+/// Takes in a change of the store.
+fn learn(steer: &mut Steer, copy: &Snapshot) {
+    if let Some(kv) = copy.keys.get(platform::config::KEY) {
+        match platform::config::decode(&kv.value) {
+            Ok(routes) => {
+                let (version, n) = (routes.version, routes.routes.len());
+                if steer.obey(routes) {
+                    log::info!(
+                        "{} version={version} routes={n} rev={}",
+                        events::EDGE_CONFIG,
+                        kv.rev
+                    );
+                }
+            }
+            Err(e) => log::error!("{} rev={} refused: {e:#}", events::EDGE_CONFIG, kv.rev),
+        }
+    }
+    let mut agents = Vec::new();
+    for (key, kv) in
+        copy.keys.range::<str, _>((std::ops::Bound::Included(AGENTS), std::ops::Bound::Unbounded))
+    {
+        if !key.starts_with(AGENTS) {
+            break;
+        }
+        match serde_json::from_slice::<Announced>(&kv.value) {
+            Ok(a) => agents.push(a),
+            Err(e) => log::error!("{} key={key} refused: {e}", events::EDGE_ROSTER),
+        }
+    }
+    steer.roster.update(&agents, Instant::now());
+    log::info!(
+        "{} listed={} believed={} rev={}",
+        events::EDGE_ROSTER,
+        agents.len(),
+        steer.roster.len(),
+        copy.rev
+    );
+}
+
+/// Forwards packets until told otherwise.
+async fn forward(wires: &Wires, steer: &RefCell<Steer>, port: u16) {
+    let mut buf = vec![0; PACKET];
+    let mut scratch = Vec::with_capacity(bus::DATAGRAM);
+    loop {
+        let due = steer.borrow().next_due();
+        let now = Instant::now();
+        let wait = due.map_or(IDLE_TICK, |at| at.saturating_duration_since(now));
+        tokio::select! {
+            () = wires.packets.readable() => {}
+            () = wires.bus.readable() => {}
+            () = tokio::time::sleep(wait) => {}
+        }
+        let mut steer = steer.borrow_mut();
+        let mut out = Sender { wires, port, buf: &mut scratch };
+        let now = Instant::now();
+        wires.packets.drain(&mut buf, |datagram, _| match packet::decode(datagram) {
+            Ok(seg) => steer.packet(&seg, datagram, now, &mut out),
+            Err(e) => metrics::dropped(e),
+        });
+        wires.bus.drain(&mut buf, |datagram, from| match bus::decode(datagram) {
+            Ok((Message::Note(note), _)) => steer.note(from, note, now, &mut out),
+            Ok((Message::Pong { service, load }, _)) => {
+                steer.roster.pong(from, service, load, now);
+            }
+            Ok(_) => {}
+            Err(e) => metrics::dropped(e),
+        });
+        steer.tick(now, &mut out);
+    }
+}
--- /dev/null
+++ b/src/edge/mod.rs
@@ -0,0 +1,69 @@
+//! The product's roles on the users' platform: the balancer on an entry VM
+//! ([`entry`]) and the agent beside a target ([`sidecar`]). They own sockets,
+//! clocks and the store; what to do with a packet is decided by
+//! [`crate::steer`] and [`crate::hold`].
+
+pub mod entry;
+mod settings;
+pub mod sidecar;
+mod socket;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+pub use settings::{Bounds, Settings};
+
+use crate::store::Snapshot;
+use crate::store::mirror::{self, Source};
+use crate::{events, platform};
+
+/// Prefix of the agents' entries in the store.
+pub const AGENTS: &str = "jujubepost/agents/";
+
+/// Timeout of one call to the store. It answers in milliseconds; a call that
+/// was lost is made again within the second that a change may take.
+const CALL: Duration = Duration::from_millis(1_000);
+
+/// How long one watch waits. A connection that went silent for good is found
+/// after this and [`CALL`], so that a change of the configuration is still in
+/// force within 3 s of the 4 s after which a process counts as in touch.
+const WATCH: Duration = Duration::from_millis(2_500);
+
+/// Time to live of an agent's entry: long, since agents that die are found by
+/// their silence, and each renewal is a call.
+const LEASE_MS: u64 = 15_000;
+
+async fn store(settings: &Settings) -> platform::kv::Client {
+    platform::kv::Client::new(settings.store, CALL, WATCH).await
+}
+
+/// Follows everything in the store that concerns balancers, calling `seen`
+/// after each change; logs when the store is lost and regained.
+async fn follow(source: Source<platform::kv::Client>, mut seen: impl FnMut(&Arc<Snapshot>)) {
+    let lost = std::cell::Cell::new(false);
+    mirror::follow(
+        &source,
+        |copy| {
+            if lost.replace(false) {
+                log::info!("{} store regained rev={}", events::EDGE_STORE, copy.rev);
+            }
+            seen(&Arc::new(copy.clone()));
+        },
+        |e| {
+            if !lost.replace(true) {
+                log::warn!("{} store lost: {e:#}", events::EDGE_STORE);
+            }
+        },
+    )
+    .await;
+}
+
+/// Reads the settings again and says whether they are good. What a process
+/// was started with stays in force: its addresses and its data centre do not
+/// change while it runs.
+fn reload(path: &std::path::Path) {
+    match Settings::load(path) {
+        Ok(s) => log::info!("{} settings of {} read again", events::EDGE_RELOAD, s.name),
+        Err(e) => log::error!("{} settings refused: {e:#}", events::EDGE_RELOAD),
+    }
+}
--- /dev/null
+++ b/src/edge/sidecar.rs
@@ -0,0 +1,241 @@
+//! The agent beside a target: hands it the packets of its flows, sends its
+//! packets to the callers, and takes its reports, as [`Holder`] decides.
+
+use std::cell::RefCell;
+use std::net::SocketAddrV4;
+use std::path::Path;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use anyhow::Context;
+use ntex::http::StatusCode;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::watch;
+
+use super::socket::Socket;
+use super::{AGENTS, LEASE_MS, Settings, store};
+use crate::bus::{self, Message};
+use crate::flow::Flow;
+use crate::hold::{self, Holder};
+use crate::listen::{Answer, Asked, Server};
+use crate::platform::{packet, report};
+use crate::steer::Announced;
+use crate::store::{Lessor, lease};
+use crate::{events, metrics};
+
+/// Largest packet, in bytes.
+const PACKET: usize = 2_048;
+
+/// Part of the platform's longest planned stop that an agent uses at most to
+/// let its target finish what it works on.
+const STOP_PART: f64 = 0.75;
+
+/// How often a stopping agent looks whether its target is done.
+const STOP_POLL: Duration = Duration::from_millis(50);
+
+/// Least pause between two writes of the agent's entry that balancers ask
+/// for: their views lag the store by some milliseconds.
+const RELIST: Duration = Duration::from_millis(1_000);
+
+/// Longest sleep without a timer due, so that old flows are forgotten.
+const IDLE_TICK: Duration = Duration::from_secs(5);
+
+struct Wires {
+    bus: Socket,
+    outbound: Socket,
+    target: SocketAddrV4,
+    port: u16,
+}
+
+/// The wires with a buffer to encode messages in.
+struct Sender<'a> {
+    wires: &'a Wires,
+    buf: &'a mut Vec<u8>,
+}
+
+impl hold::Out for Sender<'_> {
+    fn target(&mut self, packet: &[u8]) {
+        self.wires.outbound.send(self.wires.target, packet);
+    }
+
+    fn caller(&mut self, to: SocketAddrV4, packet: &[u8]) {
+        self.wires.bus.send(SocketAddrV4::new(*to.ip(), self.wires.port), packet);
+    }
+
+    fn reset(&mut self, flow: Flow, seq: u32) {
+        self.caller(flow.caller, &packet::reset(flow, seq));
+    }
+
+    fn peer(&mut self, to: SocketAddrV4, message: &Message<'_>, packet: &[u8]) {
+        self.wires.bus.message(to, message, packet, self.buf);
+    }
+}
+
+/// Runs the agent until it is told to stop.
+///
+/// # Errors
+///
+/// Fails when the settings are refused or an address is taken.
+pub async fn run(path: &Path) -> anyhow::Result<()> {
+    let settings = Settings::load(path)?;
+    let missing = |field| move || format!("settings: field `{field}`: an agent needs it");
+    let service = settings.service.clone().with_context(missing("service"))?;
+    let outbound = settings.outbound.with_context(missing("outbound"))?;
+    let wires = Rc::new(Wires {
+        bus: Socket::bind(settings.bus(), "balancers and agents").await?,
+        outbound: Socket::bind(outbound, "the target's packets").await?,
+        target: settings.target.with_context(missing("target"))?,
+        port: settings.packets.port(),
+    });
+    let holder = Holder::new(service.clone(), settings.flow_life());
+    let holder = Rc::new(RefCell::new(holder));
+    log::info!(
+        "{} agent {} zone={} service={service}",
+        events::EDGE_START,
+        settings.name,
+        settings.zone
+    );
+    let reports = settings.reports.with_context(missing("reports"))?;
+    let desk = serve_reports(reports, holder.clone(), wires.clone()).await?;
+    let ready = match settings.ready {
+        Some(addr) => Some(Server::start(addr, |_| Answer::empty(StatusCode::OK)).await?),
+        None => None,
+    };
+    let me = Announced { addr: settings.bus(), zone: settings.zone.clone(), service };
+    let (entry, entries) = watch::channel(serde_json::to_vec(&me)?);
+    let store = store(&settings).await;
+    let key = format!("{AGENTS}{}", settings.ip);
+    let (held, held_key) = (store.clone(), key.clone());
+    let announcer = tokio::task::spawn_local(async move {
+        lease::hold(&held, &held_key, entries, LEASE_MS).await;
+    });
+    let mut term = signal(SignalKind::terminate()).context("signal")?;
+    let mut hup = signal(SignalKind::hangup()).context("signal")?;
+    loop {
+        tokio::select! {
+            () = forward(&wires, &holder, &entry) => {}
+            _ = term.recv() => break,
+            _ = hup.recv() => super::reload(path),
+        }
+    }
+    let ended = holder.borrow().target().is_none_or(|t| !t.alive());
+    log::info!(
+        "{} agent {} flows={} waiting={} target_ended={ended}",
+        events::EDGE_STOP,
+        settings.name,
+        holder.borrow().flows(),
+        holder.borrow().waiting()
+    );
+    announcer.abort();
+    let _ = announcer.await;
+    if ended {
+        if let Err(e) = store.delete(&key).await {
+            log::warn!("{} {e:#}", events::EDGE_STORE);
+        }
+    }
+    holder.borrow_mut().stop();
+    let most = settings.grace().mul_f64(STOP_PART);
+    let finish = async {
+        while !holder.borrow().idle() {
+            tokio::time::sleep(STOP_POLL).await;
+        }
+    };
+    tokio::select! {
+        () = forward(&wires, &holder, &entry) => {}
+        () = finish => {}
+        () = tokio::time::sleep(most) => {}
+    }
+    desk.stop().await;
+    if let Some(server) = ready {
+        server.stop().await;
+    }
+    for c in metrics::snapshot() {
+        log::info!("{} {c}", events::COUNTERS);
+    }
+    Ok(())
+}
+
+/// Takes the target's reports.
+async fn serve_reports(
+    addr: std::net::SocketAddr,
+    holder: Rc<RefCell<Holder>>,
+    wires: Rc<Wires>,
+) -> anyhow::Result<Server> {
+    Server::start(addr, move |asked| {
+        let mut buf = Vec::new();
+        let mut out = Sender { wires: &wires, buf: &mut buf };
+        heard(&asked, &mut holder.borrow_mut(), &mut out)
+    })
+    .await
+}
+
+fn heard(asked: &Asked, holder: &mut Holder, out: &mut Sender<'_>) -> Answer {
+    let now = Instant::now();
+    match report::decode(&asked.path, &asked.body) {
+        Ok(Some(report::Call::Heartbeat(r))) => {
+            let (id, state, seq) = (r.id.clone(), r.state, r.seq);
+            if holder.report(r, now, out) {
+                log::info!("{} target={id} state={state} seq={seq}", events::EDGE_TARGET);
+            }
+            Answer::json(report::ANSWER.to_string())
+        }
+        Ok(Some(report::Call::Gone(id))) => {
+            if holder.gone(&id, now) {
+                log::info!("{} target={id} state=gone", events::EDGE_TARGET);
+            }
+            Answer::json(report::ANSWER.to_string())
+        }
+        Ok(None) => Answer::empty(StatusCode::NOT_FOUND),
+        Err(e) => {
+            log::warn!("{} {e:#}", events::REPORT_IGNORED);
+            Answer::empty(StatusCode::BAD_REQUEST)
+        }
+    }
+}
+
+/// Forwards packets until told otherwise.
+async fn forward(wires: &Wires, holder: &RefCell<Holder>, entry: &watch::Sender<Vec<u8>>) {
+    let mut buf = vec![0; PACKET];
+    let mut scratch = Vec::with_capacity(bus::DATAGRAM);
+    let mut relisted: Option<Instant> = None;
+    loop {
+        let due = holder.borrow().next_due();
+        let now = Instant::now();
+        let wait = due.map_or(IDLE_TICK, |at| at.saturating_duration_since(now));
+        tokio::select! {
+            () = wires.bus.readable() => {}
+            () = wires.outbound.readable() => {}
+            () = tokio::time::sleep(wait) => {}
+        }
+        let mut holder = holder.borrow_mut();
+        let mut out = Sender { wires, buf: &mut scratch };
+        let now = Instant::now();
+        let mut missing = false;
+        wires.bus.drain(&mut buf, |datagram, from| {
+            let Ok((message, packet)) = bus::decode(datagram) else {
+                metrics::dropped("not a message");
+                return;
+            };
+            missing |= message == Message::Ping { listed: false };
+            match (packet.is_empty(), packet::decode(packet)) {
+                (true, _) => holder.message(from, &message, None, packet, now, &mut out),
+                (false, Ok(seg)) => {
+                    holder.message(from, &message, Some(&seg), packet, now, &mut out);
+                }
+                (false, Err(e)) => metrics::dropped(e),
+            }
+        });
+        wires.outbound.drain(&mut buf, |datagram, _| match packet::decode(datagram) {
+            Ok(seg) => {
+                holder.from_target(&seg, datagram, now, &mut out, packet::clear_bounced);
+            }
+            Err(e) => metrics::dropped(e),
+        });
+        holder.tick(now, &mut out);
+        if missing && relisted.is_none_or(|at| now.duration_since(at) >= RELIST) {
+            relisted = Some(now);
+            log::info!("{} entry missing in the store, written again", events::EDGE_STORE);
+            entry.send_modify(|_| {});
+        }
+    }
+}
--- /dev/null
+++ b/src/edge/socket.rs
@@ -0,0 +1,73 @@
+//! A UDP socket that is read in batches and never makes the process wait to
+//! send.
+
+use std::net::{SocketAddr, SocketAddrV4};
+
+use anyhow::Context;
+use tokio::net::UdpSocket;
+
+use crate::bus::{self, Message};
+use crate::events;
+
+/// Most datagrams read at one wake-up, so that timers and the other socket
+/// get their turn.
+const BATCH: usize = 64;
+
+/// One socket with its buffers.
+#[derive(Debug)]
+pub struct Socket {
+    sock: UdpSocket,
+}
+
+impl Socket {
+    /// A socket at `addr`, which is for `what`.
+    pub async fn bind(addr: SocketAddrV4, what: &str) -> anyhow::Result<Self> {
+        let sock =
+            UdpSocket::bind(addr).await.with_context(|| format!("binding {addr} for {what}"))?;
+        Ok(Self { sock })
+    }
+
+    /// Waits until a datagram is there.
+    pub async fn readable(&self) {
+        if let Err(e) = self.sock.readable().await {
+            log::warn!("{} waiting: {e}", events::DATAGRAM_FAILED);
+        }
+    }
+
+    /// Hands the datagrams that are there to `take`, a batch at most.
+    pub fn drain(&self, buf: &mut [u8], mut take: impl FnMut(&mut [u8], SocketAddrV4)) {
+        for _ in 0..BATCH {
+            match self.sock.try_recv_from(buf) {
+                Ok((n, SocketAddr::V4(from))) => take(&mut buf[..n], from),
+                Ok(_) => {}
+                Err(e) if e.kind() == std::io::ErrorKind::WouldBlock => return,
+                Err(e) => {
+                    // A peer's closed port is reported on the next call.
+                    log::debug!("{} receiving: {e}", events::DATAGRAM_FAILED);
+                }
+            }
+        }
+    }
+
+    /// Sends one datagram; one that the socket cannot take now is lost, as
+    /// datagrams may be, and is sent again by the flow's ends.
+    pub fn send(&self, to: SocketAddrV4, bytes: &[u8]) {
+        if let Err(e) = self.sock.try_send_to(bytes, to.into()) {
+            log::debug!("{} sending to {to}: {e}", events::DATAGRAM_FAILED);
+        }
+    }
+
+    /// Sends one message, followed by a caller's packet.
+    pub fn message(
+        &self,
+        to: SocketAddrV4,
+        message: &Message<'_>,
+        packet: &[u8],
+        buf: &mut Vec<u8>,
+    ) {
+        match bus::encode(message, packet, buf) {
+            Ok(()) => self.send(to, buf),
+            Err(e) => log::warn!("{} encoding for {to}: {e}", events::DATAGRAM_FAILED),
+        }
+    }
+}
--- a/src/events/mod.rs
+++ b/src/events/mod.rs
@@ -63,5 +63,30 @@
 /// An invariant of the program did not hold.
 pub const VIOLATION: &str = "E999";
 
+/// A process on the platform started.
+pub const EDGE_START: &str = "E700";
+/// A process on the platform is stopping.
+pub const EDGE_STOP: &str = "E701";
+/// A process on the platform read its settings again.
+pub const EDGE_RELOAD: &str = "E702";
+/// A dependency was lost or is back.
+pub const EDGE_STORE: &str = "E703";
+/// A configuration is in force, or was refused.
+pub const EDGE_CONFIG: &str = "E704";
+/// The agents that a balancer believes in changed.
+pub const EDGE_ROSTER: &str = "E705";
+/// A target's state changed.
+pub const EDGE_TARGET: &str = "E706";
+/// A new flow was refused; nothing ran.
+pub const FLOW_REFUSED: &str = "E710";
+/// A flow was reset because its target's process is over.
+pub const FLOW_RESET: &str = "E711";
+/// A target's report was ignored.
+pub const REPORT_IGNORED: &str = "E712";
+/// A connection of the HTTP server failed.
+pub const LISTEN_FAILED: &str = "E713";
+/// A datagram could not be read or sent.
+pub const DATAGRAM_FAILED: &str = "E714";
+
 /// Counter totals printed at stop.
 pub const COUNTERS: &str = "E900";
--- /dev/null
+++ b/src/flow/mod.rs
@@ -0,0 +1,86 @@
+//! A flow as the system sees it: its four addresses and ports, what one of
+//! its packets says, and the table in which balancers and agents remember
+//! flows.
+
+mod table;
+
+use std::net::SocketAddrV4;
+
+use serde::{Deserialize, Serialize};
+
+pub use table::Table;
+
+/// A flow's identity: the caller's end and the address it calls.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    PartialEq,
+    Eq,
+    Hash,
+    PartialOrd,
+    Ord,
+    Serialize,
+    Deserialize,
+    derive_more::Display,
+)]
+#[display("{caller}>{service}")]
+pub struct Flow {
+    /// The caller's end.
+    pub caller: SocketAddrV4,
+    /// The address that the caller called, which names the route.
+    pub service: SocketAddrV4,
+}
+
+/// The bits of a packet that the system reads.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Flags {
+    /// Asks to open a flow (or, with `ack`, agrees).
+    pub syn: bool,
+    /// Carries an acknowledgement.
+    pub ack: bool,
+    /// The sender has finished.
+    pub fin: bool,
+    /// The flow is over at once.
+    pub rst: bool,
+    /// A target gave the packet back.
+    pub bounced: bool,
+}
+
+/// What the head of one packet says.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Segment {
+    /// The end that sent it.
+    pub from: SocketAddrV4,
+    /// The end it is for.
+    pub to: SocketAddrV4,
+    /// Its bits.
+    pub flags: Flags,
+    /// Position of its data in the sender's stream.
+    pub seq: u32,
+    /// What the sender has received so far; of a caller's first packet, which
+    /// copy it is.
+    pub ack: u32,
+    /// Bytes of data.
+    pub len: u16,
+}
+
+impl Segment {
+    /// The flow of a packet that a caller sent.
+    #[must_use]
+    pub const fn by_caller(&self) -> Flow {
+        Flow { caller: self.from, service: self.to }
+    }
+
+    /// The flow of a packet that a target sent.
+    #[must_use]
+    pub const fn by_target(&self) -> Flow {
+        Flow { caller: self.to, service: self.from }
+    }
+
+    /// Whether a caller sent it to open a flow.
+    #[must_use]
+    pub const fn opens(&self) -> bool {
+        self.flags.syn && !self.flags.ack
+    }
+}
--- /dev/null
+++ b/src/flow/table.rs
@@ -0,0 +1,88 @@
+//! A table of flows whose entries go when they were not used for a while.
+//!
+//! Each entry stands once in a queue, in the order of its next look: removing
+//! what is old costs work for entries that came due, never a pass over all
+//! open flows.
+
+use std::collections::{HashMap, VecDeque};
+use std::time::{Duration, Instant};
+
+use super::Flow;
+
+#[derive(Debug)]
+struct Entry<T> {
+    value: T,
+    used: Instant,
+}
+
+/// Flows with what is known of each.
+#[derive(Debug)]
+pub struct Table<T> {
+    entries: HashMap<Flow, Entry<T>>,
+    queue: VecDeque<(Instant, Flow)>,
+    idle: Duration,
+}
+
+impl<T> Table<T> {
+    /// An empty table that forgets what was not used for `idle`.
+    #[must_use]
+    pub fn new(idle: Duration) -> Self {
+        Self { entries: HashMap::new(), queue: VecDeque::new(), idle }
+    }
+
+    /// Flows in the table.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Whether there is none.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    /// What is known of `flow`, without counting as use.
+    #[must_use]
+    pub fn peek(&self, flow: Flow) -> Option<&T> {
+        self.entries.get(&flow).map(|e| &e.value)
+    }
+
+    /// What is known of `flow`, which is used now.
+    pub fn get(&mut self, flow: Flow, now: Instant) -> Option<&mut T> {
+        let e = self.entries.get_mut(&flow)?;
+        e.used = now;
+        Some(&mut e.value)
+    }
+
+    /// Puts `flow` in, or replaces what is known of it.
+    pub fn insert(&mut self, flow: Flow, value: T, now: Instant) {
+        if self.entries.insert(flow, Entry { value, used: now }).is_none() {
+            self.queue.push_back((now + self.idle, flow));
+        }
+    }
+
+    /// Takes `flow` out.
+    pub fn remove(&mut self, flow: Flow) -> Option<T> {
+        self.entries.remove(&flow).map(|e| e.value)
+    }
+
+    /// Every flow with what is known of it.
+    pub fn iter(&self) -> impl Iterator<Item = (Flow, &T)> {
+        self.entries.iter().map(|(f, e)| (*f, &e.value))
+    }
+
+    /// Forgets what was not used for the idle time; `gone` gets each.
+    pub fn expire(&mut self, now: Instant, mut gone: impl FnMut(Flow, T)) {
+        while let Some((at, flow)) = self.queue.front().copied().filter(|(at, _)| *at <= now) {
+            self.queue.pop_front();
+            let Some(e) = self.entries.get(&flow) else { continue };
+            let due = e.used + self.idle;
+            if due > at {
+                self.queue.push_back((due, flow));
+            } else if let Some(e) = self.entries.remove(&flow) {
+                gone(flow, e.value);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/hold/held.rs
@@ -0,0 +1,93 @@
+//! What an agent knows of one flow of its target.
+
+use std::net::SocketAddrV4;
+
+use crate::flow::Segment;
+use crate::wire::Offer;
+
+/// How far a flow has come at the target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Stage {
+    /// The caller's open was handed to the target.
+    Opening {
+        /// The agents it was offered to.
+        offer: Offer,
+        /// Open flows that a target of the service holds at most.
+        max_flows: u32,
+    },
+    /// The target answered the open, with this first sequence number.
+    Answered(u32),
+    /// It is open, or was when the agent started.
+    Open,
+    /// Tried at the target, which has not answered yet.
+    Trial,
+    /// Tried at the target, which does not hold it.
+    Foreign,
+    /// Both ends have finished, or one broke it off.
+    Closed,
+}
+
+/// One flow.
+#[derive(Clone, Copy, Debug)]
+pub struct Held {
+    /// How far it has come.
+    pub stage: Stage,
+    /// The first sequence number of the caller.
+    pub caller_seq: u32,
+    /// The caller's last acknowledgement.
+    pub caller_ack: u32,
+    /// The balancer that wants to know what becomes of it.
+    pub reply: Option<SocketAddrV4>,
+    /// The target has work to do for it.
+    pub waiting: bool,
+    /// The caller has finished sending.
+    pub caller_done: bool,
+    /// The target has finished sending.
+    pub target_done: bool,
+}
+
+impl Held {
+    /// A flow at `stage` whose caller sent `seq`.
+    #[must_use]
+    pub const fn new(stage: Stage, seq: u32) -> Self {
+        Self {
+            stage,
+            caller_seq: seq,
+            caller_ack: 0,
+            reply: None,
+            waiting: false,
+            caller_done: false,
+            target_done: false,
+        }
+    }
+
+    /// Whether `seg` is a copy of the packet that asked for this flow.
+    #[must_use]
+    pub fn opened_by(&self, seg: &Segment) -> bool {
+        self.caller_seq == seg.seq
+            && matches!(self.stage, Stage::Opening { .. } | Stage::Answered(_) | Stage::Open)
+    }
+
+    /// Whether a caller's later packet belongs to this flow. Two targets may
+    /// have answered copies of one open; the caller goes on with the one whose
+    /// sequence number it acknowledges.
+    #[must_use]
+    pub const fn accepts(&self, seg: &Segment) -> bool {
+        match self.stage {
+            Stage::Opening { .. } | Stage::Foreign => false,
+            Stage::Answered(seq) => !seg.flags.ack || seg.ack.wrapping_sub(seq) <= FIRST_ACK,
+            Stage::Open | Stage::Trial | Stage::Closed => true,
+        }
+    }
+
+    /// Whether both ends have finished.
+    #[must_use]
+    pub const fn over(&self) -> bool {
+        self.caller_done && self.target_done
+    }
+}
+
+/// How far the acknowledgement of a caller's first packet may lie past the
+/// target's first sequence number: 16 packets of 1,200 bytes in flight and
+/// one for the open itself.
+const FIRST_ACK: u32 = 16 * 1_200 + 1;
--- /dev/null
+++ b/src/hold/mod.rs
@@ -0,0 +1,487 @@
+//! An agent's decisions on the packets of its target: which flows the target
+//! holds, which new ones it takes. No sockets and no clocks: time comes in as
+//! an argument, what is to be sent goes out through [`Out`].
+//!
+//! The agent sees both directions at its target, so it knows for certain what
+//! the target holds, but for flows that opened before the agent started
+//! ([`Target::complete`]); those it finds by trying.
+
+mod held;
+mod target;
+
+use std::collections::VecDeque;
+use std::net::SocketAddrV4;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+pub use held::{Held, Stage};
+pub use target::{Report, State, Target};
+
+use crate::agent::place::{self, UNABLE, give_back, place};
+use crate::agent::{Admit, Step, admit};
+use crate::bus::{Message, Mode, Note, Open, Word};
+use crate::flow::{Flow, Segment, Table};
+use crate::metrics::{self, Refusal, Retry};
+use crate::wire::Offer;
+
+/// How long an opened flow counts as waiting work without a packet of its
+/// caller or target: callers give an open up after 1.4 s.
+const OPEN_WAIT: Duration = Duration::from_millis(1_500);
+
+/// How long a flow that ended is remembered, so that late packets still reach
+/// its target: twice the ends' longest pause between copies (1.6 s).
+const CLOSED: Duration = Duration::from_millis(3_200);
+
+/// How long a target that no longer reports keeps its flows after it said
+/// that it ends: it may still send its last packets.
+const ENDING: Duration = Duration::from_millis(500);
+
+/// What an agent sends.
+pub trait Out {
+    /// A packet to the target.
+    fn target(&mut self, packet: &[u8]);
+    /// A packet of the target to its caller.
+    fn caller(&mut self, to: SocketAddrV4, packet: &[u8]);
+    /// A reset of `flow` to its caller; `seq` is the caller's last
+    /// acknowledgement.
+    fn reset(&mut self, flow: Flow, seq: u32);
+    /// A message, followed by a caller's packet, to a balancer or agent.
+    fn peer(&mut self, to: SocketAddrV4, message: &Message<'_>, packet: &[u8]);
+}
+
+/// One agent's knowledge of its target.
+#[derive(Debug)]
+pub struct Holder {
+    service: Arc<str>,
+    target: Option<Target>,
+    flows: Table<Held>,
+    /// Flows whose target has work to do.
+    waiting: u32,
+    /// Flows to look at, once each has had its time.
+    looks: VecDeque<(Instant, Flow)>,
+    ending: Option<Instant>,
+    stopping: bool,
+}
+
+impl Holder {
+    /// The agent of a target of `service`; flows without packets for `idle` are forgotten.
+    #[must_use]
+    pub fn new(service: Arc<str>, idle: Duration) -> Self {
+        Self {
+            service,
+            target: None,
+            flows: Table::new(idle),
+            waiting: 0,
+            looks: VecDeque::new(),
+            ending: None,
+            stopping: false,
+        }
+    }
+
+    /// Open flows known.
+    #[must_use]
+    pub fn flows(&self) -> usize {
+        self.flows.len()
+    }
+
+    /// Flows whose target has work to do.
+    #[must_use]
+    pub const fn waiting(&self) -> u32 {
+        self.waiting
+    }
+
+    /// The target as it last reported.
+    #[must_use]
+    pub const fn target(&self) -> Option<&Target> {
+        self.target.as_ref()
+    }
+
+    /// Takes no new flow from now on.
+    pub const fn stop(&mut self) {
+        self.stopping = true;
+    }
+
+    /// Whether the agent may go: it is stopping and its target has no work
+    /// in progress.
+    #[must_use]
+    pub const fn idle(&self) -> bool {
+        self.stopping && self.waiting == 0
+    }
+
+    /// Takes a report of the target; says whether it changed what the agent
+    /// believes.
+    pub fn report(&mut self, report: Report, now: Instant, out: &mut impl Out) -> bool {
+        if *report.service != *self.service {
+            log::warn!(
+                "{} target={} service={} expected={}",
+                crate::events::REPORT_IGNORED,
+                report.id,
+                report.service,
+                self.service
+            );
+            return false;
+        }
+        match &mut self.target {
+            Some(t) if t.was(&report.id) => {
+                log::info!(
+                    "{} target={} seq={} current={}",
+                    crate::events::REPORT_IGNORED,
+                    report.id,
+                    report.seq,
+                    t.id()
+                );
+                false
+            }
+            Some(t) if t.is(&report.id) => t.update(&report, now),
+            before => {
+                let next = Target::new(&report, before.as_ref(), now);
+                let replaced = before.replace(next).is_some();
+                if replaced {
+                    self.drop_flows(out);
+                }
+                self.ending = None;
+                true
+            }
+        }
+    }
+
+    /// The target `id` says that it ends.
+    pub fn gone(&mut self, id: &str, now: Instant) -> bool {
+        let current = self.target.as_ref().is_some_and(|t| t.is(id));
+        if current {
+            self.ending = Some(now + ENDING);
+        }
+        current
+    }
+
+    /// The target's process is over: its flows are gone, and their callers
+    /// are told so that they can come again at once.
+    fn drop_flows(&mut self, out: &mut impl Out) {
+        let lost: Vec<(Flow, u32)> = self
+            .flows
+            .iter()
+            .filter(|(_, h)| h.stage == Stage::Open && h.caller_ack != 0)
+            .map(|(f, h)| (f, h.caller_ack))
+            .collect();
+        for (flow, ack) in &lost {
+            log::info!("{} flow={flow} reason=target_ended", crate::events::FLOW_RESET);
+            metrics::refused(Refusal::TargetEnded);
+            out.reset(*flow, *ack);
+        }
+        let flows: Vec<Flow> = self.flows.iter().map(|(f, _)| f).collect();
+        for flow in flows {
+            self.remove(flow);
+        }
+    }
+
+    fn load(&self, max: u32, now: Instant) -> u32 {
+        let Some(t) = &self.target else { return UNABLE };
+        if self.stopping || self.ending.is_some() || !t.takes() {
+            return UNABLE;
+        }
+        let flows = u32::try_from(self.flows.len()).unwrap_or(u32::MAX);
+        place::load(flows, self.waiting + t.cold(now), t.slots(), max)
+    }
+
+    fn admit(&self, max: u32) -> Admit {
+        let Some(t) = &self.target else { return Admit::Refuse(Refusal::NoTarget) };
+        let leaving = !t.takes() || self.ending.is_some();
+        let drain = leaving.then_some(Duration::ZERO);
+        let max = usize::try_from(max).unwrap_or(usize::MAX);
+        admit(drain, Duration::ZERO, self.stopping, self.flows.len(), max)
+    }
+
+    /// Takes one message of a balancer or agent, with the packet after it.
+    pub fn message(
+        &mut self,
+        from: SocketAddrV4,
+        message: &Message<'_>,
+        seg: Option<&Segment>,
+        packet: &[u8],
+        now: Instant,
+        out: &mut impl Out,
+    ) {
+        match (message, seg) {
+            (Message::Open(open), Some(seg)) => self.open(open, seg, packet, now, out),
+            (Message::Carry { service, mode }, Some(seg)) => {
+                if **service == *self.service {
+                    self.carry(from, *mode, seg, packet, now, out);
+                } else {
+                    metrics::refused(Refusal::ForeignOwner);
+                }
+            }
+            (Message::Ping { .. }, _) => {
+                let load = self.load(u32::MAX, now);
+                out.peer(from, &Message::Pong { service: &self.service, load }, &[]);
+            }
+            _ => {}
+        }
+    }
+
+    /// An open offered to this agent.
+    fn open(
+        &mut self,
+        open: &Open<'_>,
+        seg: &Segment,
+        packet: &[u8],
+        now: Instant,
+        out: &mut impl Out,
+    ) {
+        let flow = seg.by_caller();
+        if let Some(h) = self.flows.get(flow, now) {
+            if h.opened_by(seg) {
+                h.reply = Some(open.reply);
+                out.target(packet);
+                return;
+            }
+            self.remove(flow);
+        }
+        let admit = if *open.service == *self.service {
+            self.admit(open.max_flows)
+        } else {
+            Admit::Refuse(Refusal::ForeignOwner)
+        };
+        let load = self.load(open.max_flows, now);
+        match place(admit, load, open.offer) {
+            Step::Take => self.take(open, seg, packet, now, out),
+            Step::Pass(offer) => pass(open, offer, packet, out),
+            Step::Refuse(reason) => self.refuse(flow, reason, open.reply, now, out),
+        }
+    }
+
+    fn take(
+        &mut self,
+        open: &Open<'_>,
+        seg: &Segment,
+        packet: &[u8],
+        now: Instant,
+        out: &mut impl Out,
+    ) {
+        let flow = seg.by_caller();
+        let stage = Stage::Opening { offer: open.offer, max_flows: open.max_flows };
+        let held = Held { reply: Some(open.reply), ..Held::new(stage, seg.seq) };
+        self.flows.insert(flow, held, now);
+        self.wait(flow, true, now);
+        self.looks.push_back((now + OPEN_WAIT, flow));
+        out.target(packet);
+    }
+
+    fn refuse(
+        &self,
+        flow: Flow,
+        reason: Refusal,
+        reply: SocketAddrV4,
+        now: Instant,
+        out: &mut impl Out,
+    ) {
+        metrics::refused(reason);
+        self.note(flow, Word::Refused(reason), reply, now, out);
+    }
+
+    fn note(&self, flow: Flow, word: Word, to: SocketAddrV4, now: Instant, out: &mut impl Out) {
+        let load = self.load(u32::MAX, now);
+        out.peer(to, &Message::Note(Note { flow, word, load }), &[]);
+    }
+
+    /// A packet of a flow that some target has open.
+    fn carry(
+        &mut self,
+        from: SocketAddrV4,
+        mode: Mode,
+        seg: &Segment,
+        packet: &[u8],
+        now: Instant,
+        out: &mut impl Out,
+    ) {
+        let flow = seg.by_caller();
+        let known = self.flows.get(flow, now).map(|h| h.accepts(seg));
+        match known {
+            Some(true) => {
+                self.from_caller(flow, seg, now);
+                out.target(packet);
+                if mode != Mode::Owner {
+                    self.note(flow, Word::Held, from, now, out);
+                }
+            }
+            Some(false) => self.note(flow, Word::Unknown, from, now, out),
+            None => self.carry_unknown(from, mode, seg, packet, now, out),
+        }
+    }
+
+    /// A packet of a flow that this agent has not seen.
+    fn carry_unknown(
+        &mut self,
+        from: SocketAddrV4,
+        mode: Mode,
+        seg: &Segment,
+        packet: &[u8],
+        now: Instant,
+        out: &mut impl Out,
+    ) {
+        let flow = seg.by_caller();
+        let complete = self.target.as_ref().is_some_and(Target::complete);
+        if complete {
+            self.note(flow, Word::Unknown, from, now, out);
+        } else if mode == Mode::Ask {
+            self.note(flow, Word::Unsure, from, now, out);
+        } else {
+            let held = Held { reply: Some(from), ..Held::new(Stage::Trial, seg.seq) };
+            self.flows.insert(flow, held, now);
+            out.target(packet);
+        }
+    }
+
+    /// Notes what a packet of the caller says of its flow.
+    fn from_caller(&mut self, flow: Flow, seg: &Segment, now: Instant) {
+        let Some(h) = self.flows.get(flow, now) else { return };
+        if seg.flags.ack {
+            h.caller_ack = seg.ack;
+        }
+        if matches!(h.stage, Stage::Answered(_)) {
+            h.stage = Stage::Open;
+        }
+        h.caller_done |= seg.flags.fin;
+        let over = seg.flags.rst || h.over();
+        if seg.len > 0 {
+            self.wait(flow, true, now);
+        }
+        if over {
+            self.close(flow, now);
+        }
+    }
+
+    /// Takes one packet that the target sent.
+    pub fn from_target(
+        &mut self,
+        seg: &Segment,
+        packet: &mut [u8],
+        now: Instant,
+        out: &mut impl Out,
+        clear: impl FnOnce(&mut [u8]),
+    ) {
+        if seg.flags.bounced {
+            clear(packet);
+            self.bounced(seg, packet, now, out);
+            return;
+        }
+        let flow = seg.by_target();
+        self.answered(flow, seg, now, out);
+        out.caller(flow.caller, packet);
+    }
+
+    fn answered(&mut self, flow: Flow, seg: &Segment, now: Instant, out: &mut impl Out) {
+        let Some(h) = self.flows.get(flow, now) else {
+            // The agent started after the flow opened.
+            if !seg.flags.rst {
+                self.flows.insert(flow, Held::new(Stage::Open, 0), now);
+            }
+            return;
+        };
+        let before = h.stage;
+        h.stage = match before {
+            Stage::Opening { .. } | Stage::Answered(_) if seg.flags.syn => Stage::Answered(seg.seq),
+            Stage::Trial | Stage::Foreign => Stage::Open,
+            other => other,
+        };
+        let news = h.stage != before;
+        let reply = h.reply;
+        h.target_done |= seg.flags.fin;
+        let over = seg.flags.rst || h.over();
+        if seg.len > 0 || over {
+            self.wait(flow, false, now);
+        }
+        if over {
+            self.close(flow, now);
+        }
+        if let (true, Some(to)) = (news, reply) {
+            self.note(flow, Word::Held, to, now, out);
+        }
+    }
+
+    /// The target gave a packet back: it does not hold the flow, or cannot
+    /// accept it.
+    fn bounced(&mut self, seg: &Segment, packet: &[u8], now: Instant, out: &mut impl Out) {
+        let flow = seg.by_caller();
+        let Some(h) = self.remove(flow) else { return };
+        let Some(reply) = h.reply else { return };
+        let (Stage::Opening { offer, max_flows }, true) = (h.stage, seg.opens()) else {
+            self.flows.insert(flow, Held::new(Stage::Foreign, 0), now);
+            self.note(flow, Word::Unknown, reply, now, out);
+            return;
+        };
+        let service = self.service.clone();
+        let open = Open { service: &service, max_flows, offer, reply };
+        metrics::retried(Retry::Bounced);
+        match give_back(offer) {
+            Step::Pass(on) => pass(&open, on, packet, out),
+            Step::Take | Step::Refuse(_) => self.refuse(flow, Refusal::Full, reply, now, out),
+        }
+    }
+
+    /// Counts the flow as waiting for its target, or no longer.
+    fn wait(&mut self, flow: Flow, on: bool, now: Instant) {
+        let Some(h) = self.flows.get(flow, now) else { return };
+        if h.waiting != on {
+            h.waiting = on;
+            self.waiting = if on { self.waiting + 1 } else { self.waiting.saturating_sub(1) };
+        }
+    }
+
+    fn close(&mut self, flow: Flow, now: Instant) {
+        if let Some(h) = self.flows.get(flow, now) {
+            if h.stage != Stage::Closed {
+                h.stage = Stage::Closed;
+                self.looks.push_back((now + CLOSED, flow));
+            }
+        }
+        self.wait(flow, false, now);
+    }
+
+    fn remove(&mut self, flow: Flow) -> Option<Held> {
+        let held = self.flows.remove(flow)?;
+        if held.waiting {
+            self.waiting = self.waiting.saturating_sub(1);
+        }
+        Some(held)
+    }
+
+    /// When [`Holder::tick`] next has something to do.
+    #[must_use]
+    pub fn next_due(&self) -> Option<Instant> {
+        let look = self.looks.front().map(|(at, _)| *at);
+        match (look, self.ending) {
+            (Some(a), Some(b)) => Some(a.min(b)),
+            (a, b) => a.or(b),
+        }
+    }
+
+    /// Does what has come due by `now`.
+    pub fn tick(&mut self, now: Instant, out: &mut impl Out) {
+        while let Some((_, flow)) = self.looks.front().copied().filter(|(at, _)| *at <= now) {
+            self.looks.pop_front();
+            match self.flows.peek(flow).map(|h| h.stage) {
+                Some(Stage::Closed | Stage::Opening { .. }) => {
+                    self.remove(flow);
+                }
+                Some(Stage::Answered(_)) => self.wait(flow, false, now),
+                _ => {}
+            }
+        }
+        if self.ending.is_some_and(|at| at <= now) {
+            self.ending = None;
+            if let Some(t) = &mut self.target {
+                t.end();
+            }
+            self.drop_flows(out);
+        }
+        let mut lost = 0;
+        self.flows.expire(now, |_, h| lost += u32::from(h.waiting));
+        self.waiting = self.waiting.saturating_sub(lost);
+    }
+}
+
+/// Passes an open, of which nothing ran, to the other candidate.
+fn pass(open: &Open<'_>, offer: Offer, packet: &[u8], out: &mut impl Out) {
+    metrics::retried(Retry::PassedOn);
+    out.peer(offer.to(), &Message::Open(Open { offer, ..*open }), packet);
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,6 +6,10 @@
 //! - [`settings`]: typed, checked settings read from JSON with comments.
 //! - [`wire`]: the packets exchanged by fabric, balancers and agents.
 //! - [`stream`]: ordered delivery over datagrams.
+//! - [`flow`], [`bus`], [`steer`], [`hold`], [`edge`]: the path of packets that
+//!   callers and targets exchange end to end, and its roles on the platform.
+//! - [`platform`]: names, formats and calls of the users' platform.
+//! - [`listen`]: a small HTTP server on the process's own thread.
 //! - [`table`]: the consistent-hash lookup table that picks a target.
 //! - [`store`]: the key-value service stand-in and its client.
 //! - [`balancer`], [`agent`], [`fabric`], [`target`]: the roles.
@@ -19,15 +23,22 @@
 pub mod agent;
 pub mod balancer;
 pub mod bench;
+pub mod bus;
 pub mod ctl;
+pub mod edge;
 pub mod events;
 pub mod fabric;
+pub mod flow;
+pub mod hold;
+pub mod listen;
 pub mod logs;
 pub mod metrics;
+pub mod platform;
 pub mod record;
 pub mod refusal;
 pub mod script;
 pub mod settings;
+pub mod steer;
 pub mod store;
 pub mod stream;
 pub mod table;
--- a/src/logs/mod.rs
+++ b/src/logs/mod.rs
@@ -14,7 +14,13 @@
 const FILTER: &str = "warn,jujubepost=info";
 
 /// Sets up logging once for the process.
-pub fn init() {
+///
+/// `service` sends the lines to standard output instead.
+pub fn init(service: bool) {
     let filter = RustLogFilterBuilder::from_env_or(FILTER_VAR, FILTER).build();
-    logforth::starter_log::stderr().filter(filter).apply();
+    if service {
+        logforth::starter_log::stdout().filter(filter).apply();
+    } else {
+        logforth::starter_log::stderr().filter(filter).apply();
+    }
 }
--- a/src/main.rs
+++ b/src/main.rs
@@ -4,7 +4,7 @@
 
 use clap::{Parser, Subcommand};
 use jujubepost::settings::Settings;
-use jujubepost::{agent, balancer, bench, ctl, fabric, store, target, up};
+use jujubepost::{agent, balancer, bench, ctl, edge, fabric, store, target, up};
 
 /// A layer-4 load balancer whose balancers keep no per-flow state.
 #[derive(Debug, Parser)]
@@ -20,6 +20,10 @@
     Balancer(Named),
     /// Runs the agent beside one target.
     Agent(Named),
+    /// Runs the balancer on an entry VM of the platform.
+    Entry(Site),
+    /// Runs the agent beside a target of the platform.
+    Sidecar(Site),
     /// Runs the fabric stand-in of a site.
     Fabric(Site),
     /// Runs one target stand-in.
@@ -54,15 +58,24 @@
 #[ntex::main]
 async fn main() -> anyhow::Result<()> {
     let cli = Cli::parse();
-    jujubepost::logs::init();
+    jujubepost::logs::init(cli.role.service());
     run(cli.role).await
 }
 
+impl Role {
+    /// Whether the role runs as a service whose log another program reads.
+    const fn service(&self) -> bool {
+        matches!(self, Self::Entry(_) | Self::Sidecar(_))
+    }
+}
+
 async fn run(role: Role) -> anyhow::Result<()> {
     match role {
         Role::Balancer(n) => balancer::run(&Settings::load(&n.config)?, &n.name).await,
         Role::Agent(n) => agent::run(&Settings::load(&n.config)?, &n.name).await,
         Role::Target(n) => target::run(&Settings::load(&n.config)?, &n.name).await,
+        Role::Entry(s) => edge::entry::run(&s.config).await,
+        Role::Sidecar(s) => edge::sidecar::run(&s.config).await,
         Role::Fabric(s) => fabric::run(&Settings::load(&s.config)?).await,
         Role::Store(s) => store::serve(Settings::load(&s.config)?.store.addr).await,
         Role::Ctl(a) => ctl::run(a).await,
--- a/src/metrics/mod.rs
+++ b/src/metrics/mod.rs
@@ -18,7 +18,7 @@
 use serde::{Deserialize, Serialize};
 
 /// Why a flow or request was refused.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, derive_more::Display)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize, derive_more::Display)]
 pub enum Refusal {
     /// The target is draining and its grace has passed.
     #[display("draining")]
@@ -29,6 +29,12 @@
     /// The target could not be reached.
     #[display("unreachable")]
     Unreachable,
+    /// No configuration is known yet.
+    #[display("no_config")]
+    NoConfig,
+    /// The target's process is over.
+    #[display("target_ended")]
+    TargetEnded,
     /// No profile listens on the packet's port.
     #[display("no_profile")]
     NoProfile,
@@ -67,6 +73,12 @@
     /// A new flow was passed to the other candidate target.
     #[display("passed_on")]
     PassedOn,
+    /// A target gave an open back, which went to the next.
+    #[display("bounced")]
+    Bounced,
+    /// The agents of a service were asked for a flow's owner.
+    #[display("owner_asked")]
+    OwnerAsked,
     /// A call to the key-value service failed and was made again.
     #[display("store_error")]
     StoreError,
@@ -109,6 +121,7 @@
     refusals: Counter<u64>,
     retries: Counter<u64>,
     violations: Counter<u64>,
+    drops: Counter<u64>,
 }
 
 static METERS: OnceLock<Meters> = OnceLock::new();
@@ -122,7 +135,8 @@
         let refusals = meter.u64_counter("jujubepost.refusals").build();
         let retries = meter.u64_counter("jujubepost.retries").build();
         let violations = meter.u64_counter("jujubepost.violations").build();
-        Meters { reader, _provider: provider, refusals, retries, violations }
+        let drops = meter.u64_counter("jujubepost.drops").build();
+        Meters { reader, _provider: provider, refusals, retries, violations, drops }
     })
 }
 
@@ -136,6 +150,11 @@
     meters().retries.add(1, &[KeyValue::new("reason", reason.to_string())]);
 }
 
+/// Counts one datagram that was dropped for `reason`.
+pub fn dropped(reason: impl std::fmt::Display) {
+    meters().drops.add(1, &[KeyValue::new("reason", reason.to_string())]);
+}
+
 /// Checks an invariant of the program: when it does not hold, logs it, counts
 /// it under `jujubepost.violations`, and in debug builds ends the process.
 pub fn invariant(holds: bool, name: &'static str, detail: impl FnOnce() -> String) {
--- /dev/null
+++ b/src/platform/kv.rs
@@ -0,0 +1,257 @@
+//! Client of the platform's key-value service, on `ntex`'s HTTP client.
+//!
+//! Every error names the step (the call and its key) and the peer. A call
+//! without an answer may have taken effect, also seconds later.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use anyhow::{Context, bail};
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD as B64;
+use ntex::client::{ClientRequest, ClientResponse};
+use ntex::http::StatusCode;
+use serde::{Deserialize, Serialize};
+
+use crate::store::{Batch, Change, Keeper, Kv, Lessor};
+
+/// Largest answer read, in bytes: a page is about 1 MB, and base64 and JSON
+/// make it no more than twice that.
+const ANSWER_LIMIT: usize = 4 << 20;
+
+/// A client of the platform's key-value service.
+#[derive(Clone)]
+pub struct Client {
+    http: ntex::client::Client,
+    addr: SocketAddr,
+    timeout: Duration,
+    wait: Duration,
+}
+
+#[derive(Debug, Deserialize)]
+struct Item {
+    key: String,
+    #[serde(default)]
+    value: String,
+    /// Revision of the last change.
+    #[serde(default)]
+    revision: i64,
+    #[serde(default)]
+    lease: i64,
+    /// The key was removed at `revision`.
+    #[serde(default)]
+    tombstone: bool,
+}
+
+#[derive(Debug, Deserialize)]
+struct Page {
+    items: Vec<Item>,
+    #[serde(default)]
+    truncated: bool,
+    /// The store's revision when it answered.
+    as_of: i64,
+}
+
+#[derive(Debug, Deserialize)]
+struct Events {
+    events: Vec<Item>,
+    as_of: i64,
+}
+
+#[derive(Debug, Serialize)]
+struct RangeQuery<'a> {
+    prefix: &'a str,
+    #[serde(skip_serializing_if = "str::is_empty")]
+    after: &'a str,
+}
+
+#[derive(Debug, Serialize)]
+struct WatchQuery<'a> {
+    prefix: &'a str,
+    after: i64,
+    wait_ms: u64,
+}
+
+#[derive(Debug, Serialize)]
+struct KeyQuery<'a> {
+    key: &'a str,
+    /// 1: a cheap answer that may be seconds old.
+    serializable: u8,
+}
+
+#[derive(Debug, Serialize)]
+struct Write<'a> {
+    key: &'a str,
+    value: String,
+    lease: i64,
+}
+
+#[derive(Debug, Serialize)]
+struct Txn<'a> {
+    /// Conditions; none are needed for keys that only one process writes.
+    expected_rev: [(); 0],
+    writes: Vec<Write<'a>>,
+    remove: Vec<&'a str>,
+}
+
+#[derive(Debug, Deserialize, Serialize)]
+struct Ttl {
+    ttl_ms: u64,
+}
+
+#[derive(Debug, Deserialize)]
+struct Granted {
+    lease: i64,
+}
+
+impl Client {
+    /// A client of the service at `addr`, whose calls time out after
+    /// `timeout` and whose watches wait for `wait`.
+    pub async fn new(addr: SocketAddr, timeout: Duration, wait: Duration) -> Self {
+        let http = ntex::client::Client::new().await;
+        Self { http, addr, timeout, wait }
+    }
+
+    fn url(&self, path: &str) -> String {
+        format!("http://{}{path}", self.addr)
+    }
+
+    async fn send(
+        &self,
+        step: &str,
+        req: ClientRequest,
+        body: Option<Vec<u8>>,
+        timeout: Duration,
+    ) -> anyhow::Result<ClientResponse> {
+        let req = req.timeout(timeout);
+        let sent = match body {
+            Some(b) => req.content_type("application/json").send_body(b).await,
+            None => req.send().await,
+        };
+        sent.map_err(|e| anyhow::anyhow!("{step} at store {}: {e}", self.addr))
+    }
+
+    async fn read<A: serde::de::DeserializeOwned>(
+        &self,
+        step: &str,
+        res: ClientResponse,
+    ) -> anyhow::Result<A> {
+        if !res.status().is_success() {
+            bail!("{step} at store {}: status {}", self.addr, res.status());
+        }
+        let body = ntex::time::timeout(self.timeout, res.body().limit(ANSWER_LIMIT))
+            .await
+            .map_err(|()| anyhow::anyhow!("{step} at store {}: answer cut short", self.addr))?
+            .map_err(|e| anyhow::anyhow!("{step} at store {}: answer: {e}", self.addr))?;
+        serde_json::from_slice(&body).with_context(|| format!("{step} at store {}", self.addr))
+    }
+
+    /// Whether `key` is there, by a cheap read that may be seconds old.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the service is unreachable, slow past the timeout or down.
+    pub async fn seen(&self, key: &str) -> anyhow::Result<bool> {
+        let step = format!("read {key}");
+        let req = self.http.get(self.url("/v1/kv-key"));
+        let req = req.query(&KeyQuery { key, serializable: 1 })?;
+        let res = self.send(&step, req, None, self.timeout).await?;
+        if res.status() == StatusCode::NOT_FOUND {
+            return Ok(false);
+        }
+        self.read::<Item>(&step, res).await.map(|_| true)
+    }
+
+    async fn change(&self, step: &str, txn: &Txn<'_>) -> anyhow::Result<()> {
+        let req = self.http.post(self.url("/v1/kv-txn"));
+        let res = self.send(step, req, Some(serde_json::to_vec(txn)?), self.timeout).await?;
+        if !res.status().is_success() {
+            bail!("{step} at store {}: status {}", self.addr, res.status());
+        }
+        Ok(())
+    }
+}
+
+impl Keeper for Client {
+    async fn list(&self, prefix: &str) -> anyhow::Result<(i64, Vec<Kv>)> {
+        let step = format!("list {prefix}");
+        let mut kvs: Vec<Kv> = Vec::new();
+        let mut first = None;
+        let mut after = String::new();
+        loop {
+            let req = self.http.get(self.url("/v1/kv-range"));
+            let req = req.query(&RangeQuery { prefix, after: &after })?;
+            let res = self.send(&step, req, None, self.timeout).await?;
+            let page: Page = self.read(&step, res).await?;
+            // Pages are no snapshot: watching from the first page's revision
+            // repeats what changed while the others were read.
+            let rev = *first.get_or_insert(page.as_of);
+            let last = page.items.last().map(|i| i.key.clone());
+            for item in page.items {
+                kvs.push(kv(item).with_context(|| step.clone())?);
+            }
+            match last {
+                Some(key) if page.truncated => after = key,
+                _ => return Ok((rev, kvs)),
+            }
+        }
+    }
+
+    async fn watch(&self, prefix: &str, after: i64) -> anyhow::Result<Batch> {
+        let step = format!("watch {prefix} after {after}");
+        let wait_ms = u64::try_from(self.wait.as_millis()).unwrap_or(u64::MAX);
+        let req = self.http.get(self.url("/v1/kv-watch"));
+        let req = req.query(&WatchQuery { prefix, after, wait_ms })?;
+        let res = self.send(&step, req, None, self.wait + self.timeout).await?;
+        if res.status() == StatusCode::GONE {
+            return Ok(Batch { rev: after, compacted: true, changes: Vec::new() });
+        }
+        let events: Events = self.read(&step, res).await?;
+        let mut changes = Vec::with_capacity(events.events.len());
+        for e in events.events {
+            changes.push(if e.tombstone {
+                Change::Delete { key: e.key.into(), rev: e.revision }
+            } else {
+                Change::Put(kv(e).with_context(|| step.clone())?)
+            });
+        }
+        Ok(Batch { rev: events.as_of, compacted: false, changes })
+    }
+}
+
+impl Lessor for Client {
+    async fn grant(&self, ttl: Duration) -> anyhow::Result<i64> {
+        let ttl_ms = u64::try_from(ttl.as_millis()).unwrap_or(u64::MAX);
+        let req = self.http.post(self.url("/v1/kv-lease"));
+        let body = serde_json::to_vec(&Ttl { ttl_ms })?;
+        let res = self.send("lease", req, Some(body), self.timeout).await?;
+        let granted: Granted = self.read("lease", res).await?;
+        Ok(granted.lease)
+    }
+
+    async fn keepalive(&self, lease: i64) -> anyhow::Result<bool> {
+        let step = format!("keepalive of lease {lease}");
+        let req = self.http.post(self.url(&format!("/v1/kv-keep/{lease}")));
+        let res = self.send(&step, req, Some(b"{}".to_vec()), self.timeout).await?;
+        if res.status() == StatusCode::NOT_FOUND {
+            return Ok(false);
+        }
+        self.read::<Ttl>(&step, res).await.map(|_| true)
+    }
+
+    async fn put(&self, key: &str, value: &[u8], lease: i64) -> anyhow::Result<()> {
+        let writes = vec![Write { key, value: B64.encode(value), lease }];
+        let txn = Txn { expected_rev: [], writes, remove: Vec::new() };
+        self.change(&format!("put {key}"), &txn).await
+    }
+
+    async fn delete(&self, key: &str) -> anyhow::Result<()> {
+        let txn = Txn { expected_rev: [], writes: Vec::new(), remove: vec![key] };
+        self.change(&format!("delete {key}"), &txn).await
+    }
+}
+
+fn kv(item: Item) -> anyhow::Result<Kv> {
+    let value = B64.decode(&item.value).with_context(|| format!("value of {}", item.key))?;
+    Ok(Kv { key: item.key.into(), value, rev: item.revision, lease: item.lease })
+}
--- /dev/null
+++ b/src/platform/packet.rs
@@ -0,0 +1,113 @@
+//! The head of a packet between a caller and a target.
+//!
+//! One UDP datagram holds one packet: a head of [`HEAD`] bytes, big-endian,
+//! and up to [`MAX_DATA`] bytes. The two ends protect the head with a keyed
+//! sum, so the system forwards packets as they came; it may write only the
+//! `echo` and `pad` fields and the bounced bit.
+
+use std::net::{Ipv4Addr, SocketAddrV4};
+
+use bytes::{Buf, BufMut};
+
+use crate::flow::{Flags, Flow, Segment};
+
+/// Bytes of a packet's head.
+pub const HEAD: usize = 36;
+
+/// Most bytes of data after the head.
+pub const MAX_DATA: usize = 1_200;
+
+/// Offset of the flags.
+const FLAGS_AT: usize = 0;
+
+/// Bytes of the padding after the flags.
+const PAD: usize = 5;
+
+const SYN: u8 = 64;
+const ACK: u8 = 32;
+const FIN: u8 = 16;
+const RST: u8 = 128;
+const BOUNCED: u8 = 2;
+
+/// Why a datagram is no packet.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, derive_more::Display, derive_more::Error)]
+pub enum Malformed {
+    /// It is shorter than a head.
+    #[display("shorter than a head")]
+    Short,
+    /// The length field does not match the bytes after the head.
+    #[display("length field does not match")]
+    Length,
+}
+
+/// Reads the head of the packet in `datagram`.
+///
+/// # Errors
+///
+/// Fails when the datagram is too short or its length field is wrong.
+pub fn decode(datagram: &[u8]) -> Result<Segment, Malformed> {
+    if datagram.len() < HEAD {
+        return Err(Malformed::Short);
+    }
+    let mut b = datagram;
+    let bits = b.get_u8();
+    b.advance(PAD);
+    let len = b.get_u16();
+    let _echo = b.get_u32();
+    let seq = b.get_u32();
+    let ack = b.get_u32();
+    let src = Ipv4Addr::from(b.get_u32());
+    let dport = b.get_u16();
+    let dst = Ipv4Addr::from(b.get_u32());
+    let sport = b.get_u16();
+    let _sum = b.get_u32();
+    if usize::from(len) != b.len() || b.len() > MAX_DATA {
+        return Err(Malformed::Length);
+    }
+    Ok(Segment {
+        from: SocketAddrV4::new(src, sport),
+        to: SocketAddrV4::new(dst, dport),
+        flags: flags(bits),
+        seq,
+        ack,
+        len,
+    })
+}
+
+const fn flags(bits: u8) -> Flags {
+    Flags {
+        syn: bits & SYN != 0,
+        ack: bits & ACK != 0,
+        fin: bits & FIN != 0,
+        rst: bits & RST != 0,
+        bounced: bits & BOUNCED != 0,
+    }
+}
+
+/// Takes the mark off a packet that a target gave back, so that another
+/// target may have it.
+pub fn clear_bounced(datagram: &mut [u8]) {
+    if let Some(bits) = datagram.get_mut(FLAGS_AT) {
+        *bits &= !BOUNCED;
+    }
+}
+
+/// A reset of the system's own, from the flow's address to its caller. `seq`
+/// must be close to the caller's last acknowledgement; before the flow is
+/// open any value will do.
+#[must_use]
+pub fn reset(flow: Flow, seq: u32) -> Vec<u8> {
+    let mut b = Vec::with_capacity(HEAD);
+    b.put_u8(RST);
+    b.put_bytes(0, PAD);
+    b.put_u16(0);
+    b.put_u32(0);
+    b.put_u32(seq);
+    b.put_u32(0);
+    b.put_u32(u32::from(*flow.service.ip()));
+    b.put_u16(flow.caller.port());
+    b.put_u32(u32::from(*flow.caller.ip()));
+    b.put_u16(flow.service.port());
+    b.put_u32(0);
+    b
+}
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -266,6 +266,25 @@
     2
 }
 
+/// Parses JSON with comments.
+///
+/// # Errors
+///
+/// Fails when the text is not JSON with comments, or names the field that is
+/// unknown or of the wrong type.
+pub fn parse<T: serde::de::DeserializeOwned>(text: &str) -> anyhow::Result<T> {
+    let plain = json_comments::StripComments::new(text.as_bytes());
+    let mut de = serde_json::Deserializer::from_reader(plain);
+    serde_path_to_error::deserialize(&mut de).map_err(|e| {
+        let path = e.path().to_string();
+        if e.inner().is_syntax() || e.inner().is_eof() || path == "." || path == "?" {
+            anyhow::anyhow!("syntax error: {}", e.inner())
+        } else {
+            anyhow::anyhow!("field `{path}`: {}", e.inner())
+        }
+    })
+}
+
 impl Settings {
     /// Reads, parses and checks a settings file.
     ///
@@ -286,16 +305,7 @@
     ///
     /// As [`Settings::load`], without the file.
     pub fn parse(text: &str) -> anyhow::Result<Self> {
-        let plain = json_comments::StripComments::new(text.as_bytes());
-        let mut de = serde_json::Deserializer::from_reader(plain);
-        let settings: Self = serde_path_to_error::deserialize(&mut de).map_err(|e| {
-            let path = e.path().to_string();
-            if e.inner().is_syntax() || e.inner().is_eof() || path == "." || path == "?" {
-                anyhow::anyhow!("syntax error: {}", e.inner())
-            } else {
-                anyhow::anyhow!("field `{path}`: {}", e.inner())
-            }
-        })?;
+        let settings: Self = parse(text)?;
         check(&settings)?;
         Ok(settings)
     }
--- /dev/null
+++ b/src/steer/known.rs
@@ -0,0 +1,62 @@
+//! What a balancer remembers of one flow.
+
+use std::net::SocketAddrV4;
+use std::sync::Arc;
+use std::time::Instant;
+
+/// What is known of a flow.
+#[derive(Debug)]
+pub enum Known {
+    /// It is being opened.
+    Opening(Opening),
+    /// An agent's target holds it.
+    At {
+        /// The agent.
+        agent: SocketAddrV4,
+        /// The service of its target.
+        service: Arc<str>,
+    },
+    /// The service's agents were asked for its owner.
+    Search(Search),
+}
+
+/// An open that no agent has taken yet.
+#[derive(Debug, Default)]
+pub struct Opening {
+    /// The service it is for.
+    pub service: Arc<str>,
+    /// Open flows that a target of the service holds at most.
+    pub max_flows: u32,
+    /// The caller's packet.
+    pub packet: Vec<u8>,
+    /// The agents it was offered to, in order.
+    pub offered: Vec<SocketAddrV4>,
+    /// Some of them did not answer, so a refusal by the others is not final.
+    pub silent: bool,
+}
+
+/// A search for a flow's owner.
+#[derive(Debug, Default)]
+pub struct Search {
+    /// The service it is for.
+    pub service: Arc<str>,
+    /// The last packet of the flow.
+    pub packet: Vec<u8>,
+    /// Agents that have not answered.
+    pub waiting: Vec<SocketAddrV4>,
+    /// Agents that may have forgotten the flow.
+    pub unsure: Vec<SocketAddrV4>,
+    /// Agents whose targets were tried, and when.
+    pub tried: Vec<(Instant, SocketAddrV4)>,
+}
+
+impl Search {
+    /// An agent does not know the flow; `unsure` says whether it may have
+    /// forgotten it.
+    pub fn answered(&mut self, from: SocketAddrV4, unsure: bool) {
+        self.waiting.retain(|a| *a != from);
+        if unsure && !self.unsure.contains(&from) {
+            self.unsure.push(from);
+        }
+    }
+}
--- /dev/null
+++ b/src/steer/mod.rs
@@ -0,0 +1,348 @@
+//! A balancer's decisions on packets whose flows it may never have seen: to
+//! which agent each goes. No sockets and no clocks: time comes in as an
+//! argument, what is to be sent goes out through [`Out`].
+//!
+//! - A new flow is offered to two agents of its route's service, which decide
+//!   between them by what they know of themselves ([`crate::agent::place`]).
+//!   Agents that do not answer within [`ANSWER`] are left for the next two.
+//! - A packet of a flow that another balancer saw open goes to all agents of
+//!   the service; the one whose target holds the flow hands it on and says so.
+//! - What a balancer remembers of flows is a cache; the truth is at the agents.
+
+mod known;
+mod roster;
+mod routes;
+
+use std::collections::VecDeque;
+use std::net::SocketAddrV4;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+pub use known::{Known, Opening, Search};
+pub use roster::{Announced, Roster};
+pub use routes::{Route, Routes, Share};
+
+use crate::bus::{Message, Mode, Note, Open, Word};
+use crate::flow::{Flow, Segment, Table};
+use crate::metrics::{self, Refusal, Retry};
+use crate::wire::{Offer, Stage};
+
+/// How long agents may take to say what became of an open or of a packet of
+/// an unknown flow. A handshake costs a target 0.3 ms and a round trip
+/// between data centres 2 ms, twice with a compare of loads; callers send a
+/// copy after 200 ms, before which three more pairs can be tried.
+pub const ANSWER: Duration = Duration::from_millis(40);
+
+/// Most agents whose targets are tried for one flow that no agent knows,
+/// within [`TRIAL_SPAN`]. Each trial is a packet at a target that may not
+/// hold the flow.
+const TRIALS: usize = 2;
+
+/// The span in which at most [`TRIALS`] targets are tried: the platform
+/// counts three packets at wrong targets within 2 s as a misrouted flow.
+const TRIAL_SPAN: Duration = Duration::from_millis(2_500);
+
+/// What a balancer sends.
+pub trait Out {
+    /// A message, followed by a caller's packet, to an agent.
+    fn agent(&mut self, to: SocketAddrV4, message: &Message<'_>, packet: &[u8]);
+    /// A reset of `flow` to its caller; `seq` is the caller's last
+    /// acknowledgement.
+    fn reset(&mut self, flow: Flow, seq: u32);
+}
+
+/// One balancer's view and memory.
+#[derive(Debug)]
+pub struct Steer {
+    me: SocketAddrV4,
+    zone: Arc<str>,
+    routes: Option<Routes>,
+    /// The agents that the balancer believes in.
+    pub roster: Roster,
+    flows: Table<Known>,
+    due: VecDeque<(Instant, Flow)>,
+}
+
+impl Steer {
+    /// A balancer in `zone` at which agents answer at `me`, and which
+    /// remembers flows for `idle`.
+    #[must_use]
+    pub fn new(me: SocketAddrV4, zone: Arc<str>, idle: Duration) -> Self {
+        Self {
+            me,
+            zone,
+            routes: None,
+            roster: Roster::default(),
+            flows: Table::new(idle),
+            due: VecDeque::new(),
+        }
+    }
+
+    /// Version of the configuration in force, if any is known.
+    #[must_use]
+    pub fn version(&self) -> Option<u64> {
+        self.routes.as_ref().map(|r| r.version)
+    }
+
+    /// Flows remembered.
+    #[must_use]
+    pub fn remembered(&self) -> usize {
+        self.flows.len()
+    }
+
+    /// Puts `routes` in force unless a newer version is; says whether it did.
+    pub fn obey(&mut self, routes: Routes) -> bool {
+        let newer = self.version().is_none_or(|v| v < routes.version);
+        if newer {
+            self.routes = Some(routes);
+        }
+        newer
+    }
+
+    /// Takes one packet of a caller.
+    pub fn packet(&mut self, seg: &Segment, packet: &[u8], now: Instant, out: &mut impl Out) {
+        let flow = seg.by_caller();
+        if seg.opens() {
+            self.open(flow, packet, now, out);
+            return;
+        }
+        match self.flows.get(flow, now) {
+            Some(Known::At { agent, service }) => {
+                let message = Message::Carry { service, mode: Mode::Owner };
+                out.agent(*agent, &message, packet);
+            }
+            _ => self.search(flow, seg, packet, now, out),
+        }
+    }
+
+    /// Offers a new flow, or the copy of one, to agents.
+    fn open(&mut self, flow: Flow, packet: &[u8], now: Instant, out: &mut impl Out) {
+        let before = match self.flows.get(flow, now) {
+            Some(Known::At { agent, .. }) => Some(*agent),
+            Some(Known::Opening(o)) if o.packet == packet => o.offered.first().copied(),
+            _ => None,
+        };
+        let Some(routes) = &self.routes else {
+            metrics::refused(Refusal::NoConfig);
+            return;
+        };
+        let Some(share) = routes.share(flow) else {
+            refuse(flow, Refusal::NoProfile, out);
+            return;
+        };
+        let mut opening = Opening {
+            service: share.service.clone(),
+            max_flows: share.max_flows,
+            packet: packet.to_vec(),
+            offered: Vec::new(),
+            silent: false,
+        };
+        // A copy goes where the first went, if that agent answers: a second
+        // target would only answer a handshake that is thrown away.
+        let before = before.filter(|a| self.roster.answers(*a));
+        self.offer(flow, &mut opening, before, now, out);
+        if opening.offered.is_empty() {
+            refuse(flow, Refusal::NoTarget, out);
+            return;
+        }
+        self.flows.insert(flow, Known::Opening(opening), now);
+    }
+
+    /// Offers an open to the next two agents; `first` names the first of them
+    /// where it is already known. Says whether there was one left.
+    fn offer(
+        &mut self,
+        flow: Flow,
+        opening: &mut Opening,
+        first: Option<SocketAddrV4>,
+        now: Instant,
+        out: &mut impl Out,
+    ) -> bool {
+        let pair = self.roster.pick(&opening.service, &self.zone, first, &opening.offered, now);
+        let Some((first, second)) = pair else { return false };
+        let stage = if second.is_some() { Stage::Ask } else { Stage::Take };
+        let open = Open {
+            service: &opening.service,
+            max_flows: opening.max_flows,
+            offer: Offer { first, second, stage },
+            reply: self.me,
+        };
+        out.agent(first, &Message::Open(open), &opening.packet);
+        opening.offered.push(first);
+        opening.offered.extend(second);
+        self.due.push_back((now + ANSWER, flow));
+        true
+    }
+
+    /// Asks every agent of the service for the owner of a flow.
+    fn search(
+        &mut self,
+        flow: Flow,
+        seg: &Segment,
+        packet: &[u8],
+        now: Instant,
+        out: &mut impl Out,
+    ) {
+        let Some(routes) = &self.routes else { return };
+        let Some(share) = routes.share(flow) else {
+            if !seg.flags.rst {
+                refuse_at(flow, seg.ack, Refusal::NoProfile, out);
+            }
+            return;
+        };
+        let mut search = match self.flows.get(flow, now) {
+            Some(Known::Search(s)) => std::mem::take(s),
+            _ => Search::default(),
+        };
+        search.service = share.service.clone();
+        search.packet = packet.to_vec();
+        search.unsure.clear();
+        search.waiting.clear();
+        let message = Message::Carry { service: &search.service, mode: Mode::Ask };
+        for agent in self.roster.of(&search.service) {
+            out.agent(agent, &message, packet);
+            search.waiting.push(agent);
+        }
+        metrics::retried(Retry::OwnerAsked);
+        self.flows.insert(flow, Known::Search(search), now);
+        self.due.push_back((now + ANSWER, flow));
+    }
+
+    /// Takes what an agent says of a flow.
+    pub fn note(&mut self, from: SocketAddrV4, note: Note, now: Instant, out: &mut impl Out) {
+        self.roster.heard(from, note.load, now);
+        match note.word {
+            Word::Held => self.held(from, note.flow, now),
+            Word::Refused(reason) => self.refused(from, note.flow, reason, now, out),
+            Word::Unknown | Word::Unsure => {
+                self.unknown(from, note.flow, note.word == Word::Unsure, now, out);
+            }
+        }
+    }
+
+    fn held(&mut self, from: SocketAddrV4, flow: Flow, now: Instant) {
+        let service = match self.flows.get(flow, now) {
+            Some(Known::Opening(o)) => o.service.clone(),
+            Some(Known::Search(s)) => s.service.clone(),
+            Some(Known::At { .. }) | None => return,
+        };
+        self.flows.insert(flow, Known::At { agent: from, service }, now);
+    }
+
+    fn refused(
+        &mut self,
+        from: SocketAddrV4,
+        flow: Flow,
+        reason: Refusal,
+        now: Instant,
+        out: &mut impl Out,
+    ) {
+        let Some(Known::Opening(o)) = self.flows.get(flow, now) else { return };
+        if !o.offered.contains(&from) {
+            return;
+        }
+        let mut opening = std::mem::take(o);
+        let left = self.offer(flow, &mut opening, None, now, out);
+        if left || opening.silent {
+            self.flows.insert(flow, Known::Opening(opening), now);
+        } else {
+            self.flows.remove(flow);
+            refuse(flow, reason, out);
+        }
+    }
+
+    fn unknown(
+        &mut self,
+        from: SocketAddrV4,
+        flow: Flow,
+        unsure: bool,
+        now: Instant,
+        out: &mut impl Out,
+    ) {
+        match self.flows.get(flow, now) {
+            Some(Known::At { agent, .. }) if *agent == from => {
+                self.flows.remove(flow);
+            }
+            Some(Known::Search(s)) => {
+                s.answered(from, unsure);
+                if s.waiting.is_empty() {
+                    self.try_unsure(flow, now, out);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    /// No agent knew the flow: has agents that may have forgotten it try
+    /// their targets.
+    fn try_unsure(&mut self, flow: Flow, now: Instant, out: &mut impl Out) {
+        let Some(Known::Search(s)) = self.flows.get(flow, now) else { return };
+        s.tried.retain(|(at, _)| now.duration_since(*at) < TRIAL_SPAN);
+        let fresh: Vec<SocketAddrV4> = s
+            .unsure
+            .iter()
+            .copied()
+            .filter(|a| s.tried.iter().all(|(_, t)| t != a))
+            .take(TRIALS.saturating_sub(s.tried.len()))
+            .collect();
+        s.unsure.clear();
+        let message = Message::Carry { service: &s.service, mode: Mode::Try };
+        for agent in fresh {
+            out.agent(agent, &message, &s.packet);
+            s.tried.push((now, agent));
+        }
+    }
+
+    /// When [`Steer::tick`] next has something to do.
+    #[must_use]
+    pub fn next_due(&self) -> Option<Instant> {
+        let due = self.due.front().map(|(at, _)| *at);
+        match (due, self.roster.next_ping()) {
+            (Some(a), Some(b)) => Some(a.min(b)),
+            (a, b) => a.or(b),
+        }
+    }
+
+    /// Does what has come due by `now`.
+    pub fn tick(&mut self, now: Instant, out: &mut impl Out) {
+        while let Some((_, flow)) = self.due.front().copied().filter(|(at, _)| *at <= now) {
+            self.due.pop_front();
+            self.overdue(flow, now, out);
+        }
+        self.roster.ping(now, out);
+        self.flows.expire(now, |_, _| {});
+    }
+
+    fn overdue(&mut self, flow: Flow, now: Instant, out: &mut impl Out) {
+        match self.flows.peek(flow) {
+            Some(Known::Opening(_)) => self.reoffer(flow, now, out),
+            Some(Known::Search(_)) => self.try_unsure(flow, now, out),
+            Some(Known::At { .. }) | None => {}
+        }
+    }
+
+    /// The agents that an open was offered to did not answer: offers it to
+    /// the next.
+    fn reoffer(&mut self, flow: Flow, now: Instant, out: &mut impl Out) {
+        let Some(Known::Opening(o)) = self.flows.get(flow, now) else { return };
+        let mut opening = std::mem::take(o);
+        metrics::retried(Retry::OpenTimeout);
+        for agent in opening.offered.iter().rev().take(2) {
+            self.roster.missed(*agent, now);
+        }
+        opening.silent = true;
+        self.offer(flow, &mut opening, None, now, out);
+        self.flows.insert(flow, Known::Opening(opening), now);
+    }
+}
+
+/// Tells a caller at once that its flow cannot be opened; nothing ran.
+fn refuse(flow: Flow, reason: Refusal, out: &mut impl Out) {
+    refuse_at(flow, 0, reason, out);
+}
+
+fn refuse_at(flow: Flow, seq: u32, reason: Refusal, out: &mut impl Out) {
+    metrics::refused(reason);
+    log::info!("{} flow={flow} reason={reason}", crate::events::FLOW_REFUSED);
+    out.reset(flow, seq);
+}
--- /dev/null
+++ b/src/steer/roster.rs
@@ -0,0 +1,224 @@
+//! The agents that a balancer believes in.
+//!
+//! The store lists agents; what an agent says itself goes before the list. An
+//! agent whose entry is gone from the store (the store let its lease lapse,
+//! or takes keys away from machines it refuses) is asked directly and stays
+//! as long as it answers. One that does not answer is offered flows last, and
+//! is asked until it does.
+
+use std::collections::HashMap;
+use std::net::SocketAddrV4;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use serde::{Deserialize, Serialize};
+
+use super::Out;
+use crate::agent::place::{SLOT, UNABLE};
+use crate::bus::Message;
+
+/// Pause between two questions to an agent that is not listed or did not
+/// answer. At 100 such agents a balancer sends 300 small datagrams a second.
+const PING: Duration = Duration::from_millis(300);
+
+/// How long an agent that the store does not list is kept without an answer:
+/// about 2 s after the store is back, one that lives is listed again; a
+/// process that was killed is back within about 4 s.
+const KEEP: Duration = Duration::from_secs(8);
+
+/// How long an agent's word that it can take nothing counts. It is asked
+/// again by being offered a flow, so this bounds offers that come to nothing.
+const UNABLE_FOR: Duration = Duration::from_millis(500);
+
+/// An agent as the store lists it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Announced {
+    /// Address at which it talks to balancers.
+    pub addr: SocketAddrV4,
+    /// Its data centre.
+    pub zone: Arc<str>,
+    /// The service of its target.
+    pub service: Arc<str>,
+}
+
+#[derive(Clone, Debug)]
+struct Agent {
+    zone: Arc<str>,
+    service: Arc<str>,
+    /// Since when the store does not list it.
+    unlisted: Option<Instant>,
+    /// Last known load, with what was offered since.
+    load: u32,
+    /// When it last said anything, or was first listed.
+    heard: Instant,
+    /// It did not answer, since when.
+    silent: Option<Instant>,
+    pinged: Option<Instant>,
+}
+
+impl Agent {
+    fn doubtful(&self) -> bool {
+        self.unlisted.is_some() || self.silent.is_some()
+    }
+
+    fn kept(&self, now: Instant) -> bool {
+        self.unlisted.is_none_or(|at| now.duration_since(at.max(self.heard)) < KEEP)
+    }
+
+    fn rank(&self, now: Instant) -> (bool, u32) {
+        let stale = self.load == UNABLE && now.duration_since(self.heard) >= UNABLE_FOR;
+        (self.silent.is_some(), if stale { UNABLE - 1 } else { self.load })
+    }
+}
+
+/// The agents by address and by service.
+#[derive(Clone, Debug, Default)]
+pub struct Roster {
+    agents: HashMap<SocketAddrV4, Agent>,
+    services: HashMap<Arc<str>, Vec<SocketAddrV4>>,
+    /// When the next question is due; none while no agent is in doubt.
+    due: Option<Instant>,
+}
+
+impl Roster {
+    /// Agents believed in.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.agents.len()
+    }
+
+    /// Whether there is none.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.agents.is_empty()
+    }
+
+    /// Takes in the agents that the store lists now.
+    pub fn update(&mut self, announced: &[Announced], now: Instant) {
+        for a in self.agents.values_mut() {
+            a.unlisted.get_or_insert(now);
+        }
+        for a in announced {
+            match self.agents.get_mut(&a.addr) {
+                Some(known) if known.service == a.service => {
+                    known.unlisted = None;
+                    known.zone = a.zone.clone();
+                }
+                _ => self.insert(a, now),
+            }
+        }
+        self.index();
+        if self.agents.values().any(Agent::doubtful) {
+            self.due = Some(now);
+        }
+    }
+
+    fn insert(&mut self, a: &Announced, now: Instant) {
+        let agent = Agent {
+            zone: a.zone.clone(),
+            service: a.service.clone(),
+            unlisted: None,
+            load: 0,
+            heard: now,
+            silent: None,
+            pinged: None,
+        };
+        self.agents.insert(a.addr, agent);
+    }
+
+    fn index(&mut self) {
+        self.services.clear();
+        for (addr, a) in &self.agents {
+            self.services.entry(a.service.clone()).or_default().push(*addr);
+        }
+    }
+
+    /// Every agent of `service`.
+    pub fn of(&self, service: &str) -> impl Iterator<Item = SocketAddrV4> {
+        self.services.get(service).into_iter().flatten().copied()
+    }
+
+    /// Whether the agent is known and answers.
+    #[must_use]
+    pub fn answers(&self, addr: SocketAddrV4) -> bool {
+        self.agents.get(&addr).is_some_and(|a| a.silent.is_none())
+    }
+
+    /// An agent said something; `load` is its load now.
+    pub fn heard(&mut self, addr: SocketAddrV4, load: u32, now: Instant) {
+        if let Some(a) = self.agents.get_mut(&addr) {
+            a.load = load;
+            a.heard = now;
+            a.silent = None;
+        }
+    }
+
+    /// An agent answered a question: its target runs `service`.
+    pub fn pong(&mut self, addr: SocketAddrV4, service: &str, load: u32, now: Instant) {
+        if self.agents.get(&addr).is_some_and(|a| &*a.service != service) {
+            self.agents.remove(&addr);
+            self.index();
+        }
+        self.heard(addr, load, now);
+    }
+
+    /// An agent did not answer in time.
+    pub fn missed(&mut self, addr: SocketAddrV4, now: Instant) {
+        if let Some(a) = self.agents.get_mut(&addr) {
+            if now.duration_since(a.heard) >= super::ANSWER {
+                a.silent.get_or_insert(now);
+                self.due.get_or_insert(now);
+            }
+        }
+    }
+
+    /// The two agents of `service` that a new flow is offered to, `first`
+    /// being fixed where given: the least loaded of the balancer's own `zone`,
+    /// then the least loaded of all. Agents in `except` were asked before.
+    pub fn pick(
+        &mut self,
+        service: &str,
+        zone: &str,
+        first: Option<SocketAddrV4>,
+        except: &[SocketAddrV4],
+        now: Instant,
+    ) -> Option<(SocketAddrV4, Option<SocketAddrV4>)> {
+        let left = || self.of(service).filter(|a| !except.contains(a));
+        let rank = |a: &SocketAddrV4| self.agents[a].rank(now);
+        let able = |a: &SocketAddrV4| !rank(a).0 && rank(a).1 < UNABLE - 1;
+        let near = left().filter(|a| &*self.agents[a].zone == zone).filter(able).min_by_key(rank);
+        let first = first.or(near).or_else(|| left().min_by_key(rank))?;
+        let second = left().filter(|a| *a != first).min_by_key(rank);
+        if let Some(a) = self.agents.get_mut(&first) {
+            a.load = a.load.saturating_add(SLOT).min(UNABLE - 1).max(a.load);
+        }
+        Some((first, second))
+    }
+
+    /// When the next question to an agent is due.
+    #[must_use]
+    pub const fn next_ping(&self) -> Option<Instant> {
+        self.due
+    }
+
+    /// Asks the agents that are in doubt and drops those that the store does
+    /// not list and that have not answered for [`KEEP`].
+    pub fn ping(&mut self, now: Instant, out: &mut impl Out) {
+        if self.due.is_none_or(|at| at > now) {
+            return;
+        }
+        let before = self.agents.len();
+        self.agents.retain(|_, a| a.kept(now));
+        if self.agents.len() != before {
+            self.index();
+        }
+        for (addr, a) in self.agents.iter_mut().filter(|(_, a)| a.doubtful()) {
+            if a.pinged.is_none_or(|at| now.duration_since(at) >= PING) {
+                a.pinged = Some(now);
+                out.agent(*addr, &Message::Ping { listed: a.unlisted.is_none() }, &[]);
+            }
+        }
+        let doubtful = self.agents.values().filter(|a| a.doubtful());
+        self.due = doubtful.filter_map(|a| a.pinged).min().map(|at| at + PING);
+    }
+}
--- /dev/null
+++ b/src/steer/routes.rs
@@ -0,0 +1,69 @@
+//! The routes in force: which service an address belongs to.
+
+use std::collections::HashMap;
+use std::net::SocketAddrV4;
+use std::sync::Arc;
+use std::time::Duration;
+
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::flow::Flow;
+
+/// One version of the operators' configuration.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Routes {
+    /// Its version; a newer one has a higher number.
+    pub version: u64,
+    /// Routes by the address that callers call.
+    pub routes: HashMap<SocketAddrV4, Route>,
+    /// A flow without packets for this long may be forgotten.
+    pub idle: Duration,
+}
+
+/// One route.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Route {
+    /// Its name.
+    pub name: Arc<str>,
+    /// The services that serve it, by weight.
+    pub services: Vec<Share>,
+}
+
+/// One service's part in a route.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Share {
+    /// The service.
+    pub service: Arc<str>,
+    /// Its weight among the route's services.
+    pub weight: u32,
+    /// Open flows that one target of the service holds at most.
+    pub max_flows: u32,
+}
+
+impl Routes {
+    /// The service for `flow`: the same at every balancer with this version.
+    #[must_use]
+    pub fn share(&self, flow: Flow) -> Option<&Share> {
+        let services = &self.routes.get(&flow.service)?.services;
+        let total: u64 = services.iter().map(|s| u64::from(s.weight)).sum();
+        if total == 0 {
+            return None;
+        }
+        let mut point = hash(flow) % total;
+        services.iter().find(|s| {
+            let weight = u64::from(s.weight);
+            let here = point < weight;
+            point = point.saturating_sub(weight);
+            here
+        })
+    }
+}
+
+fn hash(flow: Flow) -> u64 {
+    let mut bytes = [0; 12];
+    bytes[..4].copy_from_slice(&flow.caller.ip().octets());
+    bytes[4..6].copy_from_slice(&flow.caller.port().to_be_bytes());
+    bytes[6..10].copy_from_slice(&flow.service.ip().octets());
+    bytes[10..].copy_from_slice(&flow.service.port().to_be_bytes());
+    xxh3_64(&bytes)
+}
--- a/src/store/client.rs
+++ b/src/store/client.rs
@@ -207,7 +207,7 @@
         for ev in &r.events {
             let kv = kv(&ev.kv).with_context(|| step.clone())?;
             changes.push(if ev.kind == "DELETE" {
-                Change::Delete(kv.key)
+                Change::Delete { key: kv.key, rev: kv.rev }
             } else {
                 Change::Put(kv)
             });
--- a/src/store/lease.rs
+++ b/src/store/lease.rs
@@ -9,14 +9,23 @@
 
 use tokio::sync::watch;
 
-use super::Client;
+use super::Lessor;
 use crate::events;
 use crate::metrics::{self, Retry};
 
+/// Longest pause after a failed call: an entry that lapsed while the service
+/// was away is to be back about two seconds after its return.
+const PAUSE: Duration = Duration::from_millis(500);
+
 /// Holds `key` under a lease of `lease_ms`, with the latest of `value`,
 /// forever.
-pub async fn hold(store: &Client, key: &str, mut value: watch::Receiver<Vec<u8>>, lease_ms: u64) {
-    let ttl = (lease_ms / 1_000).max(1) as i64;
+pub async fn hold<L: Lessor>(
+    store: &L,
+    key: &str,
+    mut value: watch::Receiver<Vec<u8>>,
+    lease_ms: u64,
+) {
+    let ttl = Duration::from_millis(lease_ms.max(1_000));
     let beat = Duration::from_millis((lease_ms / 3).max(100));
     loop {
         let latest = value.borrow_and_update().clone();
@@ -24,43 +33,49 @@
             Ok(lease) => renew(store, key, lease, &mut value, beat).await,
             Err(e) => {
                 failed(&e);
-                ntex::time::sleep(beat).await;
+                ntex::time::sleep(PAUSE.min(beat)).await;
             }
         }
     }
 }
 
-async fn take(store: &Client, key: &str, value: &[u8], ttl: i64) -> anyhow::Result<i64> {
+async fn take<L: Lessor>(store: &L, key: &str, value: &[u8], ttl: Duration) -> anyhow::Result<i64> {
     let lease = store.grant(ttl).await?;
     store.put(key, value, lease).await?;
     Ok(lease)
 }
 
 /// Renews `lease` until it has lapsed.
-async fn renew(
-    store: &Client,
+async fn renew<L: Lessor>(
+    store: &L,
     key: &str,
     lease: i64,
     value: &mut watch::Receiver<Vec<u8>>,
     beat: Duration,
 ) {
+    let mut pause = beat;
     loop {
         tokio::select! {
-            () = ntex::time::sleep(beat) => match store.keepalive(lease).await {
-                Ok(left) if left > 0 => {}
-                Ok(_) => {
+            () = ntex::time::sleep(pause) => match store.keepalive(lease).await {
+                Ok(true) => pause = beat,
+                Ok(false) => {
                     log::warn!("{} lease {lease} of {key} lapsed", events::AGENT_LAPSED);
                     metrics::retried(Retry::LeaseLapsed);
                     return;
                 }
-                Err(e) => failed(&e),
+                Err(e) => {
+                    failed(&e);
+                    pause = PAUSE.min(beat);
+                    continue;
+                }
             },
             Ok(()) = value.changed() => {
                 let latest = value.borrow_and_update().clone();
                 if let Err(e) = store.put(key, &latest, lease).await {
+                    // The lease may have lapsed; a new one is taken.
                     failed(&e);
-                    value.mark_changed();
-                    ntex::time::sleep(beat).await;
+                    ntex::time::sleep(PAUSE.min(beat)).await;
+                    return;
                 }
             }
         }
--- a/src/store/mirror.rs
+++ b/src/store/mirror.rs
@@ -14,7 +14,7 @@
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::Xxh3;
 
-use super::{Change, Client, Kv};
+use super::{Change, Keeper, Kv};
 use crate::admin::Peer;
 use crate::metrics::{self, Retry};
 
@@ -41,8 +41,8 @@
     ///
     /// # Errors
     ///
-    /// As [`Client::list`].
-    pub async fn list(store: &Client, prefix: &str) -> anyhow::Result<Self> {
+    /// As [`Keeper::list`].
+    pub async fn list<K: Keeper>(store: &K, prefix: &str) -> anyhow::Result<Self> {
         let (rev, kvs) = store.list(prefix).await?;
         let keys = kvs.into_iter().map(|kv| (kv.key.clone(), kv)).collect();
         Ok(Self { rev, keys })
@@ -52,18 +52,27 @@
     pub fn apply(&mut self, rev: i64, changes: Vec<Change>) {
         for change in changes {
             match change {
-                Change::Put(kv) => {
+                Change::Put(kv) if self.older(&kv.key, kv.rev) => {
                     self.rev = self.rev.max(kv.rev);
                     self.keys.insert(kv.key.clone(), kv);
                 }
-                Change::Delete(key) => {
+                Change::Delete { key, rev } if self.older(&key, rev) => {
                     self.keys.remove(&key);
                 }
+                Change::Put(_) | Change::Delete { .. } => {}
             }
         }
         self.rev = self.rev.max(rev);
     }
 
+    /// Whether what is known of `key` is not newer than `rev`. A listing that
+    /// came in several pages may hold a key newer than the revision from which
+    /// it is watched; what the watch then repeats must not bring back an older
+    /// value.
+    fn older(&self, key: &str, rev: i64) -> bool {
+        self.keys.get(key).is_none_or(|kv| kv.rev <= rev)
+    }
+
     /// Takes `other` if it is newer; says whether it did.
     pub fn advance(&mut self, other: Self) -> bool {
         let newer = other.rev > self.rev;
@@ -95,9 +104,9 @@
 
 /// Where a mirror gets its copy from.
 #[derive(Clone)]
-pub struct Source {
+pub struct Source<K> {
     /// The key-value service.
-    pub store: Client,
+    pub store: K,
     /// The prefix to copy.
     pub prefix: String,
     /// Processes that hold a copy of at least this prefix.
@@ -107,8 +116,9 @@
 /// Keeps a copy current and calls `seen` after each change, forever.
 ///
 /// `fail` is called with each error before the pause, for logging.
-pub async fn follow<F, E>(source: &Source, mut seen: F, mut fail: E)
+pub async fn follow<K, F, E>(source: &Source<K>, mut seen: F, mut fail: E)
 where
+    K: Keeper,
     F: FnMut(&Snapshot),
     E: FnMut(&anyhow::Error),
 {
@@ -130,9 +140,8 @@
             Err(e) => {
                 fail(&e);
                 metrics::retried(Retry::StoreError);
-                if copy.rev == 0 && from_peers(source, &mut copy).await {
+                if from_peers(source, &mut copy).await {
                     seen(&copy);
-                    list = false;
                 }
                 ntex::time::sleep(Duration::from_millis(PAUSE_MS)).await;
             }
@@ -147,7 +156,7 @@
     Compacted,
 }
 
-async fn relist(source: &Source, copy: &mut Snapshot) -> anyhow::Result<Step> {
+async fn relist<K: Keeper>(source: &Source<K>, copy: &mut Snapshot) -> anyhow::Result<Step> {
     let listed = Snapshot::list(&source.store, &source.prefix).await?;
     if listed.rev < copy.rev {
         let (rev, prefix) = (listed.rev, &source.prefix);
@@ -157,8 +166,8 @@
     Ok(if copy.advance(listed) || first { Step::Changed } else { Step::Same })
 }
 
-async fn watch(source: &Source, copy: &mut Snapshot) -> anyhow::Result<Step> {
-    let batch = source.store.watch(&source.prefix, copy.rev + 1).await?;
+async fn watch<K: Keeper>(source: &Source<K>, copy: &mut Snapshot) -> anyhow::Result<Step> {
+    let batch = source.store.watch(&source.prefix, copy.rev).await?;
     if batch.compacted {
         return Ok(Step::Compacted);
     }
@@ -168,7 +177,7 @@
 }
 
 /// Takes the newest copy that a peer holds; says whether there was one.
-async fn from_peers(source: &Source, copy: &mut Snapshot) -> bool {
+async fn from_peers<K>(source: &Source<K>, copy: &mut Snapshot) -> bool {
     let mut found = false;
     for &addr in &source.peers {
         let Ok(peer) = Peer::connect(addr, PEER_TIMEOUT).await else { continue };
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -7,6 +7,7 @@
 //! [`Faults`]).
 
 pub mod client;
+mod keeper;
 pub mod lease;
 pub mod mirror;
 pub mod server;
@@ -16,7 +17,8 @@
 
 use serde::{Deserialize, Serialize};
 
-pub use client::Client;
+pub use client::{Batch, Client};
+pub use keeper::{Keeper, Lessor};
 pub use mirror::Snapshot;
 pub use server::{Faults, serve};
 
@@ -39,7 +41,12 @@
     /// The key was written.
     Put(Kv),
     /// The key was removed (by a delete or a lapsed lease).
-    Delete(Arc<str>),
+    Delete {
+        /// The key.
+        key: Arc<str>,
+        /// Revision of the removal.
+        rev: i64,
+    },
 }
 
 /// The layout of jujubepost's keys under the prefix.
