Store: connections opened within 0.6 s, a lost store asked without waiting

The HTTP client's time limit starts once it is connected and it opens one connection at a time, so an attempt made during the cut held up all later ones until TCP's own repeats (1, 3, 7 s) met the healed path; then a watch of 2.5 s came first.

Ruled out: the compaction at 7 to 10 s (the other balancers listed again at once); the peers (asked in turn, 0.5 s each, but not the 6 s).

Change: own connector (0.6 s, keep-alive probes, user time-out), one time limit over the whole call, after a loss the watch asks without waiting, peers are asked at the same time.

--- a/src/edge/entry.rs
+++ b/src/edge/entry.rs
@@ -78,7 +78,7 @@
     let steer = Rc::new(RefCell::new(steer));
     log::info!("{} balancer {} zone={}", events::EDGE_START, settings.name, settings.zone);
     let source =
-        Source { store: store(&settings).await, prefix: String::new(), peers: settings.peers() };
+        Source { store: store(&settings).await?, prefix: String::new(), peers: settings.peers() };
     let (view, seen) = (steer.clone(), board.clone());
     let follower = tokio::task::spawn_local(async move {
         follow(source, |copy| {
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -33,7 +33,7 @@
 /// their silence, and each renewal is a call.
 const LEASE_MS: u64 = 15_000;
 
-async fn store(settings: &Settings) -> platform::kv::Client {
+async fn store(settings: &Settings) -> anyhow::Result<platform::kv::Client> {
     platform::kv::Client::new(settings.store, CALL, WATCH).await
 }
 
--- a/src/edge/sidecar.rs
+++ b/src/edge/sidecar.rs
@@ -103,7 +103,7 @@
     };
     let me = Announced { addr: settings.bus(), zone: settings.zone.clone(), service };
     let (entry, entries) = watch::channel(serde_json::to_vec(&me)?);
-    let store = store(&settings).await;
+    let store = store(&settings).await?;
     let key = format!("{AGENTS}{}", settings.ip);
     let (held, held_key) = (store.clone(), key.clone());
     let announcer = tokio::task::spawn_local(async move {
--- a/src/events/mod.rs
+++ b/src/events/mod.rs
@@ -83,6 +83,8 @@
 pub const FLOW_RESET: &str = "E711";
 /// A target's report was ignored.
 pub const REPORT_IGNORED: &str = "E712";
+/// A peer did not hand over its copy of the store's keys.
+pub const PEER_SILENT: &str = "E715";
 /// A connection of the HTTP server failed.
 pub const LISTEN_FAILED: &str = "E713";
 /// A datagram could not be read or sent.
--- a/src/platform/kv.rs
+++ b/src/platform/kv.rs
@@ -107,9 +107,13 @@
 impl Client {
     /// A client of the service at `addr`, whose calls time out after
     /// `timeout` and whose watches wait for `wait`.
-    pub async fn new(addr: SocketAddr, timeout: Duration, wait: Duration) -> Self {
-        let http = ntex::client::Client::new().await;
-        Self { http, addr, timeout, wait }
+    ///
+    /// # Errors
+    ///
+    /// Fails when the HTTP client cannot be built.
+    pub async fn new(addr: SocketAddr, timeout: Duration, wait: Duration) -> anyhow::Result<Self> {
+        let http = super::dial::client(addr).await?;
+        Ok(Self { http, addr, timeout, wait })
     }
 
     fn url(&self, path: &str) -> String {
@@ -124,11 +128,17 @@
         timeout: Duration,
     ) -> anyhow::Result<ClientResponse> {
         let req = req.timeout(timeout);
-        let sent = match body {
-            Some(b) => req.content_type("application/json").send_body(b).await,
-            None => req.send().await,
+        let sent = async {
+            match body {
+                Some(b) => req.content_type("application/json").send_body(b).await,
+                None => req.send().await,
+            }
         };
-        sent.map_err(|e| anyhow::anyhow!("{step} at store {}: {e}", self.addr))
+        // The client's own timeout starts once it is connected.
+        ntex::time::timeout(timeout, sent)
+            .await
+            .map_err(|()| anyhow::anyhow!("{step} at store {}: timeout", self.addr))?
+            .map_err(|e| anyhow::anyhow!("{step} at store {}: {e}", self.addr))
     }
 
     async fn read<A: serde::de::DeserializeOwned>(
@@ -197,12 +207,13 @@
         }
     }
 
-    async fn watch(&self, prefix: &str, after: i64) -> anyhow::Result<Batch> {
+    async fn watch(&self, prefix: &str, after: i64, wait: bool) -> anyhow::Result<Batch> {
         let step = format!("watch {prefix} after {after}");
-        let wait_ms = u64::try_from(self.wait.as_millis()).unwrap_or(u64::MAX);
+        let wait = if wait { self.wait } else { Duration::ZERO };
+        let wait_ms = u64::try_from(wait.as_millis()).unwrap_or(u64::MAX);
         let req = self.http.get(self.url("/v1/kv-watch"));
         let req = req.query(&WatchQuery { prefix, after, wait_ms })?;
-        let res = self.send(&step, req, None, self.wait + self.timeout).await?;
+        let res = self.send(&step, req, None, wait + self.timeout).await?;
         if res.status() == StatusCode::GONE {
             return Ok(Batch { rev: after, compacted: true, changes: Vec::new() });
         }
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -12,6 +12,7 @@
 //! product's own format.
 
 pub mod config;
+mod dial;
 pub mod kv;
 pub mod packet;
 pub mod report;
--- a/src/store/keeper.rs
+++ b/src/store/keeper.rs
@@ -16,13 +16,19 @@
     /// Fails when the service is unreachable, slow past the timeout or down.
     fn list(&self, prefix: &str) -> impl Future<Output = anyhow::Result<(i64, Vec<Kv>)>>;
 
-    /// Waits for changes under `prefix` after revision `after`; returns early
-    /// with what happened, or empty after the service's wait.
+    /// Changes under `prefix` after revision `after`. With `wait`, waits for
+    /// some: returns early with what happened, or empty after the service's
+    /// wait. Without, returns what there is, if the service can.
     ///
     /// # Errors
     ///
     /// As [`Keeper::list`].
-    fn watch(&self, prefix: &str, after: i64) -> impl Future<Output = anyhow::Result<Batch>>;
+    fn watch(
+        &self,
+        prefix: &str,
+        after: i64,
+        wait: bool,
+    ) -> impl Future<Output = anyhow::Result<Batch>>;
 }
 
 /// Holding a key under a lease.
@@ -62,7 +68,7 @@
         Client::list(self, prefix).await
     }
 
-    async fn watch(&self, prefix: &str, after: i64) -> anyhow::Result<Batch> {
+    async fn watch(&self, prefix: &str, after: i64, _wait: bool) -> anyhow::Result<Batch> {
         Client::watch(self, prefix, after + 1).await
     }
 }
--- a/src/store/mirror.rs
+++ b/src/store/mirror.rs
@@ -124,13 +124,17 @@
 {
     let mut copy = Snapshot::default();
     let mut list = true;
+    let mut lost = false;
     loop {
-        let step =
-            if list { relist(source, &mut copy).await } else { watch(source, &mut copy).await };
+        let step = if list {
+            relist(source, &mut copy).await
+        } else {
+            watch(source, &mut copy, !lost).await
+        };
         match step {
-            Ok(Step::Same) => list = false,
-            Ok(Step::Changed) => {
-                list = false;
+            Ok(Step::Same) if !lost => list = false,
+            Ok(Step::Same | Step::Changed) => {
+                (list, lost) = (false, false);
                 seen(&copy);
             }
             Ok(Step::Compacted) => {
@@ -140,6 +144,7 @@
             Err(e) => {
                 fail(&e);
                 metrics::retried(Retry::StoreError);
+                lost = true;
                 if from_peers(source, &mut copy).await {
                     seen(&copy);
                 }
@@ -166,8 +171,12 @@
     Ok(if copy.advance(listed) || first { Step::Changed } else { Step::Same })
 }
 
-async fn watch<K: Keeper>(source: &Source<K>, copy: &mut Snapshot) -> anyhow::Result<Step> {
-    let batch = source.store.watch(&source.prefix, copy.rev).await?;
+async fn watch<K: Keeper>(
+    source: &Source<K>,
+    copy: &mut Snapshot,
+    wait: bool,
+) -> anyhow::Result<Step> {
+    let batch = source.store.watch(&source.prefix, copy.rev, wait).await?;
     if batch.compacted {
         return Ok(Step::Compacted);
     }
@@ -176,14 +185,24 @@
     Ok(if changed { Step::Changed } else { Step::Same })
 }
 
-/// Takes the newest copy that a peer holds; says whether there was one.
+/// Takes the newest copy that a peer holds; says whether there was one. The
+/// peers are asked at the same time: the store may be back before silent ones
+/// have been waited for in turn.
 async fn from_peers<K>(source: &Source<K>, copy: &mut Snapshot) -> bool {
+    let asked = source.peers.iter().map(|addr| peer_copy(*addr));
+    let copies = futures_util::future::join_all(asked).await;
     let mut found = false;
-    for &addr in &source.peers {
-        let Ok(peer) = Peer::connect(addr, PEER_TIMEOUT).await else { continue };
-        if let Ok(theirs) = peer.copy().await {
-            found |= copy.advance(theirs.under(&source.prefix));
-        }
+    for theirs in copies.into_iter().flatten() {
+        found |= copy.advance(theirs.under(&source.prefix));
     }
     found
 }
+
+async fn peer_copy(addr: SocketAddr) -> Option<Arc<Snapshot>> {
+    match Peer::connect(addr, PEER_TIMEOUT).await {
+        Ok(peer) => peer.copy().await,
+        Err(e) => Err(e),
+    }
+    .inspect_err(|e| log::debug!("{} {e:#}", crate::events::PEER_SILENT))
+    .ok()
+}
