Agents: a target's end is proved before flows are reset; load by measured demand

Change: flows of an earlier start are found by the target giving their packets back, a port that refuses proves the end; every agent knowing for certain that a flow is not its own resets it at once; load grows past the slots and counts what an open flow has been measured to bring; pairs are drawn at random and decided by the agents' loads as of now; a target that gave an open back gets none for 250 ms.

Ruled out: UDP errors from a dead port (none arrive); reports alone (they come late by up to a heartbeat).

What is left lies in the seconds after everything lost power.

--- a/src/agent/mod.rs
+++ b/src/agent/mod.rs
@@ -31,7 +31,7 @@
 
 use crate::admin::{self, Board};
 use crate::settings::{Settings, TargetSettings};
-use crate::store::mirror::{self, Source};
+use crate::store::mirror::{self, News, Source};
 use crate::store::{self, Keys};
 use crate::wire::{self, Packet};
 use crate::{events, metrics, record};
@@ -179,15 +179,15 @@
     board: Board,
 ) {
     let name = agent.borrow().name();
-    mirror::follow(
-        &source,
-        |copy| {
+    mirror::follow(&source, |news| match news {
+        News::Copy(copy) => {
             agent.borrow_mut().obey(Orders::read(&keys, copy, &name));
             board.set_copy(std::sync::Arc::new(copy.clone()));
             board.set_ready(true);
-        },
-        |e| log::warn!("{} {e:#}", events::AGENT_STORE),
-    )
+        }
+        News::Failed(e) => log::warn!("{} {e:#}", events::AGENT_STORE),
+        News::Back => {}
+    })
     .await;
 }
 
--- a/src/agent/place.rs
+++ b/src/agent/place.rs
@@ -67,6 +67,17 @@
     u32::try_from(open + busy).unwrap_or(UNABLE - 1)
 }
 
+/// The load of an agent whose target queues what its slots cannot take at
+/// once: `waiting` requests and `flows` open flows that each stand for
+/// `per_flow`. It goes on growing past the slots, so that of two targets that
+/// are both full the one with the shorter queue is lighter.
+#[must_use]
+pub fn backlog(flows: u32, waiting: u32, per_flow: u32) -> u32 {
+    let busy = u64::from(waiting) * u64::from(SLOT);
+    let open = u64::from(flows) * u64::from(per_flow);
+    u32::try_from(busy + open).map_or(UNABLE - 1, |load| load.min(UNABLE - 1))
+}
+
 /// Whether `load` is below `theirs` by enough to move a flow: by more than a
 /// sixteenth and an eighth of a slot. Without the margin, short requests all
 /// follow small differences in long feeds, and pile up where the feeds are
--- a/src/balancer/follow.rs
+++ b/src/balancer/follow.rs
@@ -10,7 +10,7 @@
 use crate::admin::Board;
 use crate::events;
 use crate::metrics;
-use crate::store::mirror::{Snapshot, Source};
+use crate::store::mirror::{News, Snapshot, Source};
 use crate::store::{self, Keys};
 
 /// How often held targets are looked at.
@@ -80,19 +80,19 @@
         built: Instant::now(),
         stale: false,
     });
-    let changes = store::mirror::follow(
-        &source,
-        |copy| {
+    let changes = store::mirror::follow(&source, |news| match news {
+        News::Copy(copy) => {
             let mut j = judge.borrow_mut();
             j.copy = Arc::new(copy.clone());
             j.stale = true;
             j.catch_up();
-        },
-        |e| {
+        }
+        News::Failed(e) => {
             log::warn!("{} {e:#}", events::BALANCER_STORE);
             judge.borrow_mut().builder.roster.postpone(Instant::now());
-        },
-    );
+        }
+        News::Back => {}
+    });
     let expiry = async {
         loop {
             ntex::time::sleep(HOLD_TICK).await;
--- a/src/edge/entry.rs
+++ b/src/edge/entry.rs
@@ -5,6 +5,7 @@
 use std::net::SocketAddrV4;
 use std::path::Path;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use anyhow::Context;
@@ -12,7 +13,7 @@
 use tokio::signal::unix::{SignalKind, signal};
 
 use super::socket::Socket;
-use super::{AGENTS, Settings, follow, store};
+use super::{AGENTS, Settings, store};
 use crate::admin::{self, Board};
 use crate::bus::{self, Message};
 use crate::flow::Flow;
@@ -20,7 +21,7 @@
 use crate::platform::{self, packet};
 use crate::steer::{self, Announced, Steer};
 use crate::store::Snapshot;
-use crate::store::mirror::Source;
+use crate::store::mirror::{self, News, Source};
 use crate::{events, metrics};
 
 /// Largest packet of a caller, in bytes.
@@ -81,10 +82,24 @@
         Source { store: store(&settings).await?, prefix: String::new(), peers: settings.peers() };
     let (view, seen) = (steer.clone(), board.clone());
     let follower = tokio::task::spawn_local(async move {
-        follow(source, |copy| {
-            learn(&mut view.borrow_mut(), copy);
-            seen.set_ready(view.borrow().version().is_some());
-            seen.set_copy(copy.clone());
+        let mut lost = false;
+        mirror::follow(&source, |news| match news {
+            News::Copy(copy) => {
+                let ready = learn(&mut view.borrow_mut(), copy);
+                seen.set_ready(ready);
+                seen.set_copy(Arc::new(copy.clone()));
+            }
+            News::Back => {
+                view.borrow_mut().see(true);
+                log::info!("{} store answers after_loss={lost}", events::EDGE_STORE);
+                lost = false;
+            }
+            News::Failed(e) if !lost => {
+                view.borrow_mut().see(false);
+                log::warn!("{} store lost: {e:#}", events::EDGE_STORE);
+                lost = true;
+            }
+            News::Failed(_) => {}
         })
         .await;
     });
@@ -130,8 +145,8 @@
     .await
 }
 
-/// Takes in a change of the store.
-fn learn(steer: &mut Steer, copy: &Snapshot) {
+/// Takes in a change of the store; says whether a configuration is in force.
+fn learn(steer: &mut Steer, copy: &Snapshot) -> bool {
     if let Some(kv) = copy.keys.get(platform::config::KEY) {
         match platform::config::decode(&kv.value) {
             Ok(routes) => {
@@ -167,6 +182,7 @@
         steer.roster.len(),
         copy.rev
     );
+    steer.version().is_some()
 }
 
 /// Forwards packets until told otherwise.
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -8,13 +8,10 @@
 pub mod sidecar;
 mod socket;
 
-use std::sync::Arc;
 use std::time::Duration;
 
 pub use settings::{Bounds, Settings};
 
-use crate::store::Snapshot;
-use crate::store::mirror::{self, Source};
 use crate::{events, platform};
 
 /// Prefix of the agents' entries in the store.
@@ -37,27 +34,6 @@
     platform::kv::Client::new(settings.store, CALL, WATCH).await
 }
 
-/// Follows everything in the store that concerns balancers, calling `seen`
-/// after each change; logs when the store is lost and regained.
-async fn follow(source: Source<platform::kv::Client>, mut seen: impl FnMut(&Arc<Snapshot>)) {
-    let lost = std::cell::Cell::new(false);
-    mirror::follow(
-        &source,
-        |copy| {
-            if lost.replace(false) {
-                log::info!("{} store regained rev={}", events::EDGE_STORE, copy.rev);
-            }
-            seen(&Arc::new(copy.clone()));
-        },
-        |e| {
-            if !lost.replace(true) {
-                log::warn!("{} store lost: {e:#}", events::EDGE_STORE);
-            }
-        },
-    )
-    .await;
-}
-
 /// Reads the settings again and says whether they are good. What a process
 /// was started with stays in force: its addresses and its data centre do not
 /// change while it runs.
--- a/src/edge/sidecar.rs
+++ b/src/edge/sidecar.rs
@@ -9,8 +9,10 @@
 
 use anyhow::Context;
 use ntex::http::StatusCode;
+use tokio::net::TcpStream;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::watch;
+use tokio::task::JoinSet;
 
 use super::socket::Socket;
 use super::{AGENTS, LEASE_MS, Settings, store};
@@ -37,6 +39,9 @@
 /// for: their views lag the store by some milliseconds.
 const RELIST: Duration = Duration::from_millis(1_000);
 
+/// How long the target's port may take to answer; it is on the same VM.
+const PROBE: Duration = Duration::from_millis(300);
+
 /// Longest sleep without a timer due, so that old flows are forgotten.
 const IDLE_TICK: Duration = Duration::from_secs(5);
 
@@ -96,7 +101,7 @@
         settings.zone
     );
     let reports = settings.reports.with_context(missing("reports"))?;
-    let desk = serve_reports(reports, holder.clone(), wires.clone()).await?;
+    let desk = serve_reports(reports, holder.clone()).await?;
     let ready = match settings.ready {
         Some(addr) => Some(Server::start(addr, |_| Answer::empty(StatusCode::OK)).await?),
         None => None,
@@ -159,22 +164,16 @@
 async fn serve_reports(
     addr: std::net::SocketAddr,
     holder: Rc<RefCell<Holder>>,
-    wires: Rc<Wires>,
 ) -> anyhow::Result<Server> {
-    Server::start(addr, move |asked| {
-        let mut buf = Vec::new();
-        let mut out = Sender { wires: &wires, buf: &mut buf };
-        heard(&asked, &mut holder.borrow_mut(), &mut out)
-    })
-    .await
+    Server::start(addr, move |asked| heard(&asked, &mut holder.borrow_mut())).await
 }
 
-fn heard(asked: &Asked, holder: &mut Holder, out: &mut Sender<'_>) -> Answer {
+fn heard(asked: &Asked, holder: &mut Holder) -> Answer {
     let now = Instant::now();
     match report::decode(&asked.path, &asked.body) {
         Ok(Some(report::Call::Heartbeat(r))) => {
             let (id, state, seq) = (r.id.clone(), r.state, r.seq);
-            if holder.report(r, now, out) {
+            if holder.report(r, now) {
                 log::info!("{} target={id} state={state} seq={seq}", events::EDGE_TARGET);
             }
             Answer::json(report::ANSWER.to_string())
@@ -193,23 +192,61 @@
     }
 }
 
+/// What trying the target's port showed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Port {
+    Open,
+    Closed,
+    Silent,
+}
+
+/// Tries the target's port. Only a refusal proves that its process is over.
+async fn probe(target: SocketAddrV4) -> Port {
+    match tokio::time::timeout(PROBE, TcpStream::connect(target)).await {
+        Ok(Ok(_)) => Port::Open,
+        Ok(Err(e)) if e.kind() == std::io::ErrorKind::ConnectionRefused => Port::Closed,
+        Ok(Err(e)) => {
+            log::warn!("{} target={target} probe: {e}", events::EDGE_TARGET);
+            Port::Silent
+        }
+        Err(_) => Port::Silent,
+    }
+}
+
 /// Forwards packets until told otherwise.
 async fn forward(wires: &Wires, holder: &RefCell<Holder>, entry: &watch::Sender<Vec<u8>>) {
     let mut buf = vec![0; PACKET];
     let mut scratch = Vec::with_capacity(bus::DATAGRAM);
     let mut relisted: Option<Instant> = None;
+    let mut probes = JoinSet::new();
     loop {
-        let due = holder.borrow().next_due();
         let now = Instant::now();
+        if probes.is_empty() && holder.borrow().doubtful(now) {
+            probes.spawn_local(probe(wires.target));
+        }
+        let due = holder.borrow().next_due().filter(|_| probes.is_empty());
         let wait = due.map_or(IDLE_TICK, |at| at.saturating_duration_since(now));
+        let mut probed = None;
         tokio::select! {
             () = wires.bus.readable() => {}
             () = wires.outbound.readable() => {}
-            () = tokio::time::sleep(wait) => {}
+            Some(found) = probes.join_next() => probed = found.ok(),
+            () = tokio::time::sleep(wait.min(IDLE_TICK)) => {}
         }
         let mut holder = holder.borrow_mut();
         let mut out = Sender { wires, buf: &mut scratch };
         let now = Instant::now();
+        match probed {
+            Some(Port::Closed) => {
+                log::warn!("{} target={} state=crashed", events::EDGE_TARGET, wires.target);
+                holder.crashed(&mut out);
+            }
+            Some(port @ (Port::Open | Port::Silent)) => {
+                log::info!("{} target={} silent port={port:?}", events::EDGE_TARGET, wires.target);
+                holder.slow(now);
+            }
+            None => {}
+        }
         let mut missing = false;
         wires.bus.drain(&mut buf, |datagram, from| {
             let Ok((message, packet)) = bus::decode(datagram) else {
--- /dev/null
+++ b/src/hold/demand.rs
@@ -0,0 +1,58 @@
+//! How much work an open flow brings, measured at one target.
+//!
+//! Long flows are placed once and bring requests for as long as they last.
+//! The requests waiting at the moment say what a short flow meets; they do not
+//! say what a long one adds. The mean number of waiting requests per open
+//! flow, over the last seconds, says that.
+
+use std::time::{Duration, Instant};
+
+use crate::agent::place::SLOT;
+
+/// Over how long the mean is taken: long against one request (0.05 s), short
+/// against the life of a long flow (tens of seconds).
+const SPAN: Duration = Duration::from_secs(4);
+
+/// Waiting requests per open flow before anything was measured: one request
+/// a second of 40 ms.
+const FIRST: f64 = 0.04;
+
+/// Bounds of the measured mean: a flow that never asks still costs its
+/// target a little, and one that always asks takes one slot.
+const RANGE: (f64, f64) = (0.005, 1.0);
+
+/// The running mean.
+#[derive(Clone, Copy, Debug)]
+pub struct Demand {
+    at: Option<Instant>,
+    /// Seconds of waiting requests, and of open flows, decayed over [`SPAN`].
+    waiting: f64,
+    flows: f64,
+}
+
+impl Default for Demand {
+    fn default() -> Self {
+        Self { at: None, waiting: FIRST, flows: 1.0 }
+    }
+}
+
+impl Demand {
+    /// Until `now`, `waiting` requests waited on `flows` open flows.
+    pub fn observe(&mut self, waiting: u32, flows: usize, now: Instant) {
+        let Some(before) = self.at.replace(now) else { return };
+        let dt = now.saturating_duration_since(before).as_secs_f64();
+        let keep = (-dt / SPAN.as_secs_f64()).exp();
+        let flows = f64::from(u32::try_from(flows).unwrap_or(u32::MAX));
+        self.waiting = self.waiting * keep + f64::from(waiting) * dt;
+        self.flows = self.flows * keep + flows * dt;
+    }
+
+    /// The load that one open flow stands for, in units of
+    /// [`crate::agent::place::load`].
+    #[must_use]
+    pub fn per_flow(&self) -> u32 {
+        let mean = if self.flows > 0.0 { self.waiting / self.flows } else { FIRST };
+        // Bounded above by one slot, so the cast keeps the value.
+        (mean.clamp(RANGE.0, RANGE.1) * f64::from(SLOT)) as u32
+    }
+}
--- a/src/hold/held.rs
+++ b/src/hold/held.rs
@@ -38,6 +38,8 @@
     pub caller_ack: u32,
     /// The balancer that wants to know what becomes of it.
     pub reply: Option<SocketAddrV4>,
+    /// The target answered on it, so it held the flow.
+    pub ours: bool,
     /// The target has work to do for it.
     pub waiting: bool,
     /// The caller has finished sending.
@@ -55,6 +57,7 @@
             caller_seq: seq,
             caller_ack: 0,
             reply: None,
+            ours: false,
             waiting: false,
             caller_done: false,
             target_done: false,
--- a/src/hold/mod.rs
+++ b/src/hold/mod.rs
@@ -6,6 +6,7 @@
 //! the target holds, but for flows that opened before the agent started
 //! ([`Target::complete`]); those it finds by trying.
 
+mod demand;
 mod held;
 mod target;
 
@@ -14,6 +15,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+pub use demand::Demand;
 pub use held::{Held, Stage};
 pub use target::{Report, State, Target};
 
@@ -36,6 +38,21 @@
 /// that it ends: it may still send its last packets.
 const ENDING: Duration = Duration::from_millis(500);
 
+/// How long a target that gave an open back is offered none: it is full, or
+/// its process is over, which trying its port shows meanwhile.
+const FULL: Duration = Duration::from_millis(250);
+
+/// Silence after an open was handed to the target before its port is tried: a
+/// handshake takes 0.3 ms, and a balancer offers the flow elsewhere after 40.
+const SILENT_OPEN: Duration = Duration::from_millis(60);
+
+/// Silence after a request was handed to the target before its port is tried:
+/// the longest work seen takes 0.3 s, and a busy target answers others.
+const SILENT_WORK: Duration = Duration::from_millis(400);
+
+/// Where notes go that nobody waits for.
+const NOBODY: SocketAddrV4 = SocketAddrV4::new(std::net::Ipv4Addr::UNSPECIFIED, 0);
+
 /// What an agent sends.
 pub trait Out {
     /// A packet to the target.
@@ -57,10 +74,16 @@
     flows: Table<Held>,
     /// Flows whose target has work to do.
     waiting: u32,
+    demand: Demand,
+    /// Until when the target is taken to be full, after it gave an open back.
+    full_until: Option<Instant>,
     /// Flows to look at, once each has had its time.
     looks: VecDeque<(Instant, Flow)>,
     ending: Option<Instant>,
     stopping: bool,
+    /// When the target was first handed something that it should have
+    /// answered by now, if nothing has come from it since.
+    silent_since: Option<Instant>,
 }
 
 impl Holder {
@@ -72,9 +95,12 @@
             target: None,
             flows: Table::new(idle),
             waiting: 0,
+            demand: Demand::default(),
+            full_until: None,
             looks: VecDeque::new(),
             ending: None,
             stopping: false,
+            silent_since: None,
         }
     }
 
@@ -101,6 +127,35 @@
         self.stopping = true;
     }
 
+    /// Whether the target has been silent for so long that its port should be
+    /// tried.
+    #[must_use]
+    pub fn doubtful(&self, now: Instant) -> bool {
+        let alive = self.target.as_ref().is_some_and(Target::alive);
+        alive && self.silent_since.is_some_and(|at| now >= at)
+    }
+
+    /// The target's port is closed: its process is over, and its flows with
+    /// it. The next start reports itself.
+    pub fn crashed(&mut self, out: &mut impl Out) {
+        if let Some(t) = &mut self.target {
+            t.end();
+        }
+        self.silent_since = None;
+        self.drop_flows(out);
+    }
+
+    /// The target's port is open: it is slow, not gone.
+    pub fn slow(&mut self, now: Instant) {
+        self.silent_since = Some(now + SILENT_WORK);
+    }
+
+    /// Something was handed to the target that it answers within `within`.
+    fn expect(&mut self, within: Duration, now: Instant) {
+        let at = now + within;
+        self.silent_since = Some(self.silent_since.map_or(at, |known| known.min(at)));
+    }
+
     /// Whether the agent may go: it is stopping and its target has no work
     /// in progress.
     #[must_use]
@@ -110,7 +165,11 @@
 
     /// Takes a report of the target; says whether it changed what the agent
     /// believes.
-    pub fn report(&mut self, report: Report, now: Instant, out: &mut impl Out) -> bool {
+    ///
+    /// A new start leaves the flows as they are: it may have opened some before
+    /// its first report. Those of the start before it come back bounced.
+    pub fn report(&mut self, report: Report, now: Instant) -> bool {
+        self.silent_since = None;
         if *report.service != *self.service {
             log::warn!(
                 "{} target={} service={} expected={}",
@@ -135,10 +194,7 @@
             Some(t) if t.is(&report.id) => t.update(&report, now),
             before => {
                 let next = Target::new(&report, before.as_ref(), now);
-                let replaced = before.replace(next).is_some();
-                if replaced {
-                    self.drop_flows(out);
-                }
+                *before = Some(next);
                 self.ending = None;
                 true
             }
@@ -163,10 +219,8 @@
             .filter(|(_, h)| h.stage == Stage::Open && h.caller_ack != 0)
             .map(|(f, h)| (f, h.caller_ack))
             .collect();
-        for (flow, ack) in &lost {
-            log::info!("{} flow={flow} reason=target_ended", crate::events::FLOW_RESET);
-            metrics::refused(Refusal::TargetEnded);
-            out.reset(*flow, *ack);
+        for (flow, ack) in lost {
+            reset(flow, ack, out);
         }
         let flows: Vec<Flow> = self.flows.iter().map(|(f, _)| f).collect();
         for flow in flows {
@@ -174,17 +228,24 @@
         }
     }
 
-    fn load(&self, max: u32, now: Instant) -> u32 {
+    fn load(&self, now: Instant) -> u32 {
         let Some(t) = &self.target else { return UNABLE };
-        if self.stopping || self.ending.is_some() || !t.takes() {
+        if self.stopping || self.ending.is_some() || !t.takes() || self.full(now) {
             return UNABLE;
         }
         let flows = u32::try_from(self.flows.len()).unwrap_or(u32::MAX);
-        place::load(flows, self.waiting + t.cold(now), t.slots(), max)
+        place::backlog(flows, self.waiting + t.cold(now), self.demand.per_flow())
     }
 
-    fn admit(&self, max: u32) -> Admit {
+    fn full(&self, now: Instant) -> bool {
+        self.full_until.is_some_and(|at| now < at)
+    }
+
+    fn admit(&self, max: u32, now: Instant) -> Admit {
         let Some(t) = &self.target else { return Admit::Refuse(Refusal::NoTarget) };
+        if self.full(now) {
+            return Admit::Refuse(Refusal::Full);
+        }
         let leaving = !t.takes() || self.ending.is_some();
         let drain = leaving.then_some(Duration::ZERO);
         let max = usize::try_from(max).unwrap_or(usize::MAX);
@@ -211,7 +272,7 @@
                 }
             }
             (Message::Ping { .. }, _) => {
-                let load = self.load(u32::MAX, now);
+                let load = self.load(now);
                 out.peer(from, &Message::Pong { service: &self.service, load }, &[]);
             }
             _ => {}
@@ -237,11 +298,11 @@
             self.remove(flow);
         }
         let admit = if *open.service == *self.service {
-            self.admit(open.max_flows)
+            self.admit(open.max_flows, now)
         } else {
             Admit::Refuse(Refusal::ForeignOwner)
         };
-        let load = self.load(open.max_flows, now);
+        let load = self.load(now);
         match place(admit, load, open.offer) {
             Step::Take => self.take(open, seg, packet, now, out),
             Step::Pass(offer) => pass(open, offer, packet, out),
@@ -263,6 +324,7 @@
         self.flows.insert(flow, held, now);
         self.wait(flow, true, now);
         self.looks.push_back((now + OPEN_WAIT, flow));
+        self.expect(SILENT_OPEN, now);
         out.target(packet);
     }
 
@@ -279,7 +341,10 @@
     }
 
     fn note(&self, flow: Flow, word: Word, to: SocketAddrV4, now: Instant, out: &mut impl Out) {
-        let load = self.load(u32::MAX, now);
+        if to == NOBODY {
+            return;
+        }
+        let load = self.load(now);
         out.peer(to, &Message::Note(Note { flow, word, load }), &[]);
     }
 
@@ -344,6 +409,7 @@
         let over = seg.flags.rst || h.over();
         if seg.len > 0 {
             self.wait(flow, true, now);
+            self.expect(SILENT_WORK, now);
         }
         if over {
             self.close(flow, now);
@@ -361,9 +427,11 @@
     ) {
         if seg.flags.bounced {
             clear(packet);
+            self.silent_since = None;
             self.bounced(seg, packet, now, out);
             return;
         }
+        self.silent_since = None;
         let flow = seg.by_target();
         self.answered(flow, seg, now, out);
         out.caller(flow.caller, packet);
@@ -373,7 +441,8 @@
         let Some(h) = self.flows.get(flow, now) else {
             // The agent started after the flow opened.
             if !seg.flags.rst {
-                self.flows.insert(flow, Held::new(Stage::Open, 0), now);
+                let held = Held { ours: true, ..Held::new(Stage::Open, 0) };
+                self.flows.insert(flow, held, now);
             }
             return;
         };
@@ -383,6 +452,7 @@
             Stage::Trial | Stage::Foreign => Stage::Open,
             other => other,
         };
+        h.ours = true;
         let news = h.stage != before;
         let reply = h.reply;
         h.target_done |= seg.flags.fin;
@@ -403,8 +473,11 @@
     fn bounced(&mut self, seg: &Segment, packet: &[u8], now: Instant, out: &mut impl Out) {
         let flow = seg.by_caller();
         let Some(h) = self.remove(flow) else { return };
-        let Some(reply) = h.reply else { return };
+        let reply = h.reply.unwrap_or(NOBODY);
         let (Stage::Opening { offer, max_flows }, true) = (h.stage, seg.opens()) else {
+            if h.ours && h.stage != Stage::Closed {
+                reset(flow, seg.ack, out);
+            }
             self.flows.insert(flow, Held::new(Stage::Foreign, 0), now);
             self.note(flow, Word::Unknown, reply, now, out);
             return;
@@ -412,6 +485,8 @@
         let service = self.service.clone();
         let open = Open { service: &service, max_flows, offer, reply };
         metrics::retried(Retry::Bounced);
+        self.full_until = Some(now + FULL);
+        self.expect(Duration::ZERO, now);
         match give_back(offer) {
             Step::Pass(on) => pass(&open, on, packet, out),
             Step::Take | Step::Refuse(_) => self.refuse(flow, Refusal::Full, reply, now, out),
@@ -423,6 +498,7 @@
         let Some(h) = self.flows.get(flow, now) else { return };
         if h.waiting != on {
             h.waiting = on;
+            self.demand.observe(self.waiting, self.flows.len(), now);
             self.waiting = if on { self.waiting + 1 } else { self.waiting.saturating_sub(1) };
         }
     }
@@ -449,10 +525,9 @@
     #[must_use]
     pub fn next_due(&self) -> Option<Instant> {
         let look = self.looks.front().map(|(at, _)| *at);
-        match (look, self.ending) {
-            (Some(a), Some(b)) => Some(a.min(b)),
-            (a, b) => a.or(b),
-        }
+        let alive = self.target.as_ref().is_some_and(Target::alive);
+        let silent = self.silent_since.filter(|_| alive);
+        [look, self.ending, silent].into_iter().flatten().min()
     }
 
     /// Does what has come due by `now`.
@@ -480,6 +555,13 @@
     }
 }
 
+/// Tells a caller that its flow is gone with the target's process.
+fn reset(flow: Flow, ack: u32, out: &mut impl Out) {
+    log::info!("{} flow={flow} reason=target_ended", crate::events::FLOW_RESET);
+    metrics::refused(Refusal::TargetEnded);
+    out.reset(flow, ack);
+}
+
 /// Passes an open, of which nothing ran, to the other candidate.
 fn pass(open: &Open<'_>, offer: Offer, packet: &[u8], out: &mut impl Out) {
     metrics::retried(Retry::PassedOn);
--- a/src/metrics/mod.rs
+++ b/src/metrics/mod.rs
@@ -32,6 +32,9 @@
     /// No configuration is known yet.
     #[display("no_config")]
     NoConfig,
+    /// No target of the service holds the flow any more.
+    #[display("lost")]
+    Lost,
     /// The target's process is over.
     #[display("target_ended")]
     TargetEnded,
--- a/src/steer/known.rs
+++ b/src/steer/known.rs
@@ -42,6 +42,10 @@
     pub service: Arc<str>,
     /// The last packet of the flow.
     pub packet: Vec<u8>,
+    /// The caller's last acknowledgement.
+    pub ack: u32,
+    /// Agents asked with the last packet.
+    pub asked: u32,
     /// Agents that have not answered.
     pub waiting: Vec<SocketAddrV4>,
     /// Agents that may have forgotten the flow.
@@ -51,11 +55,19 @@
 }
 
 impl Search {
+    /// Whether every agent of the service said for certain that its target
+    /// does not hold the flow: the target that did is gone.
+    #[must_use]
+    pub fn lost(&self) -> bool {
+        self.asked > 0 && self.waiting.is_empty() && self.unsure.is_empty()
+    }
+
     /// An agent does not know the flow; `unsure` says whether it may have
     /// forgotten it.
     pub fn answered(&mut self, from: SocketAddrV4, unsure: bool) {
         self.waiting.retain(|a| *a != from);
-        if unsure && !self.unsure.contains(&from) {
+        self.unsure.retain(|a| *a != from);
+        if unsure {
             self.unsure.push(from);
         }
     }
--- a/src/steer/mod.rs
+++ b/src/steer/mod.rs
@@ -61,6 +61,9 @@
     pub roster: Roster,
     flows: Table<Known>,
     due: VecDeque<(Instant, Flow)>,
+    /// The store does not answer, so that agents may run which are not in
+    /// the roster.
+    blind: bool,
 }
 
 impl Steer {
@@ -75,6 +78,7 @@
             roster: Roster::default(),
             flows: Table::new(idle),
             due: VecDeque::new(),
+            blind: true,
         }
     }
 
@@ -99,6 +103,11 @@
         newer
     }
 
+    /// Says whether the store answers.
+    pub const fn see(&mut self, answers: bool) {
+        self.blind = !answers;
+    }
+
     /// Takes one packet of a caller.
     pub fn packet(&mut self, seg: &Segment, packet: &[u8], now: Instant, out: &mut impl Out) {
         let flow = seg.by_caller();
@@ -158,7 +167,10 @@
         now: Instant,
         out: &mut impl Out,
     ) -> bool {
-        let pair = self.roster.pick(&opening.service, &self.zone, first, &opening.offered, now);
+        let pair =
+            self.roster.pick(&opening.service, &self.zone, first, &opening.offered, now, |n| {
+                rand::random_range(0..n)
+            });
         let Some((first, second)) = pair else { return false };
         let stage = if second.is_some() { Stage::Ask } else { Stage::Take };
         let open = Open {
@@ -198,10 +210,13 @@
         search.packet = packet.to_vec();
         search.unsure.clear();
         search.waiting.clear();
+        search.asked = 0;
+        search.ack = seg.ack;
         let message = Message::Carry { service: &search.service, mode: Mode::Ask };
         for agent in self.roster.of(&search.service) {
             out.agent(agent, &message, packet);
             search.waiting.push(agent);
+            search.asked += 1;
         }
         metrics::retried(Retry::OwnerAsked);
         self.flows.insert(flow, Known::Search(search), now);
@@ -265,7 +280,11 @@
             }
             Some(Known::Search(s)) => {
                 s.answered(from, unsure);
-                if s.waiting.is_empty() {
+                if s.lost() && !self.blind {
+                    let ack = s.ack;
+                    self.flows.remove(flow);
+                    refuse_at(flow, ack, Refusal::Lost, out);
+                } else if s.waiting.is_empty() {
                     self.try_unsure(flow, now, out);
                 }
             }
@@ -285,7 +304,6 @@
             .filter(|a| s.tried.iter().all(|(_, t)| t != a))
             .take(TRIALS.saturating_sub(s.tried.len()))
             .collect();
-        s.unsure.clear();
         let message = Message::Carry { service: &s.service, mode: Mode::Try };
         for agent in fresh {
             out.agent(agent, &message, &s.packet);
--- a/src/steer/roster.rs
+++ b/src/steer/roster.rs
@@ -14,7 +14,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::Out;
-use crate::agent::place::{SLOT, UNABLE};
+use crate::agent::place::UNABLE;
 use crate::bus::Message;
 
 /// Pause between two questions to an agent that is not listed or did not
@@ -47,7 +47,7 @@
     service: Arc<str>,
     /// Since when the store does not list it.
     unlisted: Option<Instant>,
-    /// Last known load, with what was offered since.
+    /// Its load as it last said.
     load: u32,
     /// When it last said anything, or was first listed.
     heard: Instant,
@@ -65,9 +65,10 @@
         self.unlisted.is_none_or(|at| now.duration_since(at.max(self.heard)) < KEEP)
     }
 
-    fn rank(&self, now: Instant) -> (bool, u32) {
-        let stale = self.load == UNABLE && now.duration_since(self.heard) >= UNABLE_FOR;
-        (self.silent.is_some(), if stale { UNABLE - 1 } else { self.load })
+    /// Whether it answers and did not just say that it can take nothing.
+    fn able(&self, now: Instant) -> bool {
+        let unable = self.load == UNABLE && now.duration_since(self.heard) < UNABLE_FOR;
+        self.silent.is_none() && !unable
     }
 }
 
@@ -173,25 +174,31 @@
     }
 
     /// The two agents of `service` that a new flow is offered to, `first`
-    /// being fixed where given: the least loaded of the balancer's own `zone`,
-    /// then the least loaded of all. Agents in `except` were asked before.
+    /// being fixed where given: one of the balancer's own `zone` and one of the
+    /// others, each drawn by `draw` (a random number below its argument) from
+    /// those that can take flows. Which of the two takes it they decide by
+    /// loads as of now; a choice by what the balancer last heard, some hundred
+    /// milliseconds ago, would send each burst to one agent. Agents in `except`
+    /// were asked before.
     pub fn pick(
-        &mut self,
+        &self,
         service: &str,
         zone: &str,
         first: Option<SocketAddrV4>,
         except: &[SocketAddrV4],
         now: Instant,
+        mut draw: impl FnMut(usize) -> usize,
     ) -> Option<(SocketAddrV4, Option<SocketAddrV4>)> {
-        let left = || self.of(service).filter(|a| !except.contains(a));
-        let rank = |a: &SocketAddrV4| self.agents[a].rank(now);
-        let able = |a: &SocketAddrV4| !rank(a).0 && rank(a).1 < UNABLE - 1;
-        let near = left().filter(|a| &*self.agents[a].zone == zone).filter(able).min_by_key(rank);
-        let first = first.or(near).or_else(|| left().min_by_key(rank))?;
-        let second = left().filter(|a| *a != first).min_by_key(rank);
-        if let Some(a) = self.agents.get_mut(&first) {
-            a.load = a.load.saturating_add(SLOT).min(UNABLE - 1).max(a.load);
-        }
+        let left: Vec<SocketAddrV4> = self.of(service).filter(|a| !except.contains(a)).collect();
+        let able = |a: &SocketAddrV4| self.agents[a].able(now);
+        let near = |a: &SocketAddrV4| &*self.agents[a].zone == zone;
+        let first = first
+            .or_else(|| one(&left, &mut draw, |a| able(a) && near(a)))
+            .or_else(|| one(&left, &mut draw, able))
+            .or_else(|| one(&left, &mut draw, |_| true))?;
+        let other = |a: &SocketAddrV4| *a != first;
+        let second =
+            one(&left, &mut draw, |a| other(a) && able(a)).or_else(|| one(&left, &mut draw, other));
         Some((first, second))
     }
 
@@ -222,3 +229,16 @@
         self.due = doubtful.filter_map(|a| a.pinged).min().map(|at| at + PING);
     }
 }
+
+/// One of the `wanted` among `all`, by `draw`.
+fn one(
+    all: &[SocketAddrV4],
+    draw: &mut impl FnMut(usize) -> usize,
+    wanted: impl Fn(&SocketAddrV4) -> bool,
+) -> Option<SocketAddrV4> {
+    let n = all.iter().filter(|a| wanted(a)).count();
+    if n == 0 {
+        return None;
+    }
+    all.iter().filter(|a| wanted(a)).nth(draw(n)).copied()
+}
--- a/src/store/mirror.rs
+++ b/src/store/mirror.rs
@@ -113,40 +113,52 @@
     pub peers: Vec<SocketAddr>,
 }
 
-/// Keeps a copy current and calls `seen` after each change, forever.
-///
-/// `fail` is called with each error before the pause, for logging.
-pub async fn follow<K, F, E>(source: &Source<K>, mut seen: F, mut fail: E)
+/// What a mirror tells its owner.
+#[derive(Debug)]
+pub enum News<'a> {
+    /// The copy changed.
+    Copy(&'a Snapshot),
+    /// A call to the service failed; it is made again after a pause.
+    Failed(&'a anyhow::Error),
+    /// The service answers, for the first time or after a failure.
+    Back,
+}
+
+/// Keeps a copy current and calls `tell` with what happens, forever.
+pub async fn follow<K, F>(source: &Source<K>, mut tell: F)
 where
     K: Keeper,
-    F: FnMut(&Snapshot),
-    E: FnMut(&anyhow::Error),
+    F: FnMut(News<'_>),
 {
     let mut copy = Snapshot::default();
     let mut list = true;
-    let mut lost = false;
+    let mut lost = true;
     loop {
         let step = if list {
             relist(source, &mut copy).await
         } else {
             watch(source, &mut copy, !lost).await
         };
+        if step.is_ok() && lost {
+            lost = false;
+            tell(News::Back);
+        }
         match step {
-            Ok(Step::Same) if !lost => list = false,
-            Ok(Step::Same | Step::Changed) => {
-                (list, lost) = (false, false);
-                seen(&copy);
+            Ok(Step::Same) => list = false,
+            Ok(Step::Changed) => {
+                list = false;
+                tell(News::Copy(&copy));
             }
             Ok(Step::Compacted) => {
                 metrics::retried(Retry::WatchCompacted);
                 list = true;
             }
             Err(e) => {
-                fail(&e);
+                tell(News::Failed(&e));
                 metrics::retried(Retry::StoreError);
                 lost = true;
                 if from_peers(source, &mut copy).await {
-                    seen(&copy);
+                    tell(News::Copy(&copy));
                 }
                 ntex::time::sleep(Duration::from_millis(PAUSE_MS)).await;
             }
