After a loss: packets kept, opens paced, targets' starts known

Change: an agent's entry names the start of its target; packets are kept until a configuration is known; an open that no agent may take is offered again each 100 ms, at most for half of its route's time limit, then refused; an agent takes no more than twice its slots, and opens older than 150 ms only into a free slot; only new data counts as work, for 2 s at most, and an open for 80 ms.

Ruled out: trying more targets for an unknown flow (the platform counts three wrong ones); longer queues (all of them late).

--- a/src/bus/mod.rs
+++ b/src/bus/mod.rs
@@ -49,6 +49,8 @@
     pub service: &'a str,
     /// Open flows that a target of the service holds at most.
     pub max_flows: u32,
+    /// It has waited so long that newer ones go first.
+    pub aged: bool,
     /// The agents it is offered to.
     pub offer: Offer,
     /// The balancer that wants to know what became of it.
--- a/src/edge/entry.rs
+++ b/src/edge/entry.rs
@@ -90,12 +90,12 @@
                 seen.set_copy(Arc::new(copy.clone()));
             }
             News::Back => {
-                view.borrow_mut().see(true);
+                view.borrow_mut().see(true, Instant::now());
                 log::info!("{} store answers after_loss={lost}", events::EDGE_STORE);
                 lost = false;
             }
             News::Failed(e) if !lost => {
-                view.borrow_mut().see(false);
+                view.borrow_mut().see(false, Instant::now());
                 log::warn!("{} store lost: {e:#}", events::EDGE_STORE);
                 lost = true;
             }
--- a/src/edge/sidecar.rs
+++ b/src/edge/sidecar.rs
@@ -20,7 +20,7 @@
 use crate::flow::Flow;
 use crate::hold::{self, Holder};
 use crate::listen::{Answer, Asked, Server};
-use crate::platform::{packet, report};
+use crate::platform::{self, packet, report};
 use crate::steer::Announced;
 use crate::store::{Lessor, lease};
 use crate::{events, metrics};
@@ -39,6 +39,10 @@
 /// for: their views lag the store by some milliseconds.
 const RELIST: Duration = Duration::from_millis(1_000);
 
+/// How long an agent waits at its start for what the store knows of it: the
+/// store answers in 4 ms, and the target's callers wait meanwhile.
+const READ: Duration = Duration::from_millis(100);
+
 /// How long the target's port may take to answer; it is on the same VM.
 const PROBE: Duration = Duration::from_millis(300);
 
@@ -100,16 +104,18 @@
         settings.name,
         settings.zone
     );
+    let store = store(&settings).await?;
+    let key = format!("{AGENTS}{}", settings.ip);
+    holder.borrow_mut().follows(served_before(&store, &key).await);
+    let me = Announced { addr: settings.bus(), zone: settings.zone.clone(), service, target: None };
+    let (entry, entries) = watch::channel(serde_json::to_vec(&me)?);
+    let entry = Rc::new(Entry { me, value: entry });
     let reports = settings.reports.with_context(missing("reports"))?;
-    let desk = serve_reports(reports, holder.clone()).await?;
+    let desk = serve_reports(reports, holder.clone(), entry.clone()).await?;
     let ready = match settings.ready {
         Some(addr) => Some(Server::start(addr, |_| Answer::empty(StatusCode::OK)).await?),
         None => None,
     };
-    let me = Announced { addr: settings.bus(), zone: settings.zone.clone(), service };
-    let (entry, entries) = watch::channel(serde_json::to_vec(&me)?);
-    let store = store(&settings).await?;
-    let key = format!("{AGENTS}{}", settings.ip);
     let (held, held_key) = (store.clone(), key.clone());
     let announcer = tokio::task::spawn_local(async move {
         lease::hold(&held, &held_key, entries, LEASE_MS).await;
@@ -160,21 +166,72 @@
     Ok(())
 }
 
+/// The agent's entry in the store.
+struct Entry {
+    me: Announced,
+    value: watch::Sender<Vec<u8>>,
+}
+
+impl Entry {
+    /// Writes down the target's start, so that the next process here knows for
+    /// which one this process took flows.
+    fn serves(&self, id: &str) {
+        let me = Announced { target: Some(id.to_string()), ..self.me.clone() };
+        match serde_json::to_vec(&me) {
+            Ok(value) => {
+                self.value.send_if_modified(|old| {
+                    *old != value && {
+                        *old = value;
+                        true
+                    }
+                });
+            }
+            Err(e) => log::error!("{} entry: {e}", events::EDGE_STORE),
+        }
+    }
+}
+
+/// The target's start for which an earlier process here took flows, if the
+/// store answers at once.
+async fn served_before(store: &platform::kv::Client, key: &str) -> Option<String> {
+    let read = tokio::time::timeout(READ, store.get(key)).await;
+    let kv = match read {
+        Ok(Ok(kv)) => kv?,
+        Ok(Err(e)) => {
+            log::warn!("{} {e:#}", events::EDGE_STORE);
+            return None;
+        }
+        Err(_) => {
+            log::warn!("{} read {key}: no answer in time", events::EDGE_STORE);
+            return None;
+        }
+    };
+    match serde_json::from_slice::<Announced>(&kv.value) {
+        Ok(entry) => entry.target,
+        Err(e) => {
+            log::error!("{} key={key} refused: {e}", events::EDGE_STORE);
+            None
+        }
+    }
+}
+
 /// Takes the target's reports.
 async fn serve_reports(
     addr: std::net::SocketAddr,
     holder: Rc<RefCell<Holder>>,
+    entry: Rc<Entry>,
 ) -> anyhow::Result<Server> {
-    Server::start(addr, move |asked| heard(&asked, &mut holder.borrow_mut())).await
+    Server::start(addr, move |asked| heard(&asked, &mut holder.borrow_mut(), &entry)).await
 }
 
-fn heard(asked: &Asked, holder: &mut Holder) -> Answer {
+fn heard(asked: &Asked, holder: &mut Holder, entry: &Entry) -> Answer {
     let now = Instant::now();
     match report::decode(&asked.path, &asked.body) {
         Ok(Some(report::Call::Heartbeat(r))) => {
             let (id, state, seq) = (r.id.clone(), r.state, r.seq);
             if holder.report(r, now) {
                 log::info!("{} target={id} state={state} seq={seq}", events::EDGE_TARGET);
+                entry.serves(&id);
             }
             Answer::json(report::ANSWER.to_string())
         }
@@ -214,7 +271,7 @@
 }
 
 /// Forwards packets until told otherwise.
-async fn forward(wires: &Wires, holder: &RefCell<Holder>, entry: &watch::Sender<Vec<u8>>) {
+async fn forward(wires: &Wires, holder: &RefCell<Holder>, entry: &Entry) {
     let mut buf = vec![0; PACKET];
     let mut scratch = Vec::with_capacity(bus::DATAGRAM);
     let mut relisted: Option<Instant> = None;
@@ -272,7 +329,7 @@
         if missing && relisted.is_none_or(|at| now.duration_since(at) >= RELIST) {
             relisted = Some(now);
             log::info!("{} entry missing in the store, written again", events::EDGE_STORE);
-            entry.send_modify(|_| {});
+            entry.value.send_modify(|_| {});
         }
     }
 }
--- a/src/hold/held.rs
+++ b/src/hold/held.rs
@@ -1,6 +1,7 @@
 //! What an agent knows of one flow of its target.
 
 use std::net::SocketAddrV4;
+use std::time::Instant;
 
 use crate::flow::Segment;
 use crate::wire::Offer;
@@ -14,6 +15,8 @@
         offer: Offer,
         /// Open flows that a target of the service holds at most.
         max_flows: u32,
+        /// It had waited long.
+        aged: bool,
     },
     /// The target answered the open, with this first sequence number.
     Answered(u32),
@@ -40,8 +43,10 @@
     pub reply: Option<SocketAddrV4>,
     /// The target answered on it, so it held the flow.
     pub ours: bool,
-    /// The target has work to do for it.
-    pub waiting: bool,
+    /// End of the caller's data that has come so far.
+    pub caller_end: Option<u32>,
+    /// Since when the target has work to do for it.
+    pub waiting: Option<Instant>,
     /// The caller has finished sending.
     pub caller_done: bool,
     /// The target has finished sending.
@@ -58,7 +63,8 @@
             caller_ack: 0,
             reply: None,
             ours: false,
-            waiting: false,
+            caller_end: None,
+            waiting: None,
             caller_done: false,
             target_done: false,
         }
@@ -83,6 +89,17 @@
         }
     }
 
+    /// Notes data of the caller; says whether it is new, not a copy of what
+    /// has come before.
+    pub fn takes_data(&mut self, seg: &Segment) -> bool {
+        let end = seg.seq.wrapping_add(u32::from(seg.len));
+        let new = seg.len > 0 && self.caller_end.is_none_or(|e| ahead(end, e));
+        if new {
+            self.caller_end = Some(end);
+        }
+        new
+    }
+
     /// Whether both ends have finished.
     #[must_use]
     pub const fn over(&self) -> bool {
@@ -90,6 +107,11 @@
     }
 }
 
+/// Whether `a` comes after `b` in sequence numbers that wrap around.
+const fn ahead(a: u32, b: u32) -> bool {
+    a != b && a.wrapping_sub(b) < 1 << 31
+}
+
 /// How far the acknowledgement of a caller's first packet may lie past the
 /// target's first sequence number: 16 packets of 1,200 bytes in flight and
 /// one for the open itself.
--- a/src/hold/mod.rs
+++ b/src/hold/mod.rs
@@ -26,9 +26,20 @@
 use crate::metrics::{self, Refusal, Retry};
 use crate::wire::Offer;
 
-/// How long an opened flow counts as waiting work without a packet of its
-/// caller or target: callers give an open up after 1.4 s.
-const OPEN_WAIT: Duration = Duration::from_millis(1_500);
+/// How long an open is remembered without an answer of the target: callers
+/// give it up after 1.4 s.
+const OPEN_KEPT: Duration = Duration::from_millis(1_500);
+
+/// How long an open counts as waiting work before the caller's first packet
+/// after it: a handshake takes some 5 ms. After an outage many of the opens
+/// that are carried have been given up by their callers; counted for longer,
+/// they made targets look busy that were idle.
+const OPEN_WAIT: Duration = Duration::from_millis(80);
+
+/// How long a flow counts as waiting for its target's answer at most: a full
+/// queue of a target that is five times as slow takes 1.4 s. An answer that
+/// the agent did not see (it was restarted) must not count for ever.
+const LONGEST_WORK: Duration = Duration::from_millis(2_000);
 
 /// How long a flow that ended is remembered, so that late packets still reach
 /// its target: twice the ends' longest pause between copies (1.6 s).
@@ -71,6 +82,9 @@
 pub struct Holder {
     service: Arc<str>,
     target: Option<Target>,
+    /// The start of the target for which an earlier process beside it took
+    /// flows, if that is known.
+    before: Option<String>,
     flows: Table<Held>,
     /// Flows whose target has work to do.
     waiting: u32,
@@ -79,6 +93,8 @@
     full_until: Option<Instant>,
     /// Flows to look at, once each has had its time.
     looks: VecDeque<(Instant, Flow)>,
+    /// Opens to look at, in the order of their time.
+    opens: VecDeque<(Instant, Flow)>,
     ending: Option<Instant>,
     stopping: bool,
     /// When the target was first handed something that it should have
@@ -93,17 +109,25 @@
         Self {
             service,
             target: None,
+            before: None,
             flows: Table::new(idle),
             waiting: 0,
             demand: Demand::default(),
             full_until: None,
             looks: VecDeque::new(),
+            opens: VecDeque::new(),
             ending: None,
             stopping: false,
             silent_since: None,
         }
     }
 
+    /// An earlier process beside the target last took flows for the start
+    /// `target`.
+    pub fn follows(&mut self, target: Option<String>) {
+        self.before = target;
+    }
+
     /// Open flows known.
     #[must_use]
     pub fn flows(&self) -> usize {
@@ -193,7 +217,7 @@
             }
             Some(t) if t.is(&report.id) => t.update(&report, now),
             before => {
-                let next = Target::new(&report, before.as_ref(), now);
+                let next = Target::new(&report, before.as_ref(), self.before.as_deref(), now);
                 *before = Some(next);
                 self.ending = None;
                 true
@@ -241,14 +265,18 @@
         self.full_until.is_some_and(|at| now < at)
     }
 
-    fn admit(&self, max: u32, now: Instant) -> Admit {
+    fn admit(&self, open: &Open<'_>, now: Instant) -> Admit {
         let Some(t) = &self.target else { return Admit::Refuse(Refusal::NoTarget) };
         if self.full(now) {
             return Admit::Refuse(Refusal::Full);
         }
+        let queue = if open.aged { 0 } else { t.slots() };
+        if self.waiting >= t.slots() + queue {
+            return Admit::Refuse(Refusal::Busy);
+        }
         let leaving = !t.takes() || self.ending.is_some();
         let drain = leaving.then_some(Duration::ZERO);
-        let max = usize::try_from(max).unwrap_or(usize::MAX);
+        let max = usize::try_from(open.max_flows).unwrap_or(usize::MAX);
         admit(drain, Duration::ZERO, self.stopping, self.flows.len(), max)
     }
 
@@ -292,13 +320,17 @@
         if let Some(h) = self.flows.get(flow, now) {
             if h.opened_by(seg) {
                 h.reply = Some(open.reply);
+                let answered = !matches!(h.stage, Stage::Opening { .. });
                 out.target(packet);
+                if answered {
+                    self.note(flow, Word::Held, open.reply, now, out);
+                }
                 return;
             }
             self.remove(flow);
         }
         let admit = if *open.service == *self.service {
-            self.admit(open.max_flows, now)
+            self.admit(open, now)
         } else {
             Admit::Refuse(Refusal::ForeignOwner)
         };
@@ -319,11 +351,13 @@
         out: &mut impl Out,
     ) {
         let flow = seg.by_caller();
-        let stage = Stage::Opening { offer: open.offer, max_flows: open.max_flows };
+        let stage =
+            Stage::Opening { offer: open.offer, max_flows: open.max_flows, aged: open.aged };
         let held = Held { reply: Some(open.reply), ..Held::new(stage, seg.seq) };
         self.flows.insert(flow, held, now);
         self.wait(flow, true, now);
-        self.looks.push_back((now + OPEN_WAIT, flow));
+        self.opens.push_back((now + OPEN_WAIT, flow));
+        self.looks.push_back((now + OPEN_KEPT, flow));
         self.expect(SILENT_OPEN, now);
         out.target(packet);
     }
@@ -407,8 +441,9 @@
         }
         h.caller_done |= seg.flags.fin;
         let over = seg.flags.rst || h.over();
-        if seg.len > 0 {
+        if h.takes_data(seg) {
             self.wait(flow, true, now);
+            self.looks.push_back((now + LONGEST_WORK, flow));
             self.expect(SILENT_WORK, now);
         }
         if over {
@@ -474,7 +509,7 @@
         let flow = seg.by_caller();
         let Some(h) = self.remove(flow) else { return };
         let reply = h.reply.unwrap_or(NOBODY);
-        let (Stage::Opening { offer, max_flows }, true) = (h.stage, seg.opens()) else {
+        let (Stage::Opening { offer, max_flows, aged }, true) = (h.stage, seg.opens()) else {
             if h.ours && h.stage != Stage::Closed {
                 reset(flow, seg.ack, out);
             }
@@ -483,7 +518,7 @@
             return;
         };
         let service = self.service.clone();
-        let open = Open { service: &service, max_flows, offer, reply };
+        let open = Open { service: &service, max_flows, aged, offer, reply };
         metrics::retried(Retry::Bounced);
         self.full_until = Some(now + FULL);
         self.expect(Duration::ZERO, now);
@@ -496,8 +531,8 @@
     /// Counts the flow as waiting for its target, or no longer.
     fn wait(&mut self, flow: Flow, on: bool, now: Instant) {
         let Some(h) = self.flows.get(flow, now) else { return };
-        if h.waiting != on {
-            h.waiting = on;
+        if h.waiting.is_some() != on {
+            h.waiting = on.then_some(now);
             self.demand.observe(self.waiting, self.flows.len(), now);
             self.waiting = if on { self.waiting + 1 } else { self.waiting.saturating_sub(1) };
         }
@@ -515,32 +550,46 @@
 
     fn remove(&mut self, flow: Flow) -> Option<Held> {
         let held = self.flows.remove(flow)?;
-        if held.waiting {
+        if held.waiting.is_some() {
             self.waiting = self.waiting.saturating_sub(1);
         }
         Some(held)
     }
 
+    /// Drops a flow that has ended or was never answered, and no longer counts
+    /// as waiting what has waited too long to be true.
+    fn look(&mut self, flow: Flow, now: Instant) {
+        let Some(h) = self.flows.peek(flow) else { return };
+        let waited = h.waiting.map(|at| now.duration_since(at));
+        match (h.stage, waited) {
+            (Stage::Closed | Stage::Opening { .. }, _) => drop(self.remove(flow)),
+            (_, Some(t)) if t >= LONGEST_WORK => self.wait(flow, false, now),
+            _ => {}
+        }
+    }
+
     /// When [`Holder::tick`] next has something to do.
     #[must_use]
     pub fn next_due(&self) -> Option<Instant> {
         let look = self.looks.front().map(|(at, _)| *at);
+        let open = self.opens.front().map(|(at, _)| *at);
         let alive = self.target.as_ref().is_some_and(Target::alive);
         let silent = self.silent_since.filter(|_| alive);
-        [look, self.ending, silent].into_iter().flatten().min()
+        [look, open, self.ending, silent].into_iter().flatten().min()
     }
 
     /// Does what has come due by `now`.
     pub fn tick(&mut self, now: Instant, out: &mut impl Out) {
+        while let Some((_, flow)) = self.opens.front().copied().filter(|(at, _)| *at <= now) {
+            self.opens.pop_front();
+            let stage = self.flows.peek(flow).map(|h| h.stage);
+            if matches!(stage, Some(Stage::Opening { .. } | Stage::Answered(_))) {
+                self.wait(flow, false, now);
+            }
+        }
         while let Some((_, flow)) = self.looks.front().copied().filter(|(at, _)| *at <= now) {
             self.looks.pop_front();
-            match self.flows.peek(flow).map(|h| h.stage) {
-                Some(Stage::Closed | Stage::Opening { .. }) => {
-                    self.remove(flow);
-                }
-                Some(Stage::Answered(_)) => self.wait(flow, false, now),
-                _ => {}
-            }
+            self.look(flow, now);
         }
         if self.ending.is_some_and(|at| at <= now) {
             self.ending = None;
@@ -550,7 +599,7 @@
             self.drop_flows(out);
         }
         let mut lost = 0;
-        self.flows.expire(now, |_, h| lost += u32::from(h.waiting));
+        self.flows.expire(now, |_, h| lost += u32::from(h.waiting.is_some()));
         self.waiting = self.waiting.saturating_sub(lost);
     }
 }
--- a/src/hold/target.rs
+++ b/src/hold/target.rs
@@ -6,9 +6,12 @@
 /// late one is not taken for a new start.
 const REMEMBERED: usize = 8;
 
-/// The first numbers that a target's reports carry: at most this many may
-/// have been lost before the agent can say that it saw the target start.
-const FIRST_SEQ: u64 = 1;
+/// Number of a target's first report.
+const FIRST: u64 = 1;
+
+/// Highest number of a report that a target makes within its first moments,
+/// when no process beside it answers: it tries again about ten times a second.
+const EARLY: u64 = 4;
 
 /// Whether a target takes new flows.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, derive_more::Display)]
@@ -53,9 +56,17 @@
 
 impl Target {
     /// A target first heard of by `report`; `before` is the one that ran here
-    /// until then.
+    /// until then, `served` the start for which an earlier process of the
+    /// agent took flows.
+    ///
+    /// Its flows are all known if its start was seen, by its first report or
+    /// after another's. Where both started at once (the VM lost power), the
+    /// first reports met no agent; then an early one is enough if the earlier
+    /// process is known to have served another start.
     #[must_use]
-    pub fn new(report: &Report, before: Option<&Self>, now: Instant) -> Self {
+    pub fn new(report: &Report, before: Option<&Self>, served: Option<&str>, now: Instant) -> Self {
+        let other = served.is_some_and(|id| id != report.id);
+        let seen = before.is_some() || report.seq <= FIRST || report.seq <= EARLY && other;
         let mut ids: Vec<String> = before.map(|t| t.before.clone()).unwrap_or_default();
         ids.extend(before.map(|t| t.id.clone()));
         let excess = ids.len().saturating_sub(REMEMBERED);
@@ -67,7 +78,7 @@
             state: report.state,
             cold_until: now + report.cold,
             seq: report.seq,
-            complete: before.is_some() || report.seq <= FIRST_SEQ,
+            complete: seen,
             ended: false,
         }
     }
--- a/src/metrics/mod.rs
+++ b/src/metrics/mod.rs
@@ -29,6 +29,9 @@
     /// The target could not be reached.
     #[display("unreachable")]
     Unreachable,
+    /// The target has as much waiting work as it can do in time.
+    #[display("busy")]
+    Busy,
     /// No configuration is known yet.
     #[display("no_config")]
     NoConfig,
--- a/src/platform/config.rs
+++ b/src/platform/config.rs
@@ -20,6 +20,9 @@
 /// Limit on a flow's idle time where the configuration names none.
 const IDLE_DEFAULT_MS: u64 = 15_000;
 
+/// Time limit of a request where its route names none.
+const LIMIT_DEFAULT_MS: u64 = 3_000;
+
 #[derive(Debug, Deserialize)]
 struct Body {
     version: u64,
@@ -41,6 +44,9 @@
     /// Absent where the route is split over several services.
     #[serde(default)]
     service: Option<Arc<str>>,
+    /// Time limit of one request, in milliseconds.
+    #[serde(default)]
+    timeout_ms: Option<u64>,
     #[serde(default)]
     backends: Vec<Split>,
 }
@@ -83,7 +89,8 @@
         let port = r.prefix.trim_matches('/').parse::<u16>();
         let port = port.with_context(|| format!("configuration: port of route {}", r.name))?;
         let services = services(r, &limits);
-        let route = Route { name: r.name.clone(), services };
+        let limit = Duration::from_millis(r.timeout_ms.unwrap_or(LIMIT_DEFAULT_MS));
+        let route = Route { name: r.name.clone(), services, limit };
         routes.insert(SocketAddrV4::new(r.host, port), route);
     }
     let idle = body.limits.idle_timeout_ms.unwrap_or(IDLE_DEFAULT_MS);
--- a/src/platform/kv.rs
+++ b/src/platform/kv.rs
@@ -75,8 +75,6 @@
 #[derive(Debug, Serialize)]
 struct KeyQuery<'a> {
     key: &'a str,
-    /// 1: a cheap answer that may be seconds old.
-    serializable: u8,
 }
 
 #[derive(Debug, Serialize)]
@@ -156,20 +154,20 @@
         serde_json::from_slice(&body).with_context(|| format!("{step} at store {}", self.addr))
     }
 
-    /// Whether `key` is there, by a cheap read that may be seconds old.
+    /// Reads one key.
     ///
     /// # Errors
     ///
     /// Fails when the service is unreachable, slow past the timeout or down.
-    pub async fn seen(&self, key: &str) -> anyhow::Result<bool> {
+    pub async fn get(&self, key: &str) -> anyhow::Result<Option<Kv>> {
         let step = format!("read {key}");
-        let req = self.http.get(self.url("/v1/kv-key"));
-        let req = req.query(&KeyQuery { key, serializable: 1 })?;
+        let req = self.http.get(self.url("/v1/kv-key")).query(&KeyQuery { key })?;
         let res = self.send(&step, req, None, self.timeout).await?;
         if res.status() == StatusCode::NOT_FOUND {
-            return Ok(false);
+            return Ok(None);
         }
-        self.read::<Item>(&step, res).await.map(|_| true)
+        let item: Item = self.read(&step, res).await?;
+        kv(item).context(step).map(Some)
     }
 
     async fn change(&self, step: &str, txn: &Txn<'_>) -> anyhow::Result<()> {
--- a/src/steer/known.rs
+++ b/src/steer/known.rs
@@ -2,7 +2,9 @@
 
 use std::net::SocketAddrV4;
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
+
+use super::Share;
 
 /// What is known of a flow.
 #[derive(Debug)]
@@ -21,8 +23,14 @@
 }
 
 /// An open that no agent has taken yet.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Opening {
+    /// When the caller's first packet came.
+    pub since: Instant,
+    /// The caller's first sequence number, the same in each copy.
+    pub seq: u32,
+    /// How long it may be kept until an agent takes it.
+    pub patience: Duration,
     /// The service it is for.
     pub service: Arc<str>,
     /// Open flows that a target of the service holds at most.
@@ -31,8 +39,26 @@
     pub packet: Vec<u8>,
     /// The agents it was offered to, in order.
     pub offered: Vec<SocketAddrV4>,
-    /// Some of them did not answer, so a refusal by the others is not final.
-    pub silent: bool,
+    /// Some of them did not answer or had not heard their target yet, so a
+    /// refusal by the others is not final.
+    pub doubtful: bool,
+}
+
+impl Opening {
+    /// The open in `packet`, for `share`'s service, offered to nobody yet.
+    #[must_use]
+    pub fn new(share: &Share, seq: u32, packet: &[u8], since: Instant) -> Self {
+        Self {
+            since,
+            seq,
+            patience: super::PATIENCE,
+            service: share.service.clone(),
+            max_flows: share.max_flows,
+            packet: packet.to_vec(),
+            offered: Vec::new(),
+            doubtful: false,
+        }
+    }
 }
 
 /// A search for a flow's owner.
--- a/src/steer/mod.rs
+++ b/src/steer/mod.rs
@@ -33,6 +33,32 @@
 /// copy after 200 ms, before which three more pairs can be tried.
 pub const ANSWER: Duration = Duration::from_millis(40);
 
+/// Pause before an open is offered to the same agents again: their targets
+/// are starting, or the store is listing them anew.
+const ROUND: Duration = Duration::from_millis(100);
+
+/// Agents that an open is offered to in one round while they are busy: with
+/// more, an overload would be answered by a flood of offers.
+const BUSY_OFFERS: usize = 4;
+
+/// An open older than this gives way to newer ones at a busy target: it is
+/// late whatever is done for it, the newer ones need not be.
+const AGED: Duration = Duration::from_millis(150);
+
+/// How long an open is offered: its caller gives it up after 1.4 s.
+const PATIENCE: Duration = Duration::from_millis(1_300);
+
+/// How long after the store's return an agent may still be missing from it:
+/// the platform says about 2 s.
+const RELISTED: Duration = Duration::from_millis(2_500);
+
+/// Most packets kept until a configuration is known: 0.5 s of a busy
+/// balancer's opens, 0.6 MB at most.
+const PARKED: usize = 512;
+
+/// How often it is looked whether a configuration has come.
+const UNPARK: Duration = Duration::from_millis(20);
+
 /// Most agents whose targets are tried for one flow that no agent knows,
 /// within [`TRIAL_SPAN`]. Each trial is a packet at a target that may not
 /// hold the flow.
@@ -61,9 +87,11 @@
     pub roster: Roster,
     flows: Table<Known>,
     due: VecDeque<(Instant, Flow)>,
-    /// The store does not answer, so that agents may run which are not in
-    /// the roster.
-    blind: bool,
+    /// Since when the store answers; none while it does not, so that agents
+    /// may run which are not in the roster.
+    sees_since: Option<Instant>,
+    parked: VecDeque<Parked>,
+    unpark_at: Option<Instant>,
 }
 
 impl Steer {
@@ -78,7 +106,9 @@
             roster: Roster::default(),
             flows: Table::new(idle),
             due: VecDeque::new(),
-            blind: true,
+            sees_since: None,
+            parked: VecDeque::new(),
+            unpark_at: None,
         }
     }
 
@@ -104,15 +134,19 @@
     }
 
     /// Says whether the store answers.
-    pub const fn see(&mut self, answers: bool) {
-        self.blind = !answers;
+    pub fn see(&mut self, answers: bool, now: Instant) {
+        self.sees_since = if answers { self.sees_since.or(Some(now)) } else { None };
     }
 
     /// Takes one packet of a caller.
     pub fn packet(&mut self, seg: &Segment, packet: &[u8], now: Instant, out: &mut impl Out) {
         let flow = seg.by_caller();
+        if self.routes.is_none() {
+            self.park(seg, packet, now);
+            return;
+        }
         if seg.opens() {
-            self.open(flow, packet, now, out);
+            self.open(flow, seg.seq, packet, now, out);
             return;
         }
         match self.flows.get(flow, now) {
@@ -125,38 +159,36 @@
     }
 
     /// Offers a new flow, or the copy of one, to agents.
-    fn open(&mut self, flow: Flow, packet: &[u8], now: Instant, out: &mut impl Out) {
-        let before = match self.flows.get(flow, now) {
-            Some(Known::At { agent, .. }) => Some(*agent),
-            Some(Known::Opening(o)) if o.packet == packet => o.offered.first().copied(),
-            _ => None,
-        };
-        let Some(routes) = &self.routes else {
-            metrics::refused(Refusal::NoConfig);
-            return;
+    fn open(&mut self, flow: Flow, seq: u32, packet: &[u8], now: Instant, out: &mut impl Out) {
+        let (before, since) = match self.flows.get(flow, now) {
+            Some(Known::At { agent, .. }) => (Some(*agent), now),
+            Some(Known::Opening(o)) if o.seq == seq => (o.offered.first().copied(), o.since),
+            _ => (None, now),
         };
-        let Some(share) = routes.share(flow) else {
+        let Some((route, share)) = self.routes.as_ref().and_then(|r| r.find(flow)) else {
             refuse(flow, Refusal::NoProfile, out);
             return;
         };
-        let mut opening = Opening {
-            service: share.service.clone(),
-            max_flows: share.max_flows,
-            packet: packet.to_vec(),
-            offered: Vec::new(),
-            silent: false,
-        };
+        let patience = PATIENCE.min(route.limit / 2);
+        let mut opening = Opening { since, patience, ..Opening::new(share, seq, packet, now) };
         // A copy goes where the first went, if that agent answers: a second
         // target would only answer a handshake that is thrown away.
         let before = before.filter(|a| self.roster.answers(*a));
-        self.offer(flow, &mut opening, before, now, out);
-        if opening.offered.is_empty() {
-            refuse(flow, Refusal::NoTarget, out);
-            return;
+        if !self.offer(flow, &mut opening, before, now, out) {
+            if self.certain(now) {
+                refuse(flow, Refusal::NoTarget, out);
+                return;
+            }
+            self.due.push_back((now + ROUND, flow));
         }
         self.flows.insert(flow, Known::Opening(opening), now);
     }
 
+    /// Whether an agent that is not in the roster can be taken as gone.
+    fn certain(&self, now: Instant) -> bool {
+        self.sees_since.is_some_and(|at| now.duration_since(at) >= RELISTED)
+    }
+
     /// Offers an open to the next two agents; `first` names the first of them
     /// where it is already known. Says whether there was one left.
     fn offer(
@@ -176,6 +208,7 @@
         let open = Open {
             service: &opening.service,
             max_flows: opening.max_flows,
+            aged: now.duration_since(opening.since) >= AGED,
             offer: Offer { first, second, stage },
             reply: self.me,
         };
@@ -256,16 +289,37 @@
         if !o.offered.contains(&from) {
             return;
         }
-        let mut opening = std::mem::take(o);
-        let left = self.offer(flow, &mut opening, None, now, out);
-        if left || opening.silent {
+        o.doubtful |= matches!(reason, Refusal::NoTarget | Refusal::Busy);
+        let Some(Known::Opening(mut opening)) = self.flows.remove(flow) else { return };
+        let enough = reason == Refusal::Busy && opening.offered.len() >= BUSY_OFFERS;
+        if !enough && self.offer(flow, &mut opening, None, now, out) {
             self.flows.insert(flow, Known::Opening(opening), now);
+        } else if opening.doubtful || !self.certain(now) {
+            self.again(flow, opening, reason, now, out);
         } else {
-            self.flows.remove(flow);
             refuse(flow, reason, out);
         }
     }
 
+    /// Offers an open to all agents once more after a pause; one that was kept
+    /// for as long as it may be is refused for `reason`.
+    fn again(
+        &mut self,
+        flow: Flow,
+        mut opening: Opening,
+        reason: Refusal,
+        now: Instant,
+        out: &mut impl Out,
+    ) {
+        if now.duration_since(opening.since) >= opening.patience {
+            refuse(flow, reason, out);
+        } else {
+            opening.offered.clear();
+            self.flows.insert(flow, Known::Opening(opening), now);
+            self.due.push_back((now + ROUND, flow));
+        }
+    }
+
     fn unknown(
         &mut self,
         from: SocketAddrV4,
@@ -280,7 +334,7 @@
             }
             Some(Known::Search(s)) => {
                 s.answered(from, unsure);
-                if s.lost() && !self.blind {
+                if s.lost() && self.sees_since.is_some() {
                     let ack = s.ack;
                     self.flows.remove(flow);
                     refuse_at(flow, ack, Refusal::Lost, out);
@@ -315,14 +369,15 @@
     #[must_use]
     pub fn next_due(&self) -> Option<Instant> {
         let due = self.due.front().map(|(at, _)| *at);
-        match (due, self.roster.next_ping()) {
-            (Some(a), Some(b)) => Some(a.min(b)),
-            (a, b) => a.or(b),
-        }
+        [due, self.roster.next_ping(), self.unpark_at].into_iter().flatten().min()
     }
 
     /// Does what has come due by `now`.
     pub fn tick(&mut self, now: Instant, out: &mut impl Out) {
+        if self.unpark_at.is_some_and(|at| at <= now) {
+            self.unpark_at = None;
+            self.unpark(now, out);
+        }
         while let Some((_, flow)) = self.due.front().copied().filter(|(at, _)| *at <= now) {
             self.due.pop_front();
             self.overdue(flow, now, out);
@@ -342,16 +397,50 @@
     /// The agents that an open was offered to did not answer: offers it to
     /// the next.
     fn reoffer(&mut self, flow: Flow, now: Instant, out: &mut impl Out) {
-        let Some(Known::Opening(o)) = self.flows.get(flow, now) else { return };
-        let mut opening = std::mem::take(o);
+        let Some(Known::Opening(mut opening)) = self.flows.remove(flow) else { return };
         metrics::retried(Retry::OpenTimeout);
         for agent in opening.offered.iter().rev().take(2) {
             self.roster.missed(*agent, now);
         }
-        opening.silent = true;
-        self.offer(flow, &mut opening, None, now, out);
-        self.flows.insert(flow, Known::Opening(opening), now);
+        opening.doubtful = true;
+        if self.offer(flow, &mut opening, None, now, out) {
+            self.flows.insert(flow, Known::Opening(opening), now);
+        } else {
+            self.again(flow, opening, Refusal::NoTarget, now, out);
+        }
     }
+
+    /// Keeps a packet that came before any configuration was known.
+    fn park(&mut self, seg: &Segment, packet: &[u8], now: Instant) {
+        if self.parked.len() == PARKED {
+            metrics::refused(Refusal::NoConfig);
+            self.parked.pop_front();
+        }
+        self.unpark_at.get_or_insert(now + UNPARK);
+        self.parked.push_back(Parked { since: now, seg: *seg, packet: packet.to_vec() });
+    }
+
+    /// Takes the packets kept until a configuration was known; those whose
+    /// callers have sent a copy or given up since are dropped.
+    fn unpark(&mut self, now: Instant, out: &mut impl Out) {
+        if self.routes.is_none() {
+            self.unpark_at = Some(now + UNPARK);
+            return;
+        }
+        for p in std::mem::take(&mut self.parked) {
+            if now.duration_since(p.since) < PATIENCE {
+                self.packet(&p.seg, &p.packet, now, out);
+            }
+        }
+    }
+}
+
+/// A packet that came before any configuration was known.
+#[derive(Debug)]
+struct Parked {
+    since: Instant,
+    seg: Segment,
+    packet: Vec<u8>,
 }
 
 /// Tells a caller at once that its flow cannot be opened; nothing ran.
--- a/src/steer/roster.rs
+++ b/src/steer/roster.rs
@@ -39,6 +39,9 @@
     pub zone: Arc<str>,
     /// The service of its target.
     pub service: Arc<str>,
+    /// The start of its target for which it has taken flows.
+    #[serde(default)]
+    pub target: Option<String>,
 }
 
 #[derive(Clone, Debug)]
--- a/src/steer/routes.rs
+++ b/src/steer/routes.rs
@@ -27,6 +27,8 @@
     pub name: Arc<str>,
     /// The services that serve it, by weight.
     pub services: Vec<Share>,
+    /// Time limit of one request.
+    pub limit: Duration,
 }
 
 /// One service's part in a route.
@@ -44,18 +46,26 @@
     /// The service for `flow`: the same at every balancer with this version.
     #[must_use]
     pub fn share(&self, flow: Flow) -> Option<&Share> {
-        let services = &self.routes.get(&flow.service)?.services;
+        self.find(flow).map(|(_, share)| share)
+    }
+
+    /// The route of `flow`, and the service for it.
+    #[must_use]
+    pub fn find(&self, flow: Flow) -> Option<(&Route, &Share)> {
+        let route = self.routes.get(&flow.service)?;
+        let services = &route.services;
         let total: u64 = services.iter().map(|s| u64::from(s.weight)).sum();
         if total == 0 {
             return None;
         }
         let mut point = hash(flow) % total;
-        services.iter().find(|s| {
+        let share = services.iter().find(|s| {
             let weight = u64::from(s.weight);
             let here = point < weight;
             point = point.saturating_sub(weight);
             here
-        })
+        });
+        share.map(|s| (route, s))
     }
 }
 
--- a/src/store/mirror.rs
+++ b/src/store/mirror.rs
@@ -18,8 +18,12 @@
 use crate::admin::Peer;
 use crate::metrics::{self, Retry};
 
-/// Pause after a failed call, in milliseconds.
-const PAUSE_MS: u64 = 300;
+/// Pause after a failed call by a process that has a copy to go by.
+const PAUSE: Duration = Duration::from_millis(400);
+
+/// Pause after a failed call by a process that has none and so can serve
+/// nothing: each call that fails costs the service little.
+const EMPTY_PAUSE: Duration = Duration::from_millis(100);
 
 /// How long a peer may take to hand over its copy.
 const PEER_TIMEOUT: Duration = Duration::from_millis(500);
@@ -160,7 +164,7 @@
                 if from_peers(source, &mut copy).await {
                     tell(News::Copy(&copy));
                 }
-                ntex::time::sleep(Duration::from_millis(PAUSE_MS)).await;
+                ntex::time::sleep(if copy.rev == 0 { EMPTY_PAUSE } else { PAUSE }).await;
             }
         }
     }
