Tests of the decisions; old deadlines of an open no longer count

Cause: tests/steer.rs (busy_paced, kept_while_starting), red first: each offer and each pause of an open put a time into the queue, and all of them fired, so an open was offered up to three times a round and agents that had answered were taken for silent.

Change: an open and a search carry their one valid time; older queue entries are passed over; a resting open blames no agent.

--- a/src/steer/known.rs
+++ b/src/steer/known.rs
@@ -39,6 +39,10 @@
     pub packet: Vec<u8>,
     /// The agents it was offered to, in order.
     pub offered: Vec<SocketAddrV4>,
+    /// When to look at it again; entries of the queue for other times are old.
+    pub due: Instant,
+    /// Every agent of the round has answered; the next round comes at `due`.
+    pub resting: bool,
     /// Some of them did not answer or had not heard their target yet, so a
     /// refusal by the others is not final.
     pub doubtful: bool,
@@ -56,6 +60,8 @@
             max_flows: share.max_flows,
             packet: packet.to_vec(),
             offered: Vec::new(),
+            due: since,
+            resting: false,
             doubtful: false,
         }
     }
@@ -70,6 +76,8 @@
     pub packet: Vec<u8>,
     /// The caller's last acknowledgement.
     pub ack: u32,
+    /// When its agents' time to answer is over.
+    pub due: Option<Instant>,
     /// Agents asked with the last packet.
     pub asked: u32,
     /// Agents that have not answered.
--- a/src/steer/mod.rs
+++ b/src/steer/mod.rs
@@ -179,11 +179,19 @@
                 refuse(flow, Refusal::NoTarget, out);
                 return;
             }
-            self.due.push_back((now + ROUND, flow));
+            self.rest(flow, &mut opening, now);
         }
         self.flows.insert(flow, Known::Opening(opening), now);
     }
 
+    /// Lets an open rest until the next round of offers.
+    fn rest(&mut self, flow: Flow, opening: &mut Opening, now: Instant) {
+        opening.offered.clear();
+        opening.resting = true;
+        opening.due = now + ROUND;
+        self.due.push_back((opening.due, flow));
+    }
+
     /// Whether an agent that is not in the roster can be taken as gone.
     fn certain(&self, now: Instant) -> bool {
         self.sees_since.is_some_and(|at| now.duration_since(at) >= RELISTED)
@@ -215,7 +223,9 @@
         out.agent(first, &Message::Open(open), &opening.packet);
         opening.offered.push(first);
         opening.offered.extend(second);
-        self.due.push_back((now + ANSWER, flow));
+        opening.resting = false;
+        opening.due = now + ANSWER;
+        self.due.push_back((opening.due, flow));
         true
     }
 
@@ -252,6 +262,7 @@
             search.asked += 1;
         }
         metrics::retried(Retry::OwnerAsked);
+        search.due = Some(now + ANSWER);
         self.flows.insert(flow, Known::Search(search), now);
         self.due.push_back((now + ANSWER, flow));
     }
@@ -314,9 +325,8 @@
         if now.duration_since(opening.since) >= opening.patience {
             refuse(flow, reason, out);
         } else {
-            opening.offered.clear();
+            self.rest(flow, &mut opening, now);
             self.flows.insert(flow, Known::Opening(opening), now);
-            self.due.push_back((now + ROUND, flow));
         }
     }
 
@@ -388,21 +398,25 @@
 
     fn overdue(&mut self, flow: Flow, now: Instant, out: &mut impl Out) {
         match self.flows.peek(flow) {
-            Some(Known::Opening(_)) => self.reoffer(flow, now, out),
-            Some(Known::Search(_)) => self.try_unsure(flow, now, out),
-            Some(Known::At { .. }) | None => {}
+            Some(Known::Opening(o)) if o.due <= now => self.reoffer(flow, now, out),
+            Some(Known::Search(s)) if s.due.is_some_and(|at| at <= now) => {
+                self.try_unsure(flow, now, out);
+            }
+            Some(_) | None => {}
         }
     }
 
-    /// The agents that an open was offered to did not answer: offers it to
-    /// the next.
+    /// The agents that an open was offered to did not answer, or its rest is
+    /// over: offers it to the next.
     fn reoffer(&mut self, flow: Flow, now: Instant, out: &mut impl Out) {
         let Some(Known::Opening(mut opening)) = self.flows.remove(flow) else { return };
-        metrics::retried(Retry::OpenTimeout);
-        for agent in opening.offered.iter().rev().take(2) {
-            self.roster.missed(*agent, now);
+        if !opening.resting {
+            metrics::retried(Retry::OpenTimeout);
+            for agent in opening.offered.iter().rev().take(2) {
+                self.roster.missed(*agent, now);
+            }
+            opening.doubtful = true;
         }
-        opening.doubtful = true;
         if self.offer(flow, &mut opening, None, now, out) {
             self.flows.insert(flow, Known::Opening(opening), now);
         } else {
--- /dev/null
+++ b/tests/border.rs
@@ -0,0 +1,118 @@
+//! What the platform sends the product: configurations, targets' reports,
+//! messages between processes. Good ones are read, bad ones are refused with
+//! the field named, and nothing ends the process.
+
+use std::time::Duration;
+
+use jujubepost::bus::{self, Message, Mode};
+use jujubepost::edge::Settings;
+use jujubepost::hold::State;
+use jujubepost::platform::config;
+use jujubepost::platform::report::{self, Call};
+use rand::{Rng, SeedableRng, rngs::StdRng};
+
+const CONFIG: &str = r#"{"version":7,"routes":[
+ {"name":"r-a","host":"198.18.0.1","prefix":"/8443/","type":"safe","timeout_ms":3000,
+  "backends":[{"service":"meter","weight":90},{"service":"fieldlog","weight":10}]},
+ {"name":"r-b","host":"198.18.0.2","prefix":"/443/","type":"upload","service":"fieldlog"}],
+ "services":[{"name":"meter","max_conns":2000},{"name":"fieldlog"}],
+ "limits":{"idle_timeout_ms":12000}}"#;
+
+#[test]
+fn config_read() {
+    let routes = config::decode(CONFIG.as_bytes()).unwrap();
+    assert_eq!((routes.version, routes.routes.len()), (7, 2));
+    assert_eq!(routes.idle, Duration::from_secs(12));
+    let split = &routes.routes[&"198.18.0.1:8443".parse().unwrap()];
+    assert_eq!(split.limit, Duration::from_secs(3));
+    let parts: Vec<_> = split.services.iter().map(|s| (&*s.service, s.weight)).collect();
+    assert_eq!(parts, [("meter", 90), ("fieldlog", 10)]);
+    assert_eq!(split.services[0].max_flows, 2_000);
+    let plain = &routes.routes[&"198.18.0.2:443".parse().unwrap()];
+    assert_eq!(&*plain.services[0].service, "fieldlog");
+}
+
+#[test]
+fn config_refused() {
+    let cases = [
+        ("{", "configuration"),
+        (r#"{"routes":[]}"#, "version"),
+        (r#"{"version":1,"routes":[{"name":"r","host":"x","prefix":"/1/"}]}"#, "routes[0].host"),
+        (r#"{"version":1,"routes":[{"name":"r","host":"1.2.3.4","prefix":"/x/"}]}"#, "route r"),
+        (r#"{"version":1,"routes":[{"name":"r","host":"1.2.3.4","prefix":"/70000/"}]}"#, "route r"),
+    ];
+    for (text, field) in cases {
+        let e = format!("{:#}", config::decode(text.as_bytes()).unwrap_err());
+        assert!(e.contains(field), "{text}: {e}");
+    }
+}
+
+#[test]
+fn split_by_weight() {
+    let routes = config::decode(CONFIG.as_bytes()).unwrap();
+    let flows = (1..=10_000).map(|port| jujubepost::flow::Flow {
+        caller: std::net::SocketAddrV4::new([100, 64, 0, 1].into(), port),
+        service: "198.18.0.1:8443".parse().unwrap(),
+    });
+    let meter = flows.filter(|f| &*routes.share(*f).unwrap().service == "meter").count();
+    // 9,000 expected; six standard deviations are 180.
+    assert!((8_820..=9_180).contains(&meter), "{meter}");
+}
+
+#[test]
+fn reports_read() {
+    let body = r#"{"service":"meter","address":"10.128.0.9:8080","zone":"gjw-a","version":"v1",
+        "capacity":5,"state":"draining","warmup_left_ms":700,"seq":4}"#;
+    let call = report::decode("/v1/Instances.Heartbeat/i-7f3a91c2", body.as_bytes()).unwrap();
+    let Some(Call::Heartbeat(r)) = call else { panic!("{call:?}") };
+    assert_eq!((r.id.as_str(), r.service.as_str(), r.slots, r.seq), ("i-7f3a91c2", "meter", 5, 4));
+    assert_eq!((r.state, r.cold), (State::Draining, Duration::from_millis(700)));
+    let gone = report::decode("/v1/Instances.Deregister/i-7f3a91c2", b"").unwrap();
+    assert_eq!(gone, Some(Call::Gone("i-7f3a91c2".into())));
+    assert_eq!(report::decode("/other", b"").unwrap(), None);
+    let bad = report::decode("/v1/Instances.Heartbeat/i-1", br#"{"service":"m","capacity":"x"}"#);
+    assert!(format!("{:#}", bad.unwrap_err()).contains("i-1"));
+}
+
+#[test]
+fn any_message() {
+    let mut rng = StdRng::seed_from_u64(20_261_203);
+    for _ in 0..20_000 {
+        let mut bytes = vec![0; rng.random_range(0..200)];
+        rng.fill(&mut bytes[..]);
+        let _ = bus::decode(&bytes);
+        let _ = config::decode(&bytes);
+        let _ = report::decode("/v1/Instances.Heartbeat/i", &bytes);
+    }
+}
+
+#[test]
+fn message_round_trip() {
+    let mut buf = Vec::new();
+    let message = Message::Carry { service: "meter", mode: Mode::Ask };
+    bus::encode(&message, b"packet", &mut buf).unwrap();
+    assert_eq!(bus::decode(&buf).unwrap(), (message, &b"packet"[..]));
+    let big = vec![0; bus::DATAGRAM];
+    assert!(bus::encode(&Message::Ping { listed: true }, &big, &mut buf).is_err());
+}
+
+#[test]
+fn settings_name_field() {
+    let good = r#"{ // a comment
+        "name": "side-1", "zone": "gjw-a", "ip": "10.1.0.12", "ports": [7720, 7735],
+        "packets": "10.1.0.12:8172", "store": "10.200.1.7:8169",
+        "seeds": ["10.1.0.12:8166", "10.2.0.40:8166"], "bounds": { "grace_s": 6, "flow_s": 60 } }"#;
+    let s = Settings::parse(good).unwrap();
+    assert_eq!(s.bus(), "10.1.0.12:7720".parse().unwrap());
+    assert_eq!(s.peers(), ["10.2.0.40:7720".parse().unwrap()], "not itself");
+    for (from, to, field) in [
+        ("[7720, 7735]", "[7735, 7720]", "ports"),
+        ("10.1.0.12:8172", "10.1.0.12:0", "packets"),
+        ("\"grace_s\": 6", "\"grace_s\": 0", "bounds.grace_s"),
+        ("\"flow_s\": 60", "\"flow_s\": \"x\"", "bounds.flow_s"),
+        ("\"zone\"", "\"zome\"", "zome"),
+    ] {
+        let e = format!("{:#}", Settings::parse(&good.replace(from, to)).unwrap_err());
+        assert!(e.contains(field), "{to}: {e}");
+    }
+}
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code)]
 
+pub mod wires;
+
 use std::path::PathBuf;
 
 use jujubepost::ctl::fleet;
--- /dev/null
+++ b/tests/common/wires.rs
@@ -0,0 +1,230 @@
+//! What balancers' and agents' decisions send, recorded; and a small world of
+//! them, with targets, on a virtual clock.
+
+#![allow(dead_code)]
+
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use jujubepost::bus::{Message, Mode, Note, Open, Word};
+use jujubepost::flow::{Flags, Flow, Segment};
+use jujubepost::hold::{self, Holder, Report, State};
+use jujubepost::steer::{self, Announced, Route, Routes, Share, Steer};
+use jujubepost::wire::Offer;
+
+/// A message as it was sent, owned.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Sent {
+    Open { service: String, max_flows: u32, aged: bool, offer: Offer, reply: SocketAddrV4 },
+    Carry { service: String, mode: Mode },
+    Note(Note),
+    Ping { listed: bool },
+    Pong { load: u32 },
+}
+
+impl Sent {
+    pub fn of(m: &Message<'_>) -> Self {
+        match *m {
+            Message::Open(o) => Self::Open {
+                service: o.service.into(),
+                max_flows: o.max_flows,
+                aged: o.aged,
+                offer: o.offer,
+                reply: o.reply,
+            },
+            Message::Carry { service, mode } => Self::Carry { service: service.into(), mode },
+            Message::Note(n) => Self::Note(n),
+            Message::Ping { listed } => Self::Ping { listed },
+            Message::Pong { load, .. } => Self::Pong { load },
+        }
+    }
+
+    pub fn message(&self) -> Message<'_> {
+        match self {
+            Self::Open { service, max_flows, aged, offer, reply } => Message::Open(Open {
+                service,
+                max_flows: *max_flows,
+                aged: *aged,
+                offer: *offer,
+                reply: *reply,
+            }),
+            Self::Carry { service, mode } => Message::Carry { service, mode: *mode },
+            Self::Note(n) => Message::Note(*n),
+            Self::Ping { listed } => Message::Ping { listed: *listed },
+            Self::Pong { load } => Message::Pong { service: SERVICE, load: *load },
+        }
+    }
+}
+
+/// Everything that was sent.
+#[derive(Clone, Debug, Default)]
+pub struct Wires {
+    /// To agents or balancers, with the packet after the message.
+    pub peers: Vec<(SocketAddrV4, Sent, Vec<u8>)>,
+    /// To the target.
+    pub target: Vec<Vec<u8>>,
+    /// To callers.
+    pub callers: Vec<Vec<u8>>,
+    /// Resets of the system's own.
+    pub resets: Vec<(Flow, u32)>,
+}
+
+impl Wires {
+    /// The words of the notes sent.
+    pub fn words(&self) -> Vec<Word> {
+        let notes = self.peers.iter().filter_map(|(_, m, _)| match m {
+            Sent::Note(n) => Some(n.word),
+            _ => None,
+        });
+        notes.collect()
+    }
+
+    /// To whom opens went.
+    pub fn opens(&self) -> Vec<SocketAddrV4> {
+        let opens = self.peers.iter().filter(|(_, m, _)| matches!(m, Sent::Open { .. }));
+        opens.map(|(to, _, _)| *to).collect()
+    }
+
+    /// To whom packets went in `mode`.
+    pub fn carried(&self, mode: Mode) -> Vec<SocketAddrV4> {
+        let of = |m: &Sent| matches!(m, Sent::Carry { mode: x, .. } if *x == mode);
+        self.peers.iter().filter(|(_, m, _)| of(m)).map(|(to, _, _)| *to).collect()
+    }
+}
+
+impl steer::Out for Wires {
+    fn agent(&mut self, to: SocketAddrV4, message: &Message<'_>, packet: &[u8]) {
+        self.peers.push((to, Sent::of(message), packet.to_vec()));
+    }
+
+    fn reset(&mut self, flow: Flow, seq: u32) {
+        self.resets.push((flow, seq));
+    }
+}
+
+impl hold::Out for Wires {
+    fn target(&mut self, packet: &[u8]) {
+        self.target.push(packet.to_vec());
+    }
+
+    fn caller(&mut self, _: SocketAddrV4, packet: &[u8]) {
+        self.callers.push(packet.to_vec());
+    }
+
+    fn reset(&mut self, flow: Flow, seq: u32) {
+        self.resets.push((flow, seq));
+    }
+
+    fn peer(&mut self, to: SocketAddrV4, message: &Message<'_>, packet: &[u8]) {
+        self.peers.push((to, Sent::of(message), packet.to_vec()));
+    }
+}
+
+pub const SERVICE: &str = "meter";
+pub const ZONE: &str = "gjw-a";
+
+pub fn vip() -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), 443)
+}
+
+pub fn caller(port: u16) -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::new(100, 64, 0, 7), port)
+}
+
+pub fn flow(port: u16) -> Flow {
+    Flow { caller: caller(port), service: vip() }
+}
+
+pub fn agent(n: u8) -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::new(10, 1, 0, n), 7_720)
+}
+
+pub fn balancer() -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::new(10, 9, 0, 1), 7_720)
+}
+
+/// A caller's packet that opens flow `port`.
+pub fn syn(port: u16) -> Segment {
+    let flags = Flags { syn: true, ..Flags::default() };
+    Segment { from: caller(port), to: vip(), flags, seq: 1_000, ack: 0, len: 0 }
+}
+
+/// A caller's later packet with `len` bytes at `seq`, acknowledging `ack`.
+pub fn data(port: u16, seq: u32, ack: u32, len: u16) -> Segment {
+    let flags = Flags { ack: true, ..Flags::default() };
+    Segment { from: caller(port), to: vip(), flags, seq, ack, len }
+}
+
+/// The packet of a target that agrees to open flow `port` at `seq`.
+pub fn syn_ack(port: u16, seq: u32) -> Segment {
+    let flags = Flags { syn: true, ack: true, ..Flags::default() };
+    Segment { from: vip(), to: caller(port), flags, seq, ack: 1_001, len: 0 }
+}
+
+/// A target's packet with `len` bytes.
+pub fn answer(port: u16, seq: u32, len: u16) -> Segment {
+    let flags = Flags { ack: true, ..Flags::default() };
+    Segment { from: vip(), to: caller(port), flags, seq, ack: 1_101, len }
+}
+
+/// `seg` as a target gives it back.
+pub fn bounced(seg: Segment) -> Segment {
+    Segment { flags: Flags { bounced: true, ..seg.flags }, ..seg }
+}
+
+pub fn report(id: &str, seq: u64, state: State) -> Report {
+    Report { id: id.into(), service: SERVICE.into(), slots: 5, state, cold: Duration::ZERO, seq }
+}
+
+pub fn routes(version: u64) -> Routes {
+    let share = Share { service: SERVICE.into(), weight: 1, max_flows: 2_000 };
+    let route =
+        Route { name: "r".into(), services: vec![share], limit: Duration::from_millis(3_000) };
+    Routes { version, routes: [(vip(), route)].into(), idle: Duration::from_secs(15) }
+}
+
+pub fn announced(n: u8) -> Announced {
+    Announced { addr: agent(n), zone: ZONE.into(), service: SERVICE.into(), target: None }
+}
+
+/// An agent whose target it saw start.
+pub fn holder(now: Instant) -> Holder {
+    let mut h = Holder::new(SERVICE.into(), Duration::from_secs(60));
+    assert!(h.report(report("i-1", 1, State::Ready), now));
+    h
+}
+
+/// A balancer that knows `agents` agents and whose store has answered for
+/// long.
+pub fn steer(agents: u8, now: Instant) -> Steer {
+    let mut s = Steer::new(balancer(), Arc::from(ZONE), Duration::from_secs(60));
+    s.see(true, now - Duration::from_secs(60));
+    s.obey(routes(1));
+    let listed: Vec<Announced> = (1..=agents).map(announced).collect();
+    s.roster.update(&listed, now);
+    s
+}
+
+/// The message of an open offered to `first` alone.
+pub fn open(first: SocketAddrV4, aged: bool) -> Open<'static> {
+    let offer = Offer { first, second: None, stage: jujubepost::wire::Stage::Take };
+    Open { service: SERVICE, max_flows: 2_000, aged, offer, reply: balancer() }
+}
+
+/// Has `h` open flow `port`, its target answering with `seq`.
+pub fn opened(h: &mut Holder, port: u16, seq: u32, now: Instant) -> Wires {
+    let mut w = Wires::default();
+    let m = Message::Open(open(agent(1), false));
+    h.message(balancer(), &m, Some(&syn(port)), b"syn", now, &mut w);
+    h.from_target(&syn_ack(port, seq), &mut b"syn-ack".to_vec(), now, &mut w, |_| {});
+    h.message(
+        balancer(),
+        &Message::Carry { service: SERVICE, mode: Mode::Owner },
+        Some(&data(port, 1_001, seq + 1, 0)),
+        b"ack",
+        now,
+        &mut w,
+    );
+    w
+}
--- /dev/null
+++ b/tests/hold.rs
@@ -0,0 +1,262 @@
+//! An agent's decisions: which flows its target holds, which new ones it
+//! takes, and what it tells callers when the target's process is over.
+
+mod common;
+
+use std::time::{Duration, Instant};
+
+use common::wires::*;
+use jujubepost::agent::place::UNABLE;
+use jujubepost::bus::{Message, Mode, Word};
+use jujubepost::hold::{Holder, State};
+use jujubepost::metrics::Refusal;
+
+const MS: Duration = Duration::from_millis(1);
+
+fn carry(h: &mut Holder, mode: Mode, port: u16, ack: u32, now: Instant) -> Wires {
+    let mut w = Wires::default();
+    let m = Message::Carry { service: SERVICE, mode };
+    h.message(balancer(), &m, Some(&data(port, 1_001, ack, 100)), b"data", now, &mut w);
+    w
+}
+
+fn offer(h: &mut Holder, port: u16, aged: bool, now: Instant) -> Wires {
+    let mut w = Wires::default();
+    let m = Message::Open(open(agent(1), aged));
+    h.message(balancer(), &m, Some(&syn(port)), b"syn", now, &mut w);
+    w
+}
+
+#[test]
+fn open_carried() {
+    let now = Instant::now();
+    let mut h = holder(now);
+    let w = opened(&mut h, 1, 5_000, now);
+    assert_eq!(w.target, [b"syn".to_vec(), b"ack".to_vec()]);
+    assert_eq!(w.callers, [b"syn-ack".to_vec()]);
+    assert_eq!(w.words(), [Word::Held]);
+    assert_eq!(carry(&mut h, Mode::Ask, 1, 5_001, now).words(), [Word::Held]);
+}
+
+#[test]
+fn foreign_service_refused() {
+    let now = Instant::now();
+    let mut h = holder(now);
+    let mut w = Wires::default();
+    let m = Message::Open(jujubepost::bus::Open { service: "fieldlog", ..open(agent(1), false) });
+    h.message(balancer(), &m, Some(&syn(1)), b"syn", now, &mut w);
+    assert_eq!(w.words(), [Word::Refused(Refusal::ForeignOwner)]);
+    let m = Message::Carry { service: "fieldlog", mode: Mode::Try };
+    h.message(balancer(), &m, Some(&data(1, 1, 1, 1)), b"data", now, &mut w);
+    assert!(w.target.is_empty(), "nothing of another service reaches the target");
+}
+
+#[test]
+fn silent_before_report() {
+    let now = Instant::now();
+    let mut h = Holder::new(SERVICE.into(), Duration::from_secs(60));
+    assert_eq!(offer(&mut h, 1, false, now).words(), [Word::Refused(Refusal::NoTarget)]);
+    // Flows that were open before the agent started pass at once.
+    assert_eq!(carry(&mut h, Mode::Owner, 2, 9, now).target.len(), 1);
+}
+
+#[test]
+fn draining_refuses() {
+    let now = Instant::now();
+    let mut h = holder(now);
+    opened(&mut h, 1, 5_000, now);
+    assert!(h.report(report("i-1", 2, State::Draining), now));
+    assert_eq!(offer(&mut h, 2, false, now).words(), [Word::Refused(Refusal::Draining)]);
+    assert_eq!(carry(&mut h, Mode::Owner, 1, 5_001, now).target.len(), 1, "open flows stay");
+    // A report that was overtaken does not bring it back.
+    assert!(!h.report(report("i-1", 1, State::Ready), now));
+    assert_eq!(offer(&mut h, 3, false, now).words(), [Word::Refused(Refusal::Draining)]);
+}
+
+#[test]
+fn late_report_ignored() {
+    let now = Instant::now();
+    let mut h = holder(now);
+    assert!(h.report(report("i-2", 1, State::Ready), now));
+    assert!(!h.report(report("i-1", 99, State::Draining), now), "of an earlier start");
+    assert!(offer(&mut h, 1, false, now).words().is_empty());
+    assert!(!h.gone("i-1", now));
+}
+
+/// A new start may have opened flows before its first report: they are not
+/// reset; those of the start before it are, once the target gives one back.
+#[test]
+fn new_start_keeps_its_flows() {
+    let now = Instant::now();
+    let mut h = holder(now);
+    opened(&mut h, 1, 5_000, now);
+    // The target crashes and starts again; its new start opens flow 2.
+    opened(&mut h, 2, 7_000, now + 600 * MS);
+    let later = now + 700 * MS;
+    assert!(h.report(report("i-2", 1, State::Ready), later));
+    let w = carry(&mut h, Mode::Owner, 2, 7_001, later);
+    assert_eq!((w.target.len(), w.resets.len()), (1, 0));
+    let mut w = carry(&mut h, Mode::Owner, 1, 5_001, later);
+    assert_eq!((w.target.len(), w.resets.len()), (1, 0));
+    let back = bounced(data(1, 1_001, 5_001, 100));
+    h.from_target(&back, &mut b"data".to_vec(), later, &mut w, |_| {});
+    assert_eq!(w.resets, [(flow(1), 5_001)]);
+}
+
+#[test]
+fn crash_resets_flows() {
+    let now = Instant::now();
+    let mut h = holder(now);
+    opened(&mut h, 1, 5_000, now);
+    offer(&mut h, 2, false, now);
+    assert!(!h.doubtful(now + 50 * MS));
+    assert!(h.doubtful(now + 70 * MS), "an open without an answer");
+    let mut w = Wires::default();
+    h.crashed(&mut w);
+    assert_eq!(w.resets, [(flow(1), 5_001)]);
+    let w = offer(&mut h, 3, false, now + 80 * MS);
+    assert_eq!(w.words(), [Word::Refused(Refusal::Draining)]);
+    assert!(
+        !h.report(report("i-1", 9, State::Ready), now),
+        "a late report of the start that ended"
+    );
+    assert!(h.report(report("i-2", 1, State::Ready), now + 500 * MS));
+    assert!(offer(&mut h, 4, false, now + 500 * MS).words().is_empty());
+}
+
+/// Which flows an agent can deny for certain: all, if it saw its target start
+/// or if the process before it is known to have served another start.
+#[test]
+fn certain_or_not() {
+    let now = Instant::now();
+    let cases = [
+        (1, None, Word::Unknown),
+        (3, None, Word::Unsure),
+        (3, Some("i-1"), Word::Unsure),
+        (3, Some("i-0"), Word::Unknown),
+        (30, Some("i-0"), Word::Unsure),
+    ];
+    for (seq, served, word) in cases {
+        let mut h = Holder::new(SERVICE.into(), Duration::from_secs(60));
+        h.follows(served.map(String::from));
+        h.report(report("i-1", seq, State::Ready), now);
+        let w = carry(&mut h, Mode::Ask, 1, 5_001, now);
+        assert_eq!(w.words(), [word], "seq {seq}, served {served:?}");
+        assert!(w.target.is_empty(), "asked only");
+    }
+}
+
+#[test]
+fn trial_once() {
+    let now = Instant::now();
+    let mut h = Holder::new(SERVICE.into(), Duration::from_secs(60));
+    h.report(report("i-1", 30, State::Ready), now);
+    let mut w = carry(&mut h, Mode::Try, 1, 5_001, now);
+    assert_eq!(w.target.len(), 1);
+    let back = bounced(data(1, 1_001, 5_001, 100));
+    h.from_target(&back, &mut b"data".to_vec(), now, &mut w, |_| {});
+    assert_eq!((w.words(), w.resets.len()), (vec![Word::Unknown], 0), "another's flow");
+    let w = carry(&mut h, Mode::Ask, 1, 5_001, now);
+    assert_eq!((w.words(), w.target.len()), (vec![Word::Unknown], 0));
+    // One that the target answers is its own.
+    carry(&mut h, Mode::Try, 2, 5_001, now);
+    let mut w = Wires::default();
+    h.from_target(&answer(2, 5_001, 100), &mut b"answer".to_vec(), now, &mut w, |_| {});
+    assert_eq!((w.words(), w.callers.len()), (vec![Word::Held], 1));
+}
+
+#[test]
+fn other_targets_flow() {
+    let now = Instant::now();
+    let mut h = holder(now);
+    let mut w = offer(&mut h, 1, false, now);
+    h.from_target(&syn_ack(1, 5_000), &mut b"syn-ack".to_vec(), now, &mut w, |_| {});
+    // The caller goes on with another target's sequence number.
+    let w = carry(&mut h, Mode::Ask, 1, 900_001, now);
+    assert_eq!((w.words(), w.target.len()), (vec![Word::Unknown], 0));
+}
+
+#[test]
+fn full_target_left_alone() {
+    let now = Instant::now();
+    let mut h = holder(now);
+    let mut w = offer(&mut h, 1, false, now);
+    h.from_target(&bounced(syn(1)), &mut b"syn".to_vec(), now, &mut w, |_| {});
+    assert_eq!(w.words(), [Word::Refused(Refusal::Full)]);
+    assert_eq!(offer(&mut h, 2, false, now).words(), [Word::Refused(Refusal::Full)]);
+    assert!(offer(&mut h, 3, false, now + 300 * MS).words().is_empty());
+}
+
+/// Load of an overload: a target is handed at most twice its slots, and what
+/// has waited long only a free slot, so that those who can still be in time
+/// are.
+#[test]
+fn queue_kept_short() {
+    let now = Instant::now();
+    let mut h = holder(now);
+    for port in 1..=5 {
+        assert!(offer(&mut h, port, true, now).words().is_empty(), "slot {port} is free");
+    }
+    assert_eq!(offer(&mut h, 6, true, now).words(), [Word::Refused(Refusal::Busy)]);
+    for port in 7..=11 {
+        assert!(offer(&mut h, port, false, now).words().is_empty(), "queue has room");
+    }
+    assert_eq!(offer(&mut h, 12, false, now).words(), [Word::Refused(Refusal::Busy)]);
+}
+
+/// What counts as waiting work: not an open that its caller gave up, not a
+/// copy of a request, nothing for ever.
+#[test]
+fn waiting_is_work() {
+    let mut now = Instant::now();
+    let mut h = holder(now);
+    let mut w = offer(&mut h, 1, false, now);
+    h.from_target(&syn_ack(1, 5_000), &mut b"syn-ack".to_vec(), now, &mut w, |_| {});
+    assert_eq!(h.waiting(), 1);
+    now += 100 * MS;
+    h.tick(now, &mut w);
+    assert_eq!(h.waiting(), 0, "given up by its caller");
+
+    opened(&mut h, 2, 6_000, now);
+    carry(&mut h, Mode::Owner, 2, 6_001, now);
+    assert_eq!(h.waiting(), 1);
+    h.from_target(&answer(2, 6_001, 10), &mut b"answer".to_vec(), now, &mut w, |_| {});
+    assert_eq!(h.waiting(), 0);
+    carry(&mut h, Mode::Owner, 2, 6_001, now);
+    assert_eq!(h.waiting(), 0, "a copy of the request");
+
+    opened(&mut h, 3, 7_000, now);
+    carry(&mut h, Mode::Owner, 3, 7_001, now);
+    assert_eq!(h.waiting(), 1);
+    h.tick(now + 2_100 * MS, &mut w);
+    assert_eq!(h.waiting(), 0, "the answer was not seen");
+}
+
+#[test]
+fn stops_when_done() {
+    let now = Instant::now();
+    let mut h = holder(now);
+    opened(&mut h, 1, 5_000, now);
+    carry(&mut h, Mode::Owner, 1, 5_001, now);
+    h.stop();
+    assert!(!h.idle(), "its target works");
+    assert_eq!(offer(&mut h, 2, false, now).words(), [Word::Refused(Refusal::Draining)]);
+    let mut w = Wires::default();
+    h.from_target(&answer(1, 5_001, 10), &mut b"answer".to_vec(), now, &mut w, |_| {});
+    assert!(h.idle());
+    h.message(balancer(), &Message::Ping { listed: true }, None, &[], now, &mut w);
+    assert!(w.peers.contains(&(balancer(), Sent::Pong { load: UNABLE }, vec![])));
+}
+
+#[test]
+fn ended_target_tells_callers() {
+    let now = Instant::now();
+    let mut h = holder(now);
+    opened(&mut h, 1, 5_000, now);
+    assert!(h.gone("i-1", now));
+    let mut w = Wires::default();
+    h.tick(now + 100 * MS, &mut w);
+    assert!(w.resets.is_empty(), "it may still send its last packets");
+    h.tick(now + 600 * MS, &mut w);
+    assert_eq!(w.resets, [(flow(1), 5_001)]);
+}
--- /dev/null
+++ b/tests/packet_head.rs
@@ -0,0 +1,74 @@
+//! The head of packets: the bytes that the platform's page gives, lengths,
+//! resets, and no input that ends the process.
+
+use std::net::{Ipv4Addr, SocketAddrV4};
+
+use jujubepost::flow::{Flags, Flow};
+use jujubepost::platform::packet::{self, HEAD, MAX_DATA, Malformed};
+use rand::{Rng, SeedableRng, rngs::StdRng};
+
+const SYN: [u8; HEAD] = [
+    0x40, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0x11, 0x22, 0x33, 0x44, 0, 0, 0, 0, 0x64, 0x40, 0x00,
+    0x07, 0x01, 0xbb, 0xc6, 0x12, 0x00, 0x01, 0x9c, 0x41, 0xa1, 0xb2, 0xc3, 0xd5,
+];
+
+const RESET: [u8; HEAD] = [
+    0x80, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0xc6, 0x12, 0x00, 0x01, 0x9c,
+    0x41, 0x64, 0x40, 0x00, 0x07, 0x01, 0xbb, 0, 0, 0, 0,
+];
+
+fn flow() -> Flow {
+    Flow {
+        caller: SocketAddrV4::new(Ipv4Addr::new(100, 64, 0, 7), 40_001),
+        service: SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), 443),
+    }
+}
+
+#[test]
+fn golden_bytes() {
+    let seg = packet::decode(&SYN).unwrap();
+    assert!(seg.opens());
+    assert_eq!(seg.by_caller(), flow());
+    assert_eq!((seg.seq, seg.ack, seg.len), (0x1122_3344, 0, 0));
+    assert_eq!(packet::reset(flow(), 0), RESET);
+    let back = packet::decode(&RESET).unwrap();
+    assert_eq!(back.by_target(), flow());
+    assert_eq!(back.flags, Flags { rst: true, ..Flags::default() });
+}
+
+#[test]
+fn bounced_cleared() {
+    let mut given_back = SYN;
+    given_back[0] |= 2;
+    assert!(packet::decode(&given_back).unwrap().flags.bounced);
+    packet::clear_bounced(&mut given_back);
+    assert_eq!(given_back, SYN, "nothing else changes");
+    packet::clear_bounced(&mut []);
+}
+
+#[test]
+fn wrong_lengths() {
+    assert_eq!(packet::decode(&SYN[..HEAD - 1]), Err(Malformed::Short));
+    let mut long = SYN.to_vec();
+    long.push(0);
+    assert_eq!(packet::decode(&long), Err(Malformed::Length));
+    let mut most = SYN.to_vec();
+    most[6..8].copy_from_slice(&(MAX_DATA as u16).to_be_bytes());
+    most.resize(HEAD + MAX_DATA, 0);
+    assert_eq!(usize::from(packet::decode(&most).unwrap().len), MAX_DATA);
+    most[6..8].copy_from_slice(&(MAX_DATA as u16 + 1).to_be_bytes());
+    most.push(0);
+    assert_eq!(packet::decode(&most), Err(Malformed::Length));
+}
+
+#[test]
+fn any_bytes() {
+    let mut rng = StdRng::seed_from_u64(20_261_202);
+    for _ in 0..20_000 {
+        let mut bytes = vec![0; rng.random_range(0..1_400)];
+        rng.fill(&mut bytes[..]);
+        if let Ok(seg) = packet::decode(&bytes) {
+            assert_eq!(usize::from(seg.len), bytes.len() - HEAD);
+        }
+    }
+}
--- /dev/null
+++ b/tests/steer.rs
@@ -0,0 +1,231 @@
+//! A balancer's decisions: to which agents a packet goes, what is refused at
+//! once, and how long it keeps what cannot be placed yet.
+
+mod common;
+
+use std::net::SocketAddrV4;
+use std::time::{Duration, Instant};
+
+use common::wires::*;
+use jujubepost::agent::place::UNABLE;
+use jujubepost::bus::{Mode, Note, Word};
+use jujubepost::metrics::Refusal;
+use jujubepost::steer::Steer;
+
+const MS: Duration = Duration::from_millis(1);
+
+fn note(s: &mut Steer, from: SocketAddrV4, port: u16, word: Word, now: Instant) -> Wires {
+    let mut w = Wires::default();
+    let load = if matches!(word, Word::Refused(_)) { UNABLE } else { 0 };
+    s.note(from, Note { flow: flow(port), word, load }, now, &mut w);
+    w
+}
+
+fn packet(s: &mut Steer, seg: jujubepost::flow::Segment, now: Instant) -> Wires {
+    let mut w = Wires::default();
+    s.packet(&seg, b"packet", now, &mut w);
+    w
+}
+
+fn tick(s: &mut Steer, now: Instant) -> Wires {
+    let mut w = Wires::default();
+    s.tick(now, &mut w);
+    w
+}
+
+#[test]
+fn owner_remembered() {
+    let now = Instant::now();
+    let mut s = steer(3, now);
+    let first = packet(&mut s, syn(1), now).opens()[0];
+    note(&mut s, first, 1, Word::Held, now);
+    let w = packet(&mut s, data(1, 1_001, 1, 10), now);
+    assert_eq!(w.carried(Mode::Owner), [first]);
+    // A copy of the open goes where the first went.
+    assert_eq!(packet(&mut s, syn(1), now + 200 * MS).opens(), [first]);
+}
+
+#[test]
+fn silent_agents_left() {
+    let now = Instant::now();
+    let mut s = steer(4, now);
+    let first = packet(&mut s, syn(1), now).opens()[0];
+    let later = now + 41 * MS;
+    let w = tick(&mut s, later);
+    assert_eq!(w.opens().len(), 1);
+    assert_ne!(w.opens()[0], first);
+    assert!(!s.roster.answers(first), "offered last until it answers");
+    let pinged = tick(&mut s, later + MS).peers.len() + w.peers.len();
+    assert!(pinged > 1, "and asked");
+    s.roster.pong(first, SERVICE, 0, later);
+    assert!(s.roster.answers(first));
+}
+
+#[test]
+fn unknown_flow_asked() {
+    let now = Instant::now();
+    let mut s = steer(3, now);
+    let w = packet(&mut s, data(1, 1_001, 77, 10), now);
+    let mut asked = w.carried(Mode::Ask);
+    asked.sort();
+    assert_eq!(asked, [agent(1), agent(2), agent(3)]);
+    note(&mut s, agent(1), 1, Word::Unknown, now);
+    note(&mut s, agent(2), 1, Word::Held, now);
+    assert_eq!(packet(&mut s, data(1, 1_011, 77, 10), now).carried(Mode::Owner), [agent(2)]);
+    // The agent was restarted and its target does not hold it: asked again.
+    note(&mut s, agent(2), 1, Word::Unknown, now);
+    assert_eq!(packet(&mut s, data(1, 1_011, 77, 10), now).carried(Mode::Ask).len(), 3);
+}
+
+/// A flow is reset as lost only when every agent denies it for certain, and
+/// the store says who they are.
+#[test]
+fn lost_flow_reset() {
+    let now = Instant::now();
+    for (sees, words, lost) in [
+        (true, [Word::Unknown, Word::Unknown, Word::Unknown], true),
+        (true, [Word::Unknown, Word::Unsure, Word::Unknown], false),
+        (false, [Word::Unknown, Word::Unknown, Word::Unknown], false),
+    ] {
+        let mut s = steer(3, now);
+        s.see(sees, now);
+        packet(&mut s, data(1, 1_001, 77, 10), now);
+        let mut resets = Vec::new();
+        for (n, word) in words.into_iter().enumerate() {
+            resets.extend(note(&mut s, agent(n as u8 + 1), 1, word, now).resets);
+        }
+        let want = if lost { vec![(flow(1), 77)] } else { vec![] };
+        assert_eq!(resets, want, "{sees} {words:?}");
+    }
+    let mut s = steer(3, now);
+    packet(&mut s, data(1, 1_001, 77, 10), now);
+    note(&mut s, agent(1), 1, Word::Unknown, now);
+    note(&mut s, agent(2), 1, Word::Unknown, now);
+    assert!(tick(&mut s, now + 60 * MS).resets.is_empty(), "one agent is silent");
+}
+
+/// Packets at targets that do not hold a flow are counted: two trials in
+/// 2.5 s at most, each at another target.
+#[test]
+fn few_trials() {
+    let now = Instant::now();
+    let mut s = steer(4, now);
+    let mut tried = Vec::new();
+    for round in 0..5 {
+        let at = now + round * 200 * MS;
+        packet(&mut s, data(1, 1_001, 77, 10), at);
+        for n in 1..=4 {
+            tried.extend(note(&mut s, agent(n), 1, Word::Unsure, at).carried(Mode::Try));
+        }
+    }
+    tried.sort();
+    tried.dedup();
+    assert_eq!(tried.len(), 2);
+    let at = now + 2_600 * MS;
+    packet(&mut s, data(1, 1_001, 77, 10), at);
+    let mut more = Vec::new();
+    for n in 1..=4 {
+        more.extend(note(&mut s, agent(n), 1, Word::Unsure, at).carried(Mode::Try));
+    }
+    assert_eq!(more.len(), 2, "after the span");
+}
+
+#[test]
+fn unservable_refused() {
+    let now = Instant::now();
+    let mut s = steer(0, now);
+    assert_eq!(packet(&mut s, syn(1), now).resets.len(), 1, "no agent of the service");
+    let mut other = syn(2);
+    other.to = SocketAddrV4::new([198, 18, 0, 9].into(), 1);
+    assert_eq!(packet(&mut s, other, now).resets.len(), 1, "no route");
+    let mut s = steer(2, now);
+    packet(&mut s, syn(3), now);
+    let full = Word::Refused(Refusal::Full);
+    assert_eq!(note(&mut s, agent(1), 3, full, now).resets.len(), 1, "all are full");
+}
+
+/// Right after the store's return agents are still being listed anew, and
+/// targets that have just started have not reported: opens are kept for that.
+#[test]
+fn kept_while_starting() {
+    let now = Instant::now();
+    let mut s = steer(0, now);
+    s.see(false, now);
+    s.see(true, now);
+    assert!(packet(&mut s, syn(1), now).resets.is_empty());
+    s.roster.update(&[announced(1)], now + 50 * MS);
+    assert_eq!(tick(&mut s, now + 101 * MS).opens(), [agent(1)]);
+    let none = Word::Refused(Refusal::NoTarget);
+    assert!(note(&mut s, agent(1), 1, none, now + 102 * MS).resets.is_empty());
+    assert_eq!(tick(&mut s, now + 203 * MS).opens(), [agent(1)]);
+    let late = note(&mut s, agent(1), 1, none, now + 1_400 * MS);
+    assert_eq!(late.resets.len(), 1, "its caller gives it up now");
+}
+
+/// Load of an overload: a busy service is asked again each 100 ms, by few
+/// offers, and the caller gets its answer long before its time limit.
+#[test]
+fn busy_paced() {
+    let now = Instant::now();
+    let mut s = steer(10, now);
+    let mut w = packet(&mut s, syn(1), now);
+    let mut offers = 0;
+    while let Some(to) = w.opens().first().copied() {
+        offers += 1;
+        w = note(&mut s, to, 1, Word::Refused(Refusal::Busy), now);
+    }
+    assert!(offers <= 2, "{offers} offers in one round");
+    assert!(w.resets.is_empty());
+    let w = tick(&mut s, now + 101 * MS);
+    assert_eq!(w.opens().len(), 1);
+    let aged = tick(&mut s, now + 300 * MS);
+    assert!(aged.peers.iter().all(|(_, m, _)| !matches!(m, Sent::Open { aged: false, .. })));
+}
+
+#[test]
+fn parked_until_config() {
+    let now = Instant::now();
+    let mut s = Steer::new(balancer(), ZONE.into(), Duration::from_secs(60));
+    assert!(packet(&mut s, syn(1), now).peers.is_empty());
+    assert!(s.next_due().unwrap() <= now + 20 * MS);
+    assert!(tick(&mut s, now + 20 * MS).peers.is_empty());
+    assert!(s.next_due().unwrap() > now + 20 * MS, "no busy loop");
+    s.obey(routes(1));
+    s.roster.update(&[announced(1)], now);
+    assert_eq!(tick(&mut s, now + 60 * MS).opens(), [agent(1)]);
+}
+
+#[test]
+fn config_never_back() {
+    let mut s = steer(1, Instant::now());
+    assert!(s.obey(routes(9)));
+    assert!(!s.obey(routes(7)));
+    assert_eq!(s.version(), Some(9));
+}
+
+/// An agent that the store no longer lists (its lease lapsed, or its key was
+/// taken away) stays as long as it answers, and is told to list itself.
+#[test]
+fn unlisted_but_alive() {
+    let now = Instant::now();
+    let mut s = steer(2, now);
+    s.roster.update(&[announced(1)], now);
+    let w = tick(&mut s, now);
+    assert_eq!(w.peers, [(agent(2), Sent::Ping { listed: false }, vec![])]);
+    for i in 1..40 {
+        let at = now + i * 300 * MS;
+        tick(&mut s, at);
+        s.roster.pong(agent(2), SERVICE, 0, at);
+    }
+    assert_eq!(s.roster.len(), 2);
+    tick(&mut s, now + 40 * 300 * MS + 8_100 * MS);
+    assert_eq!(s.roster.len(), 1, "silent for long");
+}
+
+#[test]
+fn reused_address_dropped() {
+    let now = Instant::now();
+    let mut s = steer(2, now);
+    s.roster.pong(agent(2), "fieldlog", 0, now);
+    assert_eq!(s.roster.of(SERVICE).collect::<Vec<_>>(), [agent(1)]);
+}
