Flows prefer agents by rendezvous hashing; a balancer cut off from agents is not ready

Change: the two agents that an open is offered to are the ones that the flow prefers (one of the zone, one of all), and trials go in that order; readiness says no while there are agents and none answers.

Ruled out: more trials (the platform counts three packets at wrong targets).

--- a/src/edge/entry.rs
+++ b/src/edge/entry.rs
@@ -85,8 +85,8 @@
         let mut lost = false;
         mirror::follow(&source, |news| match news {
             News::Copy(copy) => {
-                let ready = learn(&mut view.borrow_mut(), copy);
-                seen.set_ready(ready);
+                learn(&mut view.borrow_mut(), copy);
+                seen.set_ready(view.borrow().ready());
                 seen.set_copy(Arc::new(copy.clone()));
             }
             News::Back => {
@@ -108,7 +108,7 @@
     let port = settings.packets.port();
     loop {
         tokio::select! {
-            () = forward(&wires, &steer, port) => {}
+            () = forward(&wires, &steer, port, &board) => {}
             _ = term.recv() => break,
             _ = hup.recv() => super::reload(path),
         }
@@ -121,9 +121,10 @@
     );
     follower.abort();
     let _ = follower.await;
+    steer.borrow_mut().stop();
     board.set_ready(false);
     let linger = LINGER.min(settings.grace() / 2);
-    let _ = tokio::time::timeout(linger, forward(&wires, &steer, port)).await;
+    let _ = tokio::time::timeout(linger, forward(&wires, &steer, port, &board)).await;
     desk.stop().await;
     if let Some(server) = ready {
         server.stop().await;
@@ -145,8 +146,8 @@
     .await
 }
 
-/// Takes in a change of the store; says whether a configuration is in force.
-fn learn(steer: &mut Steer, copy: &Snapshot) -> bool {
+/// Takes in a change of the store.
+fn learn(steer: &mut Steer, copy: &Snapshot) {
     if let Some(kv) = copy.keys.get(platform::config::KEY) {
         match platform::config::decode(&kv.value) {
             Ok(routes) => {
@@ -182,11 +183,10 @@
         steer.roster.len(),
         copy.rev
     );
-    steer.version().is_some()
 }
 
 /// Forwards packets until told otherwise.
-async fn forward(wires: &Wires, steer: &RefCell<Steer>, port: u16) {
+async fn forward(wires: &Wires, steer: &RefCell<Steer>, port: u16, board: &Board) {
     let mut buf = vec![0; PACKET];
     let mut scratch = Vec::with_capacity(bus::DATAGRAM);
     loop {
@@ -214,5 +214,6 @@
             Err(e) => metrics::dropped(e),
         });
         steer.tick(now, &mut out);
+        board.set_ready(steer.ready());
     }
 }
--- a/src/flow/mod.rs
+++ b/src/flow/mod.rs
@@ -7,6 +7,7 @@
 use std::net::SocketAddrV4;
 
 use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 pub use table::Table;
 
@@ -32,6 +33,32 @@
     pub service: SocketAddrV4,
 }
 
+impl Flow {
+    /// A hash of its addresses and ports, the same in every process.
+    #[must_use]
+    pub fn hash64(&self) -> u64 {
+        xxh3_64(&self.bytes())
+    }
+
+    /// Its preference for `agent`: the agents with the highest come first
+    /// (rendezvous hashing), so that a list that changed by one agent changes
+    /// the choice for few flows.
+    #[must_use]
+    pub fn preference(&self, agent: SocketAddrV4) -> u64 {
+        let seed = u64::from(u32::from(*agent.ip())) << 16 | u64::from(agent.port());
+        xxh3_64_with_seed(&self.bytes(), seed)
+    }
+
+    fn bytes(&self) -> [u8; 12] {
+        let mut bytes = [0; 12];
+        bytes[..4].copy_from_slice(&self.caller.ip().octets());
+        bytes[4..6].copy_from_slice(&self.caller.port().to_be_bytes());
+        bytes[6..10].copy_from_slice(&self.service.ip().octets());
+        bytes[10..].copy_from_slice(&self.service.port().to_be_bytes());
+        bytes
+    }
+}
+
 /// The bits of a packet that the system reads.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Flags {
--- a/src/steer/mod.rs
+++ b/src/steer/mod.rs
@@ -92,6 +92,7 @@
     sees_since: Option<Instant>,
     parked: VecDeque<Parked>,
     unpark_at: Option<Instant>,
+    stopping: bool,
 }
 
 impl Steer {
@@ -109,6 +110,7 @@
             sees_since: None,
             parked: VecDeque::new(),
             unpark_at: None,
+            stopping: false,
         }
     }
 
@@ -208,9 +210,7 @@
         out: &mut impl Out,
     ) -> bool {
         let pair =
-            self.roster.pick(&opening.service, &self.zone, first, &opening.offered, now, |n| {
-                rand::random_range(0..n)
-            });
+            self.roster.pick(&opening.service, &self.zone, flow, first, &opening.offered, now);
         let Some((first, second)) = pair else { return false };
         let stage = if second.is_some() { Stage::Ask } else { Stage::Take };
         let open = Open {
@@ -361,10 +361,10 @@
     fn try_unsure(&mut self, flow: Flow, now: Instant, out: &mut impl Out) {
         let Some(Known::Search(s)) = self.flows.get(flow, now) else { return };
         s.tried.retain(|(at, _)| now.duration_since(*at) < TRIAL_SPAN);
-        let fresh: Vec<SocketAddrV4> = s
-            .unsure
-            .iter()
-            .copied()
+        let fresh: Vec<SocketAddrV4> = self
+            .roster
+            .likely(&s.unsure, &self.zone, flow)
+            .into_iter()
             .filter(|a| s.tried.iter().all(|(_, t)| t != a))
             .take(TRIALS.saturating_sub(s.tried.len()))
             .collect();
@@ -375,6 +375,18 @@
         }
     }
 
+    /// Whether callers should be sent here: a configuration is in force and
+    /// agents can be reached.
+    #[must_use]
+    pub fn ready(&self) -> bool {
+        self.routes.is_some() && !self.stopping && !self.roster.cut_off()
+    }
+
+    /// From now on callers should be sent elsewhere.
+    pub const fn stop(&mut self) {
+        self.stopping = true;
+    }
+
     /// When [`Steer::tick`] next has something to do.
     #[must_use]
     pub fn next_due(&self) -> Option<Instant> {
--- a/src/steer/roster.rs
+++ b/src/steer/roster.rs
@@ -16,6 +16,7 @@
 use super::Out;
 use crate::agent::place::UNABLE;
 use crate::bus::Message;
+use crate::flow::Flow;
 
 /// Pause between two questions to an agent that is not listed or did not
 /// answer. At 100 such agents a balancer sends 300 small datagrams a second.
@@ -148,6 +149,13 @@
         self.agents.get(&addr).is_some_and(|a| a.silent.is_none())
     }
 
+    /// Whether there are agents and none of them answers: the balancer is cut
+    /// off from them, and another should have its callers.
+    #[must_use]
+    pub fn cut_off(&self) -> bool {
+        !self.agents.is_empty() && self.agents.values().all(|a| a.silent.is_some())
+    }
+
     /// An agent said something; `load` is its load now.
     pub fn heard(&mut self, addr: SocketAddrV4, load: u32, now: Instant) {
         if let Some(a) = self.agents.get_mut(&addr) {
@@ -176,35 +184,50 @@
         }
     }
 
-    /// The two agents of `service` that a new flow is offered to, `first`
-    /// being fixed where given: one of the balancer's own `zone` and one of the
-    /// others, each drawn by `draw` (a random number below its argument) from
-    /// those that can take flows. Which of the two takes it they decide by
-    /// loads as of now; a choice by what the balancer last heard, some hundred
-    /// milliseconds ago, would send each burst to one agent. Agents in `except`
-    /// were asked before.
+    /// The two agents of `service` that `flow` is offered to, `first` being
+    /// fixed where given: one of the balancer's own `zone` and one of all
+    /// others, those that the flow prefers among those that can take flows.
+    /// Agents in `except` were asked before.
+    ///
+    /// Which of the two takes it they decide by loads as of now; a choice by
+    /// what the balancer last heard, some hundred milliseconds ago, would send
+    /// each burst to one agent. That every process prefers the same two finds
+    /// flows again after agents and balancers have lost their memory together
+    /// (see [`Roster::likely`]).
+    #[must_use]
     pub fn pick(
         &self,
         service: &str,
         zone: &str,
+        flow: Flow,
         first: Option<SocketAddrV4>,
         except: &[SocketAddrV4],
         now: Instant,
-        mut draw: impl FnMut(usize) -> usize,
     ) -> Option<(SocketAddrV4, Option<SocketAddrV4>)> {
         let left: Vec<SocketAddrV4> = self.of(service).filter(|a| !except.contains(a)).collect();
         let able = |a: &SocketAddrV4| self.agents[a].able(now);
         let near = |a: &SocketAddrV4| &*self.agents[a].zone == zone;
         let first = first
-            .or_else(|| one(&left, &mut draw, |a| able(a) && near(a)))
-            .or_else(|| one(&left, &mut draw, able))
-            .or_else(|| one(&left, &mut draw, |_| true))?;
+            .or_else(|| preferred(&left, flow, |a| able(a) && near(a)))
+            .or_else(|| preferred(&left, flow, able))
+            .or_else(|| preferred(&left, flow, |_| true))?;
         let other = |a: &SocketAddrV4| *a != first;
-        let second =
-            one(&left, &mut draw, |a| other(a) && able(a)).or_else(|| one(&left, &mut draw, other));
+        let second = preferred(&left, flow, |a| other(a) && able(a))
+            .or_else(|| preferred(&left, flow, other));
         Some((first, second))
     }
 
+    /// `agents` in the order in which they are likely to have been offered
+    /// `flow` when it opened: as [`Roster::pick`] would choose now.
+    #[must_use]
+    pub fn likely(&self, agents: &[SocketAddrV4], zone: &str, flow: Flow) -> Vec<SocketAddrV4> {
+        let near = |a: &SocketAddrV4| self.agents.get(a).is_some_and(|x| &*x.zone == zone);
+        let first = preferred(agents, flow, near);
+        let mut order = agents.to_vec();
+        order.sort_by_key(|a| (Some(*a) != first, std::cmp::Reverse(flow.preference(*a))));
+        order
+    }
+
     /// When the next question to an agent is due.
     #[must_use]
     pub const fn next_ping(&self) -> Option<Instant> {
@@ -233,15 +256,11 @@
     }
 }
 
-/// One of the `wanted` among `all`, by `draw`.
-fn one(
+/// The one of the `wanted` among `all` that `flow` prefers.
+fn preferred(
     all: &[SocketAddrV4],
-    draw: &mut impl FnMut(usize) -> usize,
+    flow: Flow,
     wanted: impl Fn(&SocketAddrV4) -> bool,
 ) -> Option<SocketAddrV4> {
-    let n = all.iter().filter(|a| wanted(a)).count();
-    if n == 0 {
-        return None;
-    }
-    all.iter().filter(|a| wanted(a)).nth(draw(n)).copied()
+    all.iter().copied().filter(|a| wanted(a)).max_by_key(|a| flow.preference(*a))
 }
--- a/src/steer/routes.rs
+++ b/src/steer/routes.rs
@@ -5,8 +5,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use xxhash_rust::xxh3::xxh3_64;
-
 use crate::flow::Flow;
 
 /// One version of the operators' configuration.
@@ -58,7 +56,7 @@
         if total == 0 {
             return None;
         }
-        let mut point = hash(flow) % total;
+        let mut point = flow.hash64() % total;
         let share = services.iter().find(|s| {
             let weight = u64::from(s.weight);
             let here = point < weight;
@@ -68,12 +66,3 @@
         share.map(|s| (route, s))
     }
 }
-
-fn hash(flow: Flow) -> u64 {
-    let mut bytes = [0; 12];
-    bytes[..4].copy_from_slice(&flow.caller.ip().octets());
-    bytes[4..6].copy_from_slice(&flow.caller.port().to_be_bytes());
-    bytes[6..10].copy_from_slice(&flow.service.ip().octets());
-    bytes[10..].copy_from_slice(&flow.service.port().to_be_bytes());
-    xxh3_64(&bytes)
-}
--- a/tests/steer.rs
+++ b/tests/steer.rs
@@ -229,3 +229,42 @@
     s.roster.pong(agent(2), "fieldlog", 0, now);
     assert_eq!(s.roster.of(SERVICE).collect::<Vec<_>>(), [agent(1)]);
 }
+
+/// A balancer cut off from all agents says so, so that another gets its
+/// callers, and no longer once one answers.
+#[test]
+fn cut_off_not_ready() {
+    let now = Instant::now();
+    let mut s = steer(2, now);
+    assert!(s.ready());
+    packet(&mut s, syn(1), now);
+    tick(&mut s, now + 41 * MS);
+    assert!(!s.ready());
+    s.roster.pong(agent(2), SERVICE, 0, now + 300 * MS);
+    assert!(s.ready());
+    s.stop();
+    assert!(!s.ready());
+}
+
+/// All agents and balancers were restarted and forgot every flow: the targets
+/// tried first are those that the open was offered to, so that two trials
+/// find nearly all flows.
+#[test]
+fn trials_follow_offers() {
+    let now = Instant::now();
+    let mut found = 0;
+    for port in 1..=200 {
+        let mut before = steer(7, now);
+        let offered = packet(&mut before, syn(port), now).opens()[0];
+        let mut after = steer(7, now);
+        let later = packet(&mut after, data(port, 1_001, 77, 10), now);
+        assert_eq!(later.carried(Mode::Ask).len(), 7);
+        let mut tried = Vec::new();
+        for n in 1..=7 {
+            tried.extend(note(&mut after, agent(n), port, Word::Unsure, now).carried(Mode::Try));
+        }
+        assert_eq!(tried.len(), 2);
+        found += u32::from(tried.contains(&offered));
+    }
+    assert_eq!(found, 200);
+}
