--- a/src/ctl/mod.rs
+++ b/src/ctl/mod.rs
@@ -8,6 +8,7 @@
 
 pub mod fleet;
 
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
@@ -16,6 +17,7 @@
 
 use crate::admin;
 use crate::events;
+use crate::flow::Flow;
 use crate::record;
 use crate::settings::{ProfileSettings, Settings};
 use crate::store::{self, Faults, Keys};
@@ -24,8 +26,11 @@
 #[derive(Debug, clap::Args)]
 pub struct Args {
     /// Settings file (JSON with comments).
+    #[arg(long, required_unless_present = "at")]
+    pub config: Option<PathBuf>,
+    /// For `beliefs`: the process's VM and metrics port.
     #[arg(long)]
-    pub config: PathBuf,
+    pub at: Option<SocketAddr>,
     /// What to do.
     #[command(subcommand)]
     pub command: Command,
@@ -58,6 +63,14 @@
     /// Prints profiles with their revisions, targets and drains, then what
     /// each process says of itself, with its counters.
     Status,
+    /// Prints what a process on the platform (`--at`) believes and how old it
+    /// is: configuration, agents or target and, for one flow, where it goes
+    /// and by which rule.
+    Beliefs {
+        /// A flow as logs write it: `CALLER>SERVICE`, addresses with ports.
+        #[arg(long)]
+        flow: Option<Flow>,
+    },
     /// Waits until the orders now in the store are in force in every balancer
     /// and agent that answers.
     Wait {
@@ -101,7 +114,12 @@
 /// Fails when the settings are bad, the store cannot be reached, or a change
 /// lost a race (conflict).
 pub async fn run(args: Args) -> anyhow::Result<()> {
-    let settings = Settings::load(&args.config)?;
+    if let Command::Beliefs { flow } = args.command {
+        let at = args.at.context("ctl: `beliefs` needs --at VM:PORT")?;
+        return beliefs(at, flow).await;
+    }
+    let config = args.config.context("ctl: this command needs --config")?;
+    let settings = Settings::load(&config)?;
     let (store, keys) = open(&settings).await;
     match args.command {
         Command::Apply => apply(&store, &keys, &settings.profiles).await,
@@ -118,6 +136,7 @@
                 }
             }
         }
+        Command::Beliefs { .. } => Ok(()),
         Command::Drain { target } => drain(&settings, &target).await,
         Command::Resume { target } => resume(&settings, &target).await,
         Command::Status => {
@@ -137,6 +156,18 @@
     }
 }
 
+/// Prints what the process at `at` believes.
+async fn beliefs(at: SocketAddr, flow: Option<Flow>) -> anyhow::Result<()> {
+    let query = flow.map(|f| format!("?flow={f}").replace('>', "%3E")).unwrap_or_default();
+    let client = ntex::client::Client::new().await;
+    let res = client.get(format!("http://{at}/beliefs{query}")).send().await;
+    let res = res.map_err(|e| anyhow::anyhow!("ctl: asking {at}: {e}"))?;
+    let body: serde_json::Value =
+        res.json().await.map_err(|e| anyhow::anyhow!("ctl: answer of {at}: {e}"))?;
+    println!("{body:#}");
+    Ok(())
+}
+
 /// A client of the site's store, and its keys.
 async fn open(s: &Settings) -> (store::Client, Keys) {
     let timeout = Duration::from_millis(s.store.timeout_ms);
--- a/src/edge/entry.rs
+++ b/src/edge/entry.rs
@@ -12,6 +12,7 @@
 use ntex::http::StatusCode;
 use tokio::signal::unix::{SignalKind, signal};
 
+use super::inspect::{self, Inspect};
 use super::socket::Socket;
 use super::{AGENTS, Settings, store};
 use crate::admin::{self, Board};
@@ -77,7 +78,12 @@
     };
     let steer = Steer::new(settings.bus(), settings.zone.clone(), settings.flow_life());
     let steer = Rc::new(RefCell::new(steer));
-    log::info!("{} balancer {} zone={}", events::EDGE_START, settings.name, settings.zone);
+    let inspect = inspect::serve(&settings, Shared(steer.clone())).await?;
+    log::info!(
+        event = events::EDGE_START, name:% = settings.name, zone:% = settings.zone,
+        ip:% = settings.ip;
+        "balancer started"
+    );
     let source =
         Source { store: store(&settings).await?, prefix: String::new(), peers: settings.peers() };
     let (view, seen) = (steer.clone(), board.clone());
@@ -91,12 +97,12 @@
             }
             News::Back => {
                 view.borrow_mut().see(true, Instant::now());
-                log::info!("{} store answers after_loss={lost}", events::EDGE_STORE);
+                log::info!(event = events::EDGE_STORE, after_loss = lost; "store answers");
                 lost = false;
             }
             News::Failed(e) if !lost => {
                 view.borrow_mut().see(false, Instant::now());
-                log::warn!("{} store lost: {e:#}", events::EDGE_STORE);
+                log::warn!(event = events::EDGE_STORE, error:% = format!("{e:#}"); "store lost");
                 lost = true;
             }
             News::Failed(_) => {}
@@ -114,10 +120,8 @@
         }
     }
     log::info!(
-        "{} balancer {} flows={}",
-        events::EDGE_STOP,
-        settings.name,
-        steer.borrow().remembered()
+        event = events::EDGE_STOP, name:% = settings.name, flows = steer.borrow().remembered();
+        "balancer stops"
     );
     follower.abort();
     let _ = follower.await;
@@ -126,15 +130,31 @@
     let linger = LINGER.min(settings.grace() / 2);
     let _ = tokio::time::timeout(linger, forward(&wires, &steer, port, &board)).await;
     desk.stop().await;
+    inspect.stop().await;
     if let Some(server) = ready {
         server.stop().await;
     }
-    for c in metrics::snapshot() {
-        log::info!("{} {c}", events::COUNTERS);
-    }
+    super::log_counters();
     Ok(())
 }
 
+/// The decisions, as operators see them.
+struct Shared(Rc<RefCell<Steer>>);
+
+impl Inspect for Shared {
+    fn beliefs(&self, flow: Option<Flow>) -> serde_json::Value {
+        self.0.borrow().beliefs(flow, Instant::now())
+    }
+
+    fn gauge(&self) {
+        let steer = self.0.borrow();
+        metrics::state("config_version", steer.version().unwrap_or_default());
+        metrics::state("agents", steer.roster.len() as u64);
+        metrics::state("flows_remembered", steer.remembered() as u64);
+        metrics::state("ready", steer.ready().into());
+    }
+}
+
 async fn readiness(addr: std::net::SocketAddr, board: Board) -> anyhow::Result<Server> {
     Server::start(addr, move |asked| {
         Answer::empty(match asked.path.as_str() {
@@ -154,13 +174,15 @@
                 let (version, n) = (routes.version, routes.routes.len());
                 if steer.obey(routes) {
                     log::info!(
-                        "{} version={version} routes={n} rev={}",
-                        events::EDGE_CONFIG,
-                        kv.rev
+                        event = events::EDGE_CONFIG, version = version, routes = n, rev = kv.rev;
+                        "configuration in force"
                     );
                 }
             }
-            Err(e) => log::error!("{} rev={} refused: {e:#}", events::EDGE_CONFIG, kv.rev),
+            Err(e) => log::error!(
+                event = events::EDGE_CONFIG, rev = kv.rev, error:% = format!("{e:#}");
+                "configuration refused, the last one stays in force"
+            ),
         }
     }
     let mut agents = Vec::new();
@@ -172,17 +194,19 @@
         }
         match serde_json::from_slice::<Announced>(&kv.value) {
             Ok(a) => agents.push(a),
-            Err(e) => log::error!("{} key={key} refused: {e}", events::EDGE_ROSTER),
+            Err(e) => log::error!(
+                event = events::EDGE_ROSTER, key:% = key, error:% = e;
+                "agent's entry refused"
+            ),
         }
     }
-    steer.roster.update(&agents, Instant::now());
-    log::info!(
-        "{} listed={} believed={} rev={}",
-        events::EDGE_ROSTER,
-        agents.len(),
-        steer.roster.len(),
-        copy.rev
-    );
+    if steer.roster.update(&agents, Instant::now()) {
+        log::info!(
+            event = events::EDGE_ROSTER, listed = agents.len(), believed = steer.roster.len(),
+            rev = copy.rev;
+            "agents listed"
+        );
+    }
 }
 
 /// Forwards packets until told otherwise.
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -4,6 +4,7 @@
 //! [`crate::steer`] and [`crate::hold`].
 
 pub mod entry;
+mod inspect;
 mod settings;
 pub mod sidecar;
 mod socket;
@@ -12,7 +13,7 @@
 
 pub use settings::{Bounds, Settings};
 
-use crate::{events, platform};
+use crate::{events, metrics, platform};
 
 /// Prefix of the agents' entries in the store.
 pub const AGENTS: &str = "jujubepost/agents/";
@@ -34,12 +35,26 @@
     platform::kv::Client::new(settings.store, CALL, WATCH).await
 }
 
+/// Logs the totals of all counters.
+fn log_counters() {
+    for c in metrics::snapshot() {
+        log::info!(
+            event = events::COUNTERS, counter = c.name, reason = c.reason, total = c.value;
+            "total"
+        );
+    }
+    log::logger().flush();
+}
+
 /// Reads the settings again and says whether they are good. What a process
 /// was started with stays in force: its addresses and its data centre do not
 /// change while it runs.
 fn reload(path: &std::path::Path) {
     match Settings::load(path) {
-        Ok(s) => log::info!("{} settings of {} read again", events::EDGE_RELOAD, s.name),
-        Err(e) => log::error!("{} settings refused: {e:#}", events::EDGE_RELOAD),
+        Ok(s) => log::info!(event = events::EDGE_RELOAD, name:% = s.name; "settings read again"),
+        Err(e) => log::error!(
+            event = events::EDGE_RELOAD, error:% = format!("{e:#}");
+            "settings refused, the old ones stay in force"
+        ),
     }
 }
--- a/src/edge/sidecar.rs
+++ b/src/edge/sidecar.rs
@@ -14,6 +14,7 @@
 use tokio::sync::watch;
 use tokio::task::JoinSet;
 
+use super::inspect::{self, Inspect};
 use super::socket::Socket;
 use super::{AGENTS, LEASE_MS, Settings, store};
 use crate::bus::{self, Message};
@@ -98,11 +99,11 @@
     });
     let holder = Holder::new(service.clone(), settings.flow_life());
     let holder = Rc::new(RefCell::new(holder));
+    let inspect = inspect::serve(&settings, Shared(holder.clone())).await?;
     log::info!(
-        "{} agent {} zone={} service={service}",
-        events::EDGE_START,
-        settings.name,
-        settings.zone
+        event = events::EDGE_START, name:% = settings.name, zone:% = settings.zone,
+        service:% = service, ip:% = settings.ip;
+        "agent started"
     );
     let store = store(&settings).await?;
     let key = format!("{AGENTS}{}", settings.ip);
@@ -131,17 +132,15 @@
     }
     let ended = holder.borrow().target().is_none_or(|t| !t.alive());
     log::info!(
-        "{} agent {} flows={} waiting={} target_ended={ended}",
-        events::EDGE_STOP,
-        settings.name,
-        holder.borrow().flows(),
-        holder.borrow().waiting()
+        event = events::EDGE_STOP, name:% = settings.name, flows = holder.borrow().flows(),
+        waiting = holder.borrow().waiting(), target_ended = ended;
+        "agent stops"
     );
     announcer.abort();
     let _ = announcer.await;
     if ended {
         if let Err(e) = store.delete(&key).await {
-            log::warn!("{} {e:#}", events::EDGE_STORE);
+            log::warn!(event = events::EDGE_STORE, error:% = format!("{e:#}"); "entry not removed");
         }
     }
     holder.borrow_mut().stop();
@@ -157,15 +156,29 @@
         () = tokio::time::sleep(most) => {}
     }
     desk.stop().await;
+    inspect.stop().await;
     if let Some(server) = ready {
         server.stop().await;
     }
-    for c in metrics::snapshot() {
-        log::info!("{} {c}", events::COUNTERS);
-    }
+    super::log_counters();
     Ok(())
 }
 
+/// The decisions, as operators see them.
+struct Shared(Rc<RefCell<Holder>>);
+
+impl Inspect for Shared {
+    fn beliefs(&self, flow: Option<Flow>) -> serde_json::Value {
+        self.0.borrow().beliefs(flow, Instant::now())
+    }
+
+    fn gauge(&self) {
+        let holder = self.0.borrow();
+        metrics::state("flows", holder.flows() as u64);
+        metrics::state("waiting", holder.waiting().into());
+    }
+}
+
 /// The agent's entry in the store.
 struct Entry {
     me: Announced,
@@ -186,7 +199,7 @@
                     }
                 });
             }
-            Err(e) => log::error!("{} entry: {e}", events::EDGE_STORE),
+            Err(e) => log::error!(event = events::EDGE_STORE, error:% = e; "entry not encoded"),
         }
     }
 }
@@ -198,18 +211,18 @@
     let kv = match read {
         Ok(Ok(kv)) => kv?,
         Ok(Err(e)) => {
-            log::warn!("{} {e:#}", events::EDGE_STORE);
+            log::warn!(event = events::EDGE_STORE, error:% = format!("{e:#}"); "entry not read");
             return None;
         }
         Err(_) => {
-            log::warn!("{} read {key}: no answer in time", events::EDGE_STORE);
+            log::warn!(event = events::EDGE_STORE, key = key; "entry not read in time");
             return None;
         }
     };
     match serde_json::from_slice::<Announced>(&kv.value) {
         Ok(entry) => entry.target,
         Err(e) => {
-            log::error!("{} key={key} refused: {e}", events::EDGE_STORE);
+            log::error!(event = events::EDGE_STORE, key = key, error:% = e; "entry refused");
             None
         }
     }
@@ -230,20 +243,28 @@
         Ok(Some(report::Call::Heartbeat(r))) => {
             let (id, state, seq) = (r.id.clone(), r.state, r.seq);
             if holder.report(r, now) {
-                log::info!("{} target={id} state={state} seq={seq}", events::EDGE_TARGET);
+                log::info!(
+                    event = events::EDGE_TARGET, target_id = id, state:% = state, report = seq,
+                    flows = holder.flows();
+                    "target reports"
+                );
                 entry.serves(&id);
             }
             Answer::json(report::ANSWER.to_string())
         }
         Ok(Some(report::Call::Gone(id))) => {
             if holder.gone(&id, now) {
-                log::info!("{} target={id} state=gone", events::EDGE_TARGET);
+                log::info!(
+                    event = events::EDGE_TARGET, target_id = id, state = "gone",
+                    flows = holder.flows();
+                    "target ends"
+                );
             }
             Answer::json(report::ANSWER.to_string())
         }
         Ok(None) => Answer::empty(StatusCode::NOT_FOUND),
         Err(e) => {
-            log::warn!("{} {e:#}", events::REPORT_IGNORED);
+            log::warn!(event = events::REPORT_IGNORED, error:% = format!("{e:#}"); "report refused");
             Answer::empty(StatusCode::BAD_REQUEST)
         }
     }
@@ -263,7 +284,7 @@
         Ok(Ok(_)) => Port::Open,
         Ok(Err(e)) if e.kind() == std::io::ErrorKind::ConnectionRefused => Port::Closed,
         Ok(Err(e)) => {
-            log::warn!("{} target={target} probe: {e}", events::EDGE_TARGET);
+            log::warn!(event = events::EDGE_TARGET, target:% = target, error:% = e; "target's port not tried");
             Port::Silent
         }
         Err(_) => Port::Silent,
@@ -295,11 +316,19 @@
         let now = Instant::now();
         match probed {
             Some(Port::Closed) => {
-                log::warn!("{} target={} state=crashed", events::EDGE_TARGET, wires.target);
+                log::warn!(
+                    event = events::EDGE_TARGET, target:% = wires.target, state = "crashed",
+                    flows = holder.flows();
+                    "target's port is closed"
+                );
                 holder.crashed(&mut out);
             }
             Some(port @ (Port::Open | Port::Silent)) => {
-                log::info!("{} target={} silent port={port:?}", events::EDGE_TARGET, wires.target);
+                log::info!(
+                    event = events::EDGE_TARGET, target:% = wires.target, state = "silent",
+                    port:? = port, waiting = holder.waiting();
+                    "target does not answer"
+                );
                 holder.slow(now);
             }
             None => {}
@@ -328,7 +357,7 @@
         holder.tick(now, &mut out);
         if missing && relisted.is_none_or(|at| now.duration_since(at) >= RELIST) {
             relisted = Some(now);
-            log::info!("{} entry missing in the store, written again", events::EDGE_STORE);
+            log::info!(event = events::EDGE_STORE; "entry missing in the store, written again");
             entry.value.send_modify(|_| {});
         }
     }
--- a/src/edge/socket.rs
+++ b/src/edge/socket.rs
@@ -30,7 +30,7 @@
     /// Waits until a datagram is there.
     pub async fn readable(&self) {
         if let Err(e) = self.sock.readable().await {
-            log::warn!("{} waiting: {e}", events::DATAGRAM_FAILED);
+            log::warn!(event = events::DATAGRAM_FAILED, error:% = e; "waiting failed");
         }
     }
 
@@ -43,7 +43,7 @@
                 Err(e) if e.kind() == std::io::ErrorKind::WouldBlock => return,
                 Err(e) => {
                     // A peer's closed port is reported on the next call.
-                    log::debug!("{} receiving: {e}", events::DATAGRAM_FAILED);
+                    log::debug!(event = events::DATAGRAM_FAILED, error:% = e; "receiving failed");
                 }
             }
         }
@@ -53,7 +53,7 @@
     /// datagrams may be, and is sent again by the flow's ends.
     pub fn send(&self, to: SocketAddrV4, bytes: &[u8]) {
         if let Err(e) = self.sock.try_send_to(bytes, to.into()) {
-            log::debug!("{} sending to {to}: {e}", events::DATAGRAM_FAILED);
+            log::debug!(event = events::DATAGRAM_FAILED, to:% = to, error:% = e; "sending failed");
         }
     }
 
@@ -67,7 +67,9 @@
     ) {
         match bus::encode(message, packet, buf) {
             Ok(()) => self.send(to, buf),
-            Err(e) => log::warn!("{} encoding for {to}: {e}", events::DATAGRAM_FAILED),
+            Err(e) => {
+                log::warn!(event = events::DATAGRAM_FAILED, to:% = to, error:% = e; "not encoded")
+            }
         }
     }
 }
--- a/src/events/mod.rs
+++ b/src/events/mod.rs
@@ -1,6 +1,17 @@
 //! Numbered log events. Every log line starts with one of these codes; the
 //! catalogue with meaning and operator action is `docs/EVENTS.md`.
 
+/// One of this many flows that went well is logged: at 10,000 new flows a
+/// second about 40 lines.
+pub const SAMPLE: u64 = 256;
+
+/// Whether the flow with this hash is one that is logged although it went
+/// well; the same at every process.
+#[must_use]
+pub const fn sampled(hash: u64) -> bool {
+    hash % SAMPLE == 0
+}
+
 /// The store stand-in is listening.
 pub const STORE_START: &str = "E100";
 /// The store stand-in changed its injected faults.
@@ -85,6 +96,22 @@
 pub const REPORT_IGNORED: &str = "E712";
 /// A peer did not hand over its copy of the store's keys.
 pub const PEER_SILENT: &str = "E715";
+/// Agents did not answer an open in time; it goes to the next.
+pub const OPEN_UNANSWERED: &str = "E716";
+/// An agent did not take an open; nothing ran.
+pub const OPEN_DECLINED: &str = "E717";
+/// The agents of a service were asked for a flow's owner.
+pub const OWNER_ASKED: &str = "E718";
+/// A packet of a flow that no agent knew was tried at a target.
+pub const FLOW_TRIED: &str = "E719";
+/// An agent took a flow (one in [`SAMPLE`]).
+pub const FLOW_TAKEN: &str = "E720";
+/// The metrics could not be served.
+pub const METRICS_FAILED: &str = "E723";
+/// Lines of one event were folded into this one.
+pub const FOLDED: &str = "E721";
+/// Lines were dropped because nobody read them.
+pub const LINES_DROPPED: &str = "E722";
 /// A connection of the HTTP server failed.
 pub const LISTEN_FAILED: &str = "E713";
 /// A datagram could not be read or sent.
--- a/src/flow/mod.rs
+++ b/src/flow/mod.rs
@@ -6,6 +6,7 @@
 
 use std::net::SocketAddrV4;
 
+use anyhow::Context;
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
@@ -33,6 +34,19 @@
     pub service: SocketAddrV4,
 }
 
+impl std::str::FromStr for Flow {
+    type Err = anyhow::Error;
+
+    /// Reads `CALLER>SERVICE`, each an address and port, as logs write it.
+    fn from_str(text: &str) -> anyhow::Result<Self> {
+        let (caller, service) = text.split_once('>').context("a flow is CALLER>SERVICE")?;
+        Ok(Self {
+            caller: caller.parse().context("the flow's caller")?,
+            service: service.parse().context("the flow's service")?,
+        })
+    }
+}
+
 impl Flow {
     /// A hash of its addresses and ports, the same in every process.
     #[must_use]
--- a/src/hold/mod.rs
+++ b/src/hold/mod.rs
@@ -22,6 +22,7 @@
 use crate::agent::place::{self, UNABLE, give_back, place};
 use crate::agent::{Admit, Step, admit};
 use crate::bus::{Message, Mode, Note, Open, Word};
+use crate::events;
 use crate::flow::{Flow, Segment, Table};
 use crate::metrics::{self, Refusal, Retry};
 use crate::wire::Offer;
@@ -89,6 +90,7 @@
     /// Flows whose target has work to do.
     waiting: u32,
     demand: Demand,
+    answers: metrics::Answers,
     /// Until when the target is taken to be full, after it gave an open back.
     full_until: Option<Instant>,
     /// Flows to look at, once each has had its time.
@@ -107,6 +109,7 @@
     #[must_use]
     pub fn new(service: Arc<str>, idle: Duration) -> Self {
         Self {
+            answers: metrics::Answers::new(&service),
             service,
             target: None,
             before: None,
@@ -146,6 +149,30 @@
         self.target.as_ref()
     }
 
+    /// What the agent believes, as JSON: its target and, where `flow` is given,
+    /// how far it has come there.
+    #[must_use]
+    pub fn beliefs(&self, flow: Option<Flow>, now: Instant) -> serde_json::Value {
+        let target = self.target.as_ref().map(|t| {
+            serde_json::json!({
+                "id": t.id(),
+                "state": t.state().to_string(),
+                "alive": t.alive(),
+                "slots": t.slots(),
+                "all_flows_known": t.complete(),
+            })
+        });
+        serde_json::json!({
+            "service": self.service,
+            "target": target,
+            "flows": self.flows.len(),
+            "waiting": self.waiting,
+            "load": self.load(now),
+            "stopping": self.stopping,
+            "flow": flow.map(|f| self.flows.peek(f).map(|h| format!("{:?}", h.stage))),
+        })
+    }
+
     /// Takes no new flow from now on.
     pub const fn stop(&mut self) {
         self.stopping = true;
@@ -196,22 +223,18 @@
         self.silent_since = None;
         if *report.service != *self.service {
             log::warn!(
-                "{} target={} service={} expected={}",
-                crate::events::REPORT_IGNORED,
-                report.id,
-                report.service,
-                self.service
+                event = events::REPORT_IGNORED, target_id = report.id, service = report.service,
+                expected:% = self.service;
+                "report of another service ignored"
             );
             return false;
         }
         match &mut self.target {
             Some(t) if t.was(&report.id) => {
                 log::info!(
-                    "{} target={} seq={} current={}",
-                    crate::events::REPORT_IGNORED,
-                    report.id,
-                    report.seq,
-                    t.id()
+                    event = events::REPORT_IGNORED, target_id = report.id, report = report.seq,
+                    current = t.id();
+                    "late report of an earlier start ignored"
                 );
                 false
             }
@@ -351,6 +374,13 @@
         out: &mut impl Out,
     ) {
         let flow = seg.by_caller();
+        if events::sampled(flow.hash64()) {
+            log::info!(
+                event = events::FLOW_TAKEN, flow:% = flow, waiting = self.waiting,
+                flows = self.flows.len(), aged = open.aged;
+                "flow taken (one of many)"
+            );
+        }
         let stage =
             Stage::Opening { offer: open.offer, max_flows: open.max_flows, aged: open.aged };
         let held = Held { reply: Some(open.reply), ..Held::new(stage, seg.seq) };
@@ -371,6 +401,11 @@
         out: &mut impl Out,
     ) {
         metrics::refused(reason);
+        log::info!(
+            event = events::OPEN_DECLINED, flow:% = flow, reason:% = reason,
+            waiting = self.waiting, flows = self.flows.len();
+            "open not taken"
+        );
         self.note(flow, Word::Refused(reason), reply, now, out);
     }
 
@@ -424,6 +459,10 @@
         } else if mode == Mode::Ask {
             self.note(flow, Word::Unsure, from, now, out);
         } else {
+            log::info!(
+                event = events::FLOW_TRIED, flow:% = flow, mode:? = mode;
+                "unknown flow tried at the target"
+            );
             let held = Held { reply: Some(from), ..Held::new(Stage::Trial, seg.seq) };
             self.flows.insert(flow, held, now);
             out.target(packet);
@@ -532,7 +571,11 @@
     fn wait(&mut self, flow: Flow, on: bool, now: Instant) {
         let Some(h) = self.flows.get(flow, now) else { return };
         if h.waiting.is_some() != on {
-            h.waiting = on.then_some(now);
+            let since = std::mem::replace(&mut h.waiting, on.then_some(now));
+            let opened = !matches!(h.stage, Stage::Opening { .. } | Stage::Answered(_));
+            if let Some(at) = since.filter(|_| opened) {
+                self.answers.note(now.duration_since(at));
+            }
             self.demand.observe(self.waiting, self.flows.len(), now);
             self.waiting = if on { self.waiting + 1 } else { self.waiting.saturating_sub(1) };
         }
@@ -606,7 +649,7 @@
 
 /// Tells a caller that its flow is gone with the target's process.
 fn reset(flow: Flow, ack: u32, out: &mut impl Out) {
-    log::info!("{} flow={flow} reason=target_ended", crate::events::FLOW_RESET);
+    log::info!(event = events::FLOW_RESET, flow:% = flow, reason = "target_ended"; "flow reset");
     metrics::refused(Refusal::TargetEnded);
     out.reset(flow, ack);
 }
--- a/src/listen/mod.rs
+++ b/src/listen/mod.rs
@@ -25,6 +25,8 @@
     pub method: Method,
     /// Its path.
     pub path: String,
+    /// Its query, empty for none.
+    pub query: String,
     /// Its body.
     pub body: Vec<u8>,
 }
@@ -95,7 +97,7 @@
                 open.spawn_local(connection(stream, handle.clone()));
             }
             Err(e) => {
-                log::warn!("{} accepting: {e}", crate::events::LISTEN_FAILED);
+                log::warn!(event = crate::events::LISTEN_FAILED, error:% = e; "accepting failed");
                 ntex::time::sleep(ACCEPT_PAUSE).await;
             }
         }
@@ -108,7 +110,7 @@
 
 async fn connection<H: Fn(Asked) -> Answer + 'static>(stream: TcpStream, handle: Rc<H>) {
     if let Err(e) = serve(stream, handle).await {
-        log::debug!("{} {e:#}", crate::events::LISTEN_FAILED);
+        log::debug!(event = crate::events::LISTEN_FAILED, error:% = format!("{e:#}"); "connection failed");
     }
 }
 
@@ -130,6 +132,7 @@
 async fn answer<H: Fn(Asked) -> Answer>(mut req: Request, handle: &H) -> Response {
     let method = req.head().method.clone();
     let path = req.head().uri.path().to_string();
+    let query = req.head().uri.query().unwrap_or_default().to_string();
     let mut body = Vec::new();
     let mut payload = req.take_payload();
     while let Some(chunk) = futures_util::StreamExt::next(&mut payload).await {
@@ -138,6 +141,6 @@
             _ => return Response::build(StatusCode::BAD_REQUEST).finish(),
         }
     }
-    let a = handle(Asked { method, path, body });
+    let a = handle(Asked { method, path, query, body });
     Response::build(a.status).content_type(a.kind).body(a.body)
 }
--- a/src/metrics/mod.rs
+++ b/src/metrics/mod.rs
@@ -2,13 +2,15 @@
 //! retries, each with a `reason` attribute, plus plain event counters.
 //!
 //! The SDK's manual reader lets a role print its counters on demand (at stop,
-//! or when asked), so an operator can read them without a collector.
+//! or when asked), so an operator can read them without a collector. The
+//! platform's roles also serve them as text ([`text`]), with histograms and
+//! gauges, in the format that Prometheus reads.
 
 use std::sync::{Arc, OnceLock, Weak};
 use std::time::Duration;
 
 use opentelemetry::KeyValue;
-use opentelemetry::metrics::Counter;
+use opentelemetry::metrics::{Counter, Gauge, Histogram};
 use opentelemetry_sdk::error::OTelSdkResult;
 use opentelemetry_sdk::metrics::data::{AggregatedMetrics, MetricData, ResourceMetrics};
 use opentelemetry_sdk::metrics::reader::MetricReader;
@@ -121,6 +123,11 @@
     }
 }
 
+/// Upper bounds of the histograms' buckets, in seconds: from a handshake
+/// (0.3 ms) over a request (50 ms) and the callers' aims (0.2 to 0.5 s) to
+/// their time limits (8 s).
+const BOUNDS: [f64; 13] = [0.001, 0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 1.0, 2.0, 4.0, 8.0];
+
 struct Meters {
     reader: Reader,
     _provider: SdkMeterProvider,
@@ -128,6 +135,10 @@
     retries: Counter<u64>,
     violations: Counter<u64>,
     drops: Counter<u64>,
+    answers: Histogram<f64>,
+    calls: Histogram<f64>,
+    state: Gauge<u64>,
+    registry: prometheus::Registry,
 }
 
 static METERS: OnceLock<Meters> = OnceLock::new();
@@ -135,14 +146,37 @@
 fn meters() -> &'static Meters {
     METERS.get_or_init(|| {
         let reader = Reader(Arc::new(ManualReader::builder().build()));
-        let provider = SdkMeterProvider::builder().with_reader(reader.clone()).build();
+        let registry = prometheus::Registry::new();
+        let mut builder = SdkMeterProvider::builder().with_reader(reader.clone());
+        match opentelemetry_prometheus::exporter().with_registry(registry.clone()).build() {
+            Ok(exporter) => builder = builder.with_reader(exporter),
+            Err(e) => log::error!("{} metrics as text: {e}", crate::events::METRICS_FAILED),
+        }
+        let provider = builder.build();
         opentelemetry::global::set_meter_provider(provider.clone());
         let meter = opentelemetry::global::meter("jujubepost");
         let refusals = meter.u64_counter("jujubepost.refusals").build();
         let retries = meter.u64_counter("jujubepost.retries").build();
         let violations = meter.u64_counter("jujubepost.violations").build();
         let drops = meter.u64_counter("jujubepost.drops").build();
-        Meters { reader, _provider: provider, refusals, retries, violations, drops }
+        let times = |name| {
+            meter.f64_histogram(name).with_unit("s").with_boundaries(BOUNDS.to_vec()).build()
+        };
+        let answers = times("jujubepost.answer.time");
+        let calls = times("jujubepost.store.time");
+        let state = meter.u64_gauge("jujubepost.state").build();
+        Meters {
+            reader,
+            _provider: provider,
+            refusals,
+            retries,
+            violations,
+            drops,
+            answers,
+            calls,
+            state,
+            registry,
+        }
     })
 }
 
@@ -161,6 +195,50 @@
     meters().drops.add(1, &[KeyValue::new("reason", reason.to_string())]);
 }
 
+/// How long the targets of one service take from a caller's data to their
+/// first answer. Made once: a request pays for no attribute of its own.
+#[derive(Clone, Debug)]
+pub struct Answers {
+    histogram: Histogram<f64>,
+    service: [KeyValue; 1],
+}
+
+impl Answers {
+    /// The answer times of `service`.
+    #[must_use]
+    pub fn new(service: &str) -> Self {
+        let service = [KeyValue::new("service", service.to_string())];
+        Self { histogram: meters().answers.clone(), service }
+    }
+
+    /// Notes one answer.
+    pub fn note(&self, took: Duration) {
+        self.histogram.record(took.as_secs_f64(), &self.service);
+    }
+}
+
+/// Notes how long a call to the key-value service took, and how it ended.
+pub fn called(call: &str, ok: bool, took: Duration) {
+    let attributes = [KeyValue::new("call", call.to_string()), KeyValue::new("ok", ok)];
+    meters().calls.record(took.as_secs_f64(), &attributes);
+}
+
+/// Sets the gauge of one fact that the process believes.
+pub fn state(fact: &'static str, value: u64) {
+    meters().state.record(value, &[KeyValue::new("fact", fact)]);
+}
+
+/// Every counter, histogram and gauge, as text in the format that Prometheus
+/// reads.
+#[must_use]
+pub fn text() -> String {
+    let families = meters().registry.gather();
+    prometheus::TextEncoder::new().encode_to_string(&families).unwrap_or_else(|e| {
+        log::error!("{} metrics as text: {e}", crate::events::METRICS_FAILED);
+        String::new()
+    })
+}
+
 /// Checks an invariant of the program: when it does not hold, logs it, counts
 /// it under `jujubepost.violations`, and in debug builds ends the process.
 pub fn invariant(holds: bool, name: &'static str, detail: impl FnOnce() -> String) {
--- a/src/platform/kv.rs
+++ b/src/platform/kv.rs
@@ -4,7 +4,7 @@
 //! without an answer may have taken effect, also seconds later.
 
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use anyhow::{Context, bail};
 use base64::Engine;
@@ -13,6 +13,7 @@
 use ntex::http::StatusCode;
 use serde::{Deserialize, Serialize};
 
+use crate::metrics;
 use crate::store::{Batch, Change, Keeper, Kv, Lessor};
 
 /// Largest answer read, in bytes: a page is about 1 MB, and base64 and JSON
@@ -126,6 +127,7 @@
         timeout: Duration,
     ) -> anyhow::Result<ClientResponse> {
         let req = req.timeout(timeout);
+        let started = Instant::now();
         let sent = async {
             match body {
                 Some(b) => req.content_type("application/json").send_body(b).await,
@@ -133,8 +135,11 @@
             }
         };
         // The client's own timeout starts once it is connected.
-        ntex::time::timeout(timeout, sent)
-            .await
+        let answer = ntex::time::timeout(timeout, sent).await;
+        let ok = matches!(&answer, Ok(Ok(res)) if res.status().is_success());
+        let call = step.split(' ').next().unwrap_or_default();
+        metrics::called(call, ok, started.elapsed());
+        answer
             .map_err(|()| anyhow::anyhow!("{step} at store {}: timeout", self.addr))?
             .map_err(|e| anyhow::anyhow!("{step} at store {}: {e}", self.addr))
     }
--- a/src/steer/known.rs
+++ b/src/steer/known.rs
@@ -22,6 +22,18 @@
     Search(Search),
 }
 
+impl Known {
+    /// By which rule the flow's packets go, in words.
+    #[must_use]
+    pub fn rule(&self) -> String {
+        match self {
+            Self::Opening(o) => format!("being opened, offered to {:?}", o.offered),
+            Self::At { agent, .. } => format!("held by the target of {agent}"),
+            Self::Search(s) => format!("owner asked for; unsure: {:?}", s.unsure),
+        }
+    }
+}
+
 /// An open that no agent has taken yet.
 #[derive(Debug)]
 pub struct Opening {
--- a/src/steer/mod.rs
+++ b/src/steer/mod.rs
@@ -23,6 +23,7 @@
 pub use routes::{Route, Routes, Share};
 
 use crate::bus::{Message, Mode, Note, Open, Word};
+use crate::events;
 use crate::flow::{Flow, Segment, Table};
 use crate::metrics::{self, Refusal, Retry};
 use crate::wire::{Offer, Stage};
@@ -262,6 +263,11 @@
             search.asked += 1;
         }
         metrics::retried(Retry::OwnerAsked);
+        log::info!(
+            event = events::OWNER_ASKED, flow:% = flow, agents = search.asked,
+            version = routes.version;
+            "agents asked for a flow's owner"
+        );
         search.due = Some(now + ANSWER);
         self.flows.insert(flow, Known::Search(search), now);
         self.due.push_back((now + ANSWER, flow));
@@ -375,6 +381,35 @@
         }
     }
 
+    /// What the balancer believes, as JSON: the configuration's version, the
+    /// agents with the age of what it last heard of each, and, where `flow` is
+    /// given, where its packets go and by which rule.
+    #[must_use]
+    pub fn beliefs(&self, flow: Option<Flow>, now: Instant) -> serde_json::Value {
+        serde_json::json!({
+            "version": self.version(),
+            "ready": self.ready(),
+            "store_answers_ms": self.sees_since.map(|at| now.duration_since(at).as_millis()),
+            "flows_remembered": self.flows.len(),
+            "agents": self.roster.beliefs(now),
+            "flow": flow.map(|f| self.explain(f, now)),
+        })
+    }
+
+    fn explain(&self, flow: Flow, now: Instant) -> serde_json::Value {
+        let route = self.routes.as_ref().and_then(|r| r.find(flow));
+        let pick = route.and_then(|(_, share)| {
+            self.roster.pick(&share.service, &self.zone, flow, None, &[], now)
+        });
+        serde_json::json!({
+            "flow": flow.to_string(),
+            "route": route.map(|(r, _)| r.name.to_string()),
+            "service": route.map(|(_, s)| s.service.to_string()),
+            "known": self.flows.peek(flow).map(Known::rule),
+            "a_new_one_goes_to": pick.map(|(a, b)| (a.to_string(), b.map(|b| b.to_string()))),
+        })
+    }
+
     /// Whether callers should be sent here: a configuration is in force and
     /// agents can be reached.
     #[must_use]
@@ -424,6 +459,11 @@
         let Some(Known::Opening(mut opening)) = self.flows.remove(flow) else { return };
         if !opening.resting {
             metrics::retried(Retry::OpenTimeout);
+            log::info!(
+                event = events::OPEN_UNANSWERED, flow:% = flow, offered:? = opening.offered,
+                age_ms = now.duration_since(opening.since).as_millis();
+                "agents did not answer an open"
+            );
             for agent in opening.offered.iter().rev().take(2) {
                 self.roster.missed(*agent, now);
             }
@@ -476,6 +516,6 @@
 
 fn refuse_at(flow: Flow, seq: u32, reason: Refusal, out: &mut impl Out) {
     metrics::refused(reason);
-    log::info!("{} flow={flow} reason={reason}", crate::events::FLOW_REFUSED);
+    log::info!(event = events::FLOW_REFUSED, flow:% = flow, reason:% = reason; "flow refused");
     out.reset(flow, seq);
 }
--- a/src/steer/roster.rs
+++ b/src/steer/roster.rs
@@ -98,8 +98,10 @@
         self.agents.is_empty()
     }
 
-    /// Takes in the agents that the store lists now.
-    pub fn update(&mut self, announced: &[Announced], now: Instant) {
+    /// Takes in the agents that the store lists now; says whether any came or
+    /// went.
+    pub fn update(&mut self, announced: &[Announced], now: Instant) -> bool {
+        let before: Vec<(SocketAddrV4, bool)> = self.listing();
         for a in self.agents.values_mut() {
             a.unlisted.get_or_insert(now);
         }
@@ -116,6 +118,14 @@
         if self.agents.values().any(Agent::doubtful) {
             self.due = Some(now);
         }
+        self.listing() != before
+    }
+
+    fn listing(&self) -> Vec<(SocketAddrV4, bool)> {
+        let mut all: Vec<_> =
+            self.agents.iter().map(|(addr, a)| (*addr, a.unlisted.is_none())).collect();
+        all.sort_unstable();
+        all
     }
 
     fn insert(&mut self, a: &Announced, now: Instant) {
@@ -149,6 +159,26 @@
         self.agents.get(&addr).is_some_and(|a| a.silent.is_none())
     }
 
+    /// Each agent with what is believed of it, as JSON.
+    #[must_use]
+    pub fn beliefs(&self, now: Instant) -> Vec<serde_json::Value> {
+        let mut agents: Vec<_> = self.agents.iter().collect();
+        agents.sort_by_key(|(addr, _)| **addr);
+        let age = |at: Instant| now.duration_since(at).as_millis();
+        let one = |(addr, a): (&SocketAddrV4, &Agent)| {
+            serde_json::json!({
+                "agent": addr.to_string(),
+                "service": a.service,
+                "zone": a.zone,
+                "load": if a.load == UNABLE { None } else { Some(a.load) },
+                "heard_ms": age(a.heard),
+                "silent_ms": a.silent.map(age),
+                "unlisted_ms": a.unlisted.map(age),
+            })
+        };
+        agents.into_iter().map(one).collect()
+    }
+
     /// Whether there are agents and none of them answers: the balancer is cut
     /// off from them, and another should have its callers.
     #[must_use]
--- a/src/store/lease.rs
+++ b/src/store/lease.rs
@@ -59,7 +59,7 @@
             () = ntex::time::sleep(pause) => match store.keepalive(lease).await {
                 Ok(true) => pause = beat,
                 Ok(false) => {
-                    log::warn!("{} lease {lease} of {key} lapsed", events::AGENT_LAPSED);
+                    log::warn!(event = events::AGENT_LAPSED, key = key, lease = lease; "lease lapsed");
                     metrics::retried(Retry::LeaseLapsed);
                     return;
                 }
@@ -83,6 +83,6 @@
 }
 
 fn failed(e: &anyhow::Error) {
-    log::warn!("{} {e:#}", events::AGENT_STORE);
+    log::warn!(event = events::AGENT_STORE, error:% = format!("{e:#}"); "store call failed");
     metrics::retried(Retry::StoreError);
 }
--- a/src/store/mirror.rs
+++ b/src/store/mirror.rs
@@ -219,6 +219,8 @@
         Ok(peer) => peer.copy().await,
         Err(e) => Err(e),
     }
-    .inspect_err(|e| log::debug!("{} {e:#}", crate::events::PEER_SILENT))
+    .inspect_err(
+        |e| log::debug!(event = crate::events::PEER_SILENT, error:% = format!("{e:#}"); "no copy"),
+    )
     .ok()
 }
