Store: changes gathered, one entry an agent, watches wait 3 s

Change: an agent lists itself with its target's first report (2.5 s at most); a balancer pauses 300 ms after a change before it asks for the next; a watch waits 3 s and is given up 0.5 s later.

Ruled out: waiting 30 s per watch with keep-alive probes (a store that is silent but whose connections live would be noticed too late for CONFIG).

--- a/src/agent/mod.rs
+++ b/src/agent/mod.rs
@@ -71,6 +71,7 @@
         store: store.clone(),
         prefix: keys.config(),
         peers: settings.balancers.iter().map(|b| b.addr).collect(),
+        gather: Duration::ZERO,
     };
     let follower =
         tokio::task::spawn_local(follow_orders(source, keys.clone(), agent.clone(), board));
--- a/src/balancer/mod.rs
+++ b/src/balancer/mod.rs
@@ -94,8 +94,12 @@
     log::info!("{} balancer {name} in {} on {}", events::BALANCER_START, me.zone, me.addr);
     let board = Board::new(me.name.clone(), keys.config().into());
     let desk = admin::Server::start(me.addr, board.clone()).await?;
-    let source =
-        Source { store: store.clone(), prefix: keys.all(), peers: settings.peers(me.addr) };
+    let source = Source {
+        store: store.clone(),
+        prefix: keys.all(),
+        peers: settings.peers(me.addr),
+        gather: Duration::ZERO,
+    };
     let watcher = tokio::task::spawn_local(follow::follow(
         source,
         keys.clone(),
--- a/src/edge/entry.rs
+++ b/src/edge/entry.rs
@@ -33,6 +33,11 @@
 /// latest they hand it nothing new; the rest is for packets on their way.
 const LINGER: Duration = Duration::from_millis(2_200);
 
+/// Pause between a change of the store and the question for the next: short
+/// against the 3 s in which a configuration is to be in force, long against
+/// the pause between the first reports of targets that start together (0.15 s).
+const GATHER: Duration = Duration::from_millis(300);
+
 /// Longest sleep without a timer due, so that old flows are forgotten.
 const IDLE_TICK: Duration = Duration::from_secs(5);
 
@@ -84,8 +89,12 @@
         ip:% = settings.ip;
         "balancer started"
     );
-    let source =
-        Source { store: store(&settings).await?, prefix: String::new(), peers: settings.peers() };
+    let source = Source {
+        store: store(&settings).await?,
+        prefix: String::new(),
+        peers: settings.peers(),
+        gather: GATHER,
+    };
     let (view, seen) = (steer.clone(), board.clone());
     let follower = tokio::task::spawn_local(async move {
         let mut lost = false;
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -22,10 +22,10 @@
 /// was lost is made again within the second that a change may take.
 const CALL: Duration = Duration::from_millis(1_000);
 
-/// How long one watch waits. A connection that went silent for good is found
-/// after this and [`CALL`], so that a change of the configuration is still in
-/// force within 3 s of the 4 s after which a process counts as in touch.
-const WATCH: Duration = Duration::from_millis(2_500);
+/// How long one watch waits. A service that went silent is found 0.5 s after
+/// this, so that a change of the configuration is still in force within 3 s
+/// of the 4 s after which a process counts as in touch.
+const WATCH: Duration = Duration::from_millis(3_000);
 
 /// Time to live of an agent's entry: long, since agents that die are found by
 /// their silence, and each renewal is a call.
--- a/src/edge/sidecar.rs
+++ b/src/edge/sidecar.rs
@@ -40,6 +40,10 @@
 /// for: their views lag the store by some milliseconds.
 const RELIST: Duration = Duration::from_millis(1_000);
 
+/// How long an agent waits for its target's first report before it lists
+/// itself: a target reports about once a second.
+const UNREPORTED: Duration = Duration::from_millis(2_500);
+
 /// How long an agent waits at its start for what the store knows of it: the
 /// store answers in 4 ms, and the target's callers wait meanwhile.
 const READ: Duration = Duration::from_millis(100);
@@ -118,7 +122,11 @@
         None => None,
     };
     let (held, held_key) = (store.clone(), key.clone());
+    let mut entries = entries;
     let announcer = tokio::task::spawn_local(async move {
+        // One write with the target's start instead of two: each is an event
+        // at every balancer.
+        let _ = tokio::time::timeout(UNREPORTED, entries.changed()).await;
         lease::hold(&held, &held_key, entries, LEASE_MS).await;
     });
     let mut term = signal(SignalKind::terminate()).context("signal")?;
--- a/src/platform/kv.rs
+++ b/src/platform/kv.rs
@@ -20,6 +20,9 @@
 /// make it no more than twice that.
 const ANSWER_LIMIT: usize = 4 << 20;
 
+/// How much later than its wait a watch may be answered.
+const WATCH_SLACK: Duration = Duration::from_millis(500);
+
 /// A client of the platform's key-value service.
 #[derive(Clone)]
 pub struct Client {
@@ -216,7 +219,9 @@
         let wait_ms = u64::try_from(wait.as_millis()).unwrap_or(u64::MAX);
         let req = self.http.get(self.url("/v1/kv-watch"));
         let req = req.query(&WatchQuery { prefix, after, wait_ms })?;
-        let res = self.send(&step, req, None, wait + self.timeout).await?;
+        let res = self
+            .send(&step, req, None, if wait.is_zero() { self.timeout } else { wait + WATCH_SLACK })
+            .await?;
         if res.status() == StatusCode::GONE {
             return Ok(Batch { rev: after, compacted: true, changes: Vec::new() });
         }
--- a/src/store/mirror.rs
+++ b/src/store/mirror.rs
@@ -115,6 +115,9 @@
     pub prefix: String,
     /// Processes that hold a copy of at least this prefix.
     pub peers: Vec<SocketAddr>,
+    /// Pause after a change before the next is asked for: changes that come
+    /// together (many agents start at once) cost one call instead of many.
+    pub gather: Duration,
 }
 
 /// What a mirror tells its owner.
@@ -152,6 +155,9 @@
             Ok(Step::Changed) => {
                 list = false;
                 tell(News::Copy(&copy));
+                if !source.gather.is_zero() {
+                    ntex::time::sleep(source.gather).await;
+                }
             }
             Ok(Step::Compacted) => {
                 metrics::retried(Retry::WatchCompacted);
