Stand-ins for the platform: store calls, routers, callers, targets; trial

Change: the store stand-in answers the platform's calls over the same keys; trial runs balancers and agents as processes on loopback with routers (both hashes), callers and targets as tasks; process handling of up and trial stands once (up::Children). tests/whole.rs: calm run, planned work, kills and a freeze, store troubles, a store that is silent and then back.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -17,6 +17,7 @@
 //! - [`ctl`]: the operator's tool.
 //! - [`mod@bench`]: the load tool that prints broken flows and imbalance.
 //! - [`script`]: scripted changes and faults for trials and tests.
+//! - [`trial`]: the platform's form on loopback, with stand-ins for its ends.
 //! - [`up`]: runs a whole deployment on one machine.
 
 pub mod admin;
@@ -43,5 +44,6 @@
 pub mod stream;
 pub mod table;
 pub mod target;
+pub mod trial;
 pub mod up;
 pub mod wire;
--- a/src/main.rs
+++ b/src/main.rs
@@ -4,7 +4,7 @@
 
 use clap::{Parser, Subcommand};
 use jujubepost::settings::Settings;
-use jujubepost::{agent, balancer, bench, ctl, edge, fabric, store, target, up};
+use jujubepost::{agent, balancer, bench, ctl, edge, fabric, store, target, trial, up};
 
 /// A layer-4 load balancer whose balancers keep no per-flow state.
 #[derive(Debug, Parser)]
@@ -34,6 +34,9 @@
     Ctl(ctl::Args),
     /// Drives load against a running site and prints broken flows and imbalance.
     Bench(bench::Args),
+    /// Runs the platform's form on this machine, with stand-ins for routers,
+    /// callers and targets, and prints what was served.
+    Trial(trial::Plan),
     /// Runs whole sites on this machine, drives load and prints what was served.
     Up(up::Args),
 }
@@ -80,6 +83,7 @@
         Role::Store(s) => store::serve(Settings::load(&s.config)?.store.addr).await,
         Role::Ctl(a) => ctl::run(a).await,
         Role::Bench(a) => bench::run(a).await,
+        Role::Trial(p) => trial::run(p).await,
         Role::Up(a) => up::run(a).await,
     }
 }
--- a/src/platform/packet.rs
+++ b/src/platform/packet.rs
@@ -92,6 +92,13 @@
     }
 }
 
+/// Puts the mark on a packet that a target gives back (the stand-in's part).
+pub fn set_bounced(datagram: &mut [u8]) {
+    if let Some(bits) = datagram.get_mut(FLAGS_AT) {
+        *bits |= BOUNCED;
+    }
+}
+
 /// A reset of the system's own, from the flow's address to its caller. `seq`
 /// must be close to the caller's last acknowledgement; before the flow is
 /// open any value will do.
@@ -111,3 +118,26 @@
     b.put_u32(0);
     b
 }
+
+/// A packet of one of the two ends, as the stand-ins of callers and targets
+/// write it; the sum is left out, as only the real ends know its key.
+#[must_use]
+pub fn encode(seg: &Segment, data: &[u8]) -> Vec<u8> {
+    let f = seg.flags;
+    let pairs = [(f.syn, SYN), (f.ack, ACK), (f.fin, FIN), (f.rst, RST), (f.bounced, BOUNCED)];
+    let bits = pairs.into_iter().filter(|(on, _)| *on).map(|(_, bit)| bit).sum();
+    let mut b = Vec::with_capacity(HEAD + data.len());
+    b.put_u8(bits);
+    b.put_bytes(0, PAD);
+    b.put_u16(u16::try_from(data.len()).unwrap_or(u16::MAX));
+    b.put_u32(0);
+    b.put_u32(seg.seq);
+    b.put_u32(seg.ack);
+    b.put_u32(u32::from(*seg.from.ip()));
+    b.put_u16(seg.to.port());
+    b.put_u32(u32::from(*seg.to.ip()));
+    b.put_u16(seg.from.port());
+    b.put_u32(0);
+    b.extend_from_slice(data);
+    b
+}
--- a/src/platform/report.rs
+++ b/src/platform/report.rs
@@ -8,10 +8,10 @@
 use crate::hold::{Report, State};
 
 /// Path of a target's heartbeat, before its id.
-const HEARTBEAT: &str = "/v1/Instances.Heartbeat/";
+pub const HEARTBEAT: &str = "/v1/Instances.Heartbeat/";
 
 /// Path by which a target says that it is gone, before its id.
-const GONE: &str = "/v1/Instances.Deregister/";
+pub const GONE: &str = "/v1/Instances.Deregister/";
 
 /// Answer to a heartbeat: no other address for later ones.
 pub const ANSWER: &str = "{}";
--- a/src/store/server.rs
+++ b/src/store/server.rs
@@ -62,40 +62,55 @@
     pub watches: u64,
 }
 
+/// One key's value.
 #[derive(Clone, Debug)]
-struct Entry {
-    value: Vec<u8>,
-    create: i64,
-    modr: i64,
-    lease: i64,
+pub(crate) struct Entry {
+    /// The value.
+    pub value: Vec<u8>,
+    /// Revision of its creation.
+    pub create: i64,
+    /// Revision of its last change.
+    pub modr: i64,
+    /// Its lease, or 0.
+    pub lease: i64,
 }
 
+/// One lease.
 #[derive(Debug)]
-struct LeaseState {
-    ttl: i64,
+pub(crate) struct LeaseState {
+    ttl: Duration,
     deadline: Instant,
     keys: HashSet<Vec<u8>>,
 }
 
+/// What the stand-in holds, whichever protocol asks for it.
 #[derive(Debug, Default)]
-struct Db {
-    rev: i64,
-    kvs: BTreeMap<Vec<u8>, Entry>,
+pub(crate) struct Db {
+    /// Its revision.
+    pub rev: i64,
+    /// Its keys.
+    pub kvs: BTreeMap<Vec<u8>, Entry>,
     leases: HashMap<i64, LeaseState>,
-    history: Vec<(i64, Event)>,
+    /// Changes by revision, oldest first.
+    pub history: Vec<(i64, Event)>,
     next_lease: i64,
-    faults: Faults,
-    stats: Stats,
+    /// The faults that it shows.
+    pub faults: Faults,
+    /// Calls counted.
+    pub stats: Stats,
 }
 
+/// The stand-in's state, shared by its handlers.
 #[derive(Clone)]
-struct Shared {
+pub(crate) struct Shared {
     db: Arc<Mutex<Db>>,
-    notify: Arc<Notify>,
+    /// Tells waiting watches of changes.
+    pub notify: Arc<Notify>,
 }
 
 impl Shared {
-    fn lock(&self) -> MutexGuard<'_, Db> {
+    /// The state, for one call.
+    pub fn lock(&self) -> MutexGuard<'_, Db> {
         self.db.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
     }
 }
@@ -115,7 +130,8 @@
         }
     }
 
-    fn put(&mut self, key: Vec<u8>, value: Vec<u8>, lease: i64) {
+    /// Writes a key.
+    pub fn put(&mut self, key: Vec<u8>, value: Vec<u8>, lease: i64) {
         self.rev += 1;
         let create = self.kvs.get(&key).map_or(self.rev, |e| e.create);
         if let Some(old) = self.kvs.get(&key)
@@ -134,7 +150,8 @@
         self.record(ev);
     }
 
-    fn delete(&mut self, key: &[u8]) -> bool {
+    /// Removes a key; says whether it was there.
+    pub fn delete(&mut self, key: &[u8]) -> bool {
         let Some(e) = self.kvs.remove(key) else {
             return false;
         };
@@ -147,6 +164,35 @@
         true
     }
 
+    /// Takes a lease; returns its identifier.
+    pub fn grant(&mut self, ttl: Duration) -> i64 {
+        self.next_lease += 1;
+        let state = LeaseState { ttl, deadline: Instant::now() + ttl, keys: HashSet::new() };
+        self.leases.insert(self.next_lease, state);
+        self.next_lease
+    }
+
+    /// Whether the lease stands.
+    pub fn holds(&self, lease: i64) -> bool {
+        lease == 0 || self.leases.contains_key(&lease)
+    }
+
+    /// Renews a lease; its time to live, or none when it has ended.
+    pub fn renew(&mut self, lease: i64) -> Option<Duration> {
+        if self.faults.lapse {
+            return None;
+        }
+        let l = self.leases.get_mut(&lease)?;
+        l.deadline = Instant::now() + l.ttl;
+        Some(l.ttl)
+    }
+
+    /// Whether changes since revision `start` are no longer all known.
+    pub fn forgotten(&self, start: i64) -> bool {
+        let oldest = self.history.first().map_or(self.rev + 1, |(r, _)| *r);
+        start < oldest && start <= self.rev && self.rev > 0
+    }
+
     fn record(&mut self, ev: Event) {
         self.history.push((self.rev, ev));
         if self.history.len() > HISTORY {
@@ -178,7 +224,7 @@
 }
 
 /// Applies the configured delay and outage; `Err` holds the failure answer.
-async fn gate(st: &Shared) -> Result<(), HttpResponse> {
+pub(crate) async fn gate(st: &Shared) -> Result<(), HttpResponse> {
     let faults = st.lock().faults.clone();
     if faults.delay_ms > 0 {
         ntex::time::sleep(Duration::from_millis(faults.delay_ms)).await;
@@ -190,7 +236,7 @@
 }
 
 /// After a write took effect: the answer is lost when a loss is pending.
-fn lost(db: &mut Db) -> bool {
+pub(crate) fn lost(db: &mut Db) -> bool {
     if db.faults.lose > 0 {
         db.faults.lose -= 1;
         log::warn!("{} answer of a write lost on purpose", events::STORE_LOST);
@@ -227,7 +273,7 @@
     };
     let mut db = st.lock();
     db.stats.writes += 1;
-    if req.lease != 0 && !db.leases.contains_key(&req.lease) {
+    if !db.holds(req.lease) {
         return HttpResponse::NotFound().body("store: lease not found");
     }
     db.put(key, value, req.lease);
@@ -292,11 +338,8 @@
     }
     let mut db = st.lock();
     db.stats.writes += 1;
-    db.next_lease += 1;
-    let id = db.next_lease;
     let ttl = req.ttl.max(1);
-    let deadline = Instant::now() + Duration::from_secs(ttl as u64);
-    db.leases.insert(id, LeaseState { ttl, deadline, keys: HashSet::new() });
+    let id = db.grant(Duration::from_secs(ttl as u64));
     if lost(&mut db) {
         return HttpResponse::GatewayTimeout().finish();
     }
@@ -309,15 +352,7 @@
     }
     let mut db = st.lock();
     db.stats.keepalives += 1;
-    let lapse = db.faults.lapse;
-    let ttl = match db.leases.get_mut(&req.id) {
-        Some(_) if lapse => 0,
-        Some(l) => {
-            l.deadline = Instant::now() + Duration::from_secs(l.ttl as u64);
-            l.ttl
-        }
-        None => 0,
-    };
+    let ttl = db.renew(req.id).map_or(0, |ttl| ttl.as_secs() as i64);
     HttpResponse::Ok().json(&KeepAliveResponse { result: Lease { id: req.id, ttl } })
 }
 
@@ -338,8 +373,8 @@
         notified.as_mut().enable();
         {
             let db = st.lock();
-            let oldest = db.history.first().map_or(db.rev + 1, |(r, _)| *r);
-            if c.start_revision < oldest && c.start_revision <= db.rev && db.rev > 0 {
+            if db.forgotten(c.start_revision) {
+                let oldest = db.history.first().map_or(db.rev + 1, |(r, _)| *r);
                 let result = WatchResult {
                     header: db.header(),
                     compact_revision: oldest - 1,
@@ -409,6 +444,7 @@
             .route("/v3/lease/grant", web::post().to(grant))
             .route("/v3/lease/keepalive", web::post().to(keepalive))
             .route("/v3/watch", web::post().to(watch))
+            .configure(crate::platform::server::routes)
             .route("/fault", web::post().to(fault))
             .route("/stats", web::get().to(stats))
     })
--- /dev/null
+++ b/src/trial/router.rs
@@ -0,0 +1,96 @@
+//! The platform's routers: each packet goes to a balancer of the caller's
+//! data centre by a hash of its addresses and ports over those that are ready.
+
+use std::cell::RefCell;
+use std::net::SocketAddrV4;
+use std::time::Duration;
+
+use ntex::client::Client;
+
+use crate::flow::Flow;
+use crate::platform::READY_PATH;
+
+/// How often each balancer is asked whether it is ready.
+const PROBE: Duration = Duration::from_millis(500);
+
+/// Misses after which a balancer is out of rotation.
+const MISSES: u32 = 2;
+
+/// How flows are spread over the balancers in rotation.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, clap::ValueEnum)]
+pub enum Hash {
+    /// By the remainder: a change of the rotation moves nearly all flows.
+    Mod,
+    /// By preference: a change moves only the flows of that balancer.
+    Steady,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Balancer {
+    addr: SocketAddrV4,
+    misses: u32,
+}
+
+/// The routers of all data centres.
+#[derive(Debug)]
+pub struct Router {
+    zones: RefCell<Vec<Vec<Balancer>>>,
+    ready_port: u16,
+    hash: Hash,
+}
+
+impl Router {
+    /// Routers over `balancers`, by data centre, none ready yet.
+    pub fn new(balancers: Vec<Vec<SocketAddrV4>>, ready_port: u16, hash: Hash) -> Self {
+        let out = |addr| Balancer { addr, misses: MISSES };
+        let zones = balancers.into_iter().map(|z| z.into_iter().map(out).collect()).collect();
+        Self { zones: RefCell::new(zones), ready_port, hash }
+    }
+
+    /// Whether every balancer is in rotation.
+    pub fn all_ready(&self) -> bool {
+        self.zones.borrow().iter().flatten().all(|b| b.misses < MISSES)
+    }
+
+    /// The balancer for a packet of `flow` from data centre `zone`.
+    pub fn pick(&self, zone: usize, flow: Flow) -> Option<SocketAddrV4> {
+        let zones = self.zones.borrow();
+        let home = zones.get(zone)?;
+        let mut ready: Vec<SocketAddrV4> =
+            home.iter().filter(|b| b.misses < MISSES).map(|b| b.addr).collect();
+        if ready.len() * 2 < home.len() {
+            ready = home.iter().map(|b| b.addr).collect();
+        }
+        match self.hash {
+            Hash::Mod => {
+                let n = u64::try_from(ready.len()).ok().filter(|n| *n > 0)?;
+                ready.get(usize::try_from(flow.hash64() % n).ok()?).copied()
+            }
+            Hash::Steady => ready.into_iter().max_by_key(|b| flow.preference(*b)),
+        }
+    }
+
+    /// Asks every balancer once.
+    pub async fn probe(&self) {
+        let addrs: Vec<SocketAddrV4> =
+            self.zones.borrow().iter().flatten().map(|b| b.addr).collect();
+        let client = Client::new().await;
+        for addr in addrs {
+            let url = format!("http://{}:{}{READY_PATH}", addr.ip(), self.ready_port);
+            let asked = ntex::time::timeout(PROBE, client.get(url).send()).await;
+            let ready = matches!(asked, Ok(Ok(res)) if res.status().is_success());
+            let mut zones = self.zones.borrow_mut();
+            if let Some(b) = zones.iter_mut().flatten().find(|b| b.addr == addr) {
+                b.misses = if ready { 0 } else { b.misses + 1 };
+            }
+        }
+    }
+
+    /// Asks every balancer again and again.
+    pub async fn keep_probing(&self) {
+        loop {
+            self.probe().await;
+            tokio::time::sleep(PROBE).await;
+        }
+    }
+}
--- /dev/null
+++ b/src/trial/target.rs
@@ -0,0 +1,232 @@
+//! A target: answers opens with a sequence number of its own, runs each
+//! request once, gives back packets of flows that it does not hold, and
+//! reports itself to the agent beside it.
+
+use std::cell::{Cell, RefCell};
+use std::collections::{HashMap, HashSet};
+use std::net::SocketAddrV4;
+use std::rc::Rc;
+use std::time::Duration;
+
+use anyhow::Context;
+use tokio::net::{TcpListener, UdpSocket};
+use tokio::task::JoinHandle;
+
+use super::Report;
+use crate::flow::{Flags, Flow, Segment};
+use crate::platform::{packet, report};
+
+/// How often a target reports itself.
+const HEARTBEAT: Duration = Duration::from_millis(400);
+
+/// How long a request takes.
+const WORK: Duration = Duration::from_millis(5);
+
+/// How long a leaving target serves on after its report was acknowledged.
+const LEAVING: Duration = Duration::from_millis(3_000);
+
+#[derive(Debug, Default)]
+struct State {
+    draining: Cell<bool>,
+    acknowledged: Cell<bool>,
+}
+
+/// A running target.
+pub struct Target {
+    name: String,
+    state: Rc<State>,
+    tasks: Vec<JoinHandle<()>>,
+}
+
+/// One open flow.
+#[derive(Clone, Debug)]
+struct Open {
+    /// Next byte expected of the caller.
+    next: u32,
+    /// Next byte sent.
+    seq: u32,
+    /// The last answer, sent again when its request comes again.
+    last: Option<Vec<u8>>,
+}
+
+impl Target {
+    /// Starts a target of `service` at `app`, whose packets go to `outbound`
+    /// and reports to `reports`.
+    pub async fn start(
+        name: String,
+        service: &'static str,
+        app: SocketAddrV4,
+        outbound: SocketAddrV4,
+        reports: SocketAddrV4,
+        seen: Rc<RefCell<Report>>,
+    ) -> anyhow::Result<Self> {
+        let sock = UdpSocket::bind(app).await.context("trial: binding a target")?;
+        // A target also listens for status checks; the open port says that it
+        // lives.
+        let port = TcpListener::bind(app).await.context("trial: binding a target's port")?;
+        seen.borrow_mut().opened.insert(name.clone(), 0);
+        let state = Rc::new(State::default());
+        let server = Server {
+            name: name.clone(),
+            service,
+            outbound,
+            sock,
+            state: state.clone(),
+            seen,
+            flows: HashMap::new(),
+            runs: HashSet::new(),
+        };
+        let id = format!("i-{name}-{:x}", rand::random::<u32>());
+        let beat = beats(id, service, app, reports, state.clone());
+        let tasks = vec![
+            tokio::task::spawn_local(server.serve()),
+            tokio::task::spawn_local(beat),
+            tokio::task::spawn_local(async move {
+                while let Ok((stream, _)) = port.accept().await {
+                    drop(stream);
+                }
+            }),
+        ];
+        Ok(Self { name, state, tasks })
+    }
+
+    /// Its name.
+    pub fn name(&self) -> &str {
+        &self.name
+    }
+
+    /// Whether its agent has acknowledged a report.
+    pub fn acknowledged(&self) -> bool {
+        self.state.acknowledged.get()
+    }
+
+    /// Says from now on that it leaves.
+    pub fn drain(&self) {
+        self.state.draining.set(true);
+    }
+
+    /// Ends it.
+    pub async fn stop(self) {
+        for task in self.tasks {
+            task.abort();
+            let _ = task.await;
+        }
+    }
+}
+
+/// Reports the target until it has left.
+async fn beats(
+    id: String,
+    service: &'static str,
+    app: SocketAddrV4,
+    reports: SocketAddrV4,
+    state: Rc<State>,
+) {
+    let client = ntex::client::Client::new().await;
+    let mut left = LEAVING;
+    for seq in 1_u64.. {
+        let draining = state.draining.get();
+        let word = if draining { "draining" } else { "ready" };
+        let body = serde_json::json!({
+            "service": service, "address": app, "zone": "", "version": "v1", "capacity": 5,
+            "state": word, "warmup_left_ms": 0, "seq": seq,
+        });
+        let url = format!("http://{reports}{}{id}", report::HEARTBEAT);
+        let call = client.post(url).send_json(&body);
+        let ok = matches!(
+            ntex::time::timeout(Duration::from_secs(1), call).await,
+            Ok(Ok(res)) if res.status().is_success()
+        );
+        state.acknowledged.set(state.acknowledged.get() || ok);
+        if draining {
+            left = left.saturating_sub(HEARTBEAT);
+            if left.is_zero() {
+                let url = format!("http://{reports}{}{id}", report::GONE);
+                let _ = client.post(url).send().await;
+                return;
+            }
+        }
+        tokio::time::sleep(HEARTBEAT).await;
+    }
+}
+
+struct Server {
+    name: String,
+    service: &'static str,
+    outbound: SocketAddrV4,
+    sock: UdpSocket,
+    state: Rc<State>,
+    seen: Rc<RefCell<Report>>,
+    flows: HashMap<Flow, Open>,
+    runs: HashSet<String>,
+}
+
+impl Server {
+    async fn serve(mut self) {
+        let mut buf = [0; 2_048];
+        while let Ok((n, _)) = self.sock.recv_from(&mut buf).await {
+            if let Ok(seg) = packet::decode(&buf[..n]) {
+                self.take(&seg, &buf[..n]).await;
+            }
+        }
+    }
+
+    async fn send(&self, flow: Flow, flags: Flags, seq: u32, ack: u32, data: &[u8]) {
+        let len = u16::try_from(data.len()).unwrap_or(u16::MAX);
+        let seg = Segment { from: flow.service, to: flow.caller, flags, seq, ack, len };
+        let _ = self.sock.send_to(&packet::encode(&seg, data), self.outbound).await;
+    }
+
+    async fn take(&mut self, seg: &Segment, bytes: &[u8]) {
+        let flow = seg.by_caller();
+        let ack = Flags { ack: true, ..Flags::default() };
+        if seg.opens() {
+            let open = self.flows.entry(flow).or_insert_with(|| {
+                *self.seen.borrow_mut().opened.entry(self.name.clone()).or_default() += 1;
+                Open { next: seg.seq.wrapping_add(1), seq: rand::random(), last: None }
+            });
+            let (seq, next) = (open.seq, open.next);
+            self.send(flow, Flags { syn: true, ..ack }, seq, next, &[]).await;
+            return;
+        }
+        let Some(open) = self.flows.get_mut(&flow) else {
+            let mut back = bytes.to_vec();
+            packet::set_bounced(&mut back);
+            let _ = self.sock.send_to(&back, self.outbound).await;
+            return;
+        };
+        if seg.flags.fin {
+            let (seq, next) = (open.seq.wrapping_add(1), seg.seq.wrapping_add(1));
+            self.flows.remove(&flow);
+            self.send(flow, Flags { fin: true, ..ack }, seq, next, &[]).await;
+        } else if seg.len > 0 && seg.seq == open.next {
+            open.next = open.next.wrapping_add(u32::from(seg.len));
+            let text = String::from_utf8_lossy(&bytes[packet::HEAD..]).into_owned();
+            tokio::time::sleep(WORK).await;
+            self.run(flow, &text).await;
+        } else if let (true, Some(last)) = (seg.len > 0, open.last.clone()) {
+            let _ = self.sock.send_to(&last, self.outbound).await;
+        }
+    }
+
+    /// Runs one request, `service id`, and answers it.
+    async fn run(&mut self, flow: Flow, text: &str) {
+        let (service, id) = text.split_once(' ').unwrap_or_default();
+        {
+            let mut seen = self.seen.borrow_mut();
+            seen.foreign += u32::from(service != self.service);
+            seen.doubled += u32::from(!self.runs.insert(id.to_string()));
+        }
+        let Some(open) = self.flows.get_mut(&flow) else { return };
+        let answer = format!("done {id} by {}", self.name);
+        let len = u16::try_from(answer.len()).unwrap_or(u16::MAX);
+        let fin = self.state.draining.get();
+        let flags = Flags { ack: true, fin, ..Flags::default() };
+        let seq = open.seq.wrapping_add(1);
+        let seg = Segment { from: flow.service, to: flow.caller, flags, seq, ack: open.next, len };
+        open.seq = open.seq.wrapping_add(u32::from(len));
+        let bytes = packet::encode(&seg, answer.as_bytes());
+        open.last = Some(bytes.clone());
+        let _ = self.sock.send_to(&bytes, self.outbound).await;
+    }
+}
--- a/src/up/mod.rs
+++ b/src/up/mod.rs
@@ -7,16 +7,15 @@
 //! logs to a file beside the settings file.
 
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
 
 use anyhow::{Context, bail};
 pub use nix::sys::signal::Signal;
-use nix::sys::signal::kill;
-use nix::unistd::Pid;
 
+mod children;
 pub mod plan;
 
+pub use children::Children;
 pub use plan::Plan;
 
 use crate::bench;
@@ -32,12 +31,6 @@
 /// How long a site may take to come up.
 const READY: Duration = Duration::from_secs(20);
 
-/// How long a stopping process may take before it is killed.
-const STOP: Duration = Duration::from_secs(10);
-
-/// How often a stopping process is looked at.
-const REAP_POLL: Duration = Duration::from_millis(20);
-
 /// Arguments of `jujubepost up`.
 #[derive(Clone, Debug, clap::Args)]
 pub struct Args {
@@ -55,8 +48,7 @@
     pub settings: Settings,
     /// The settings file its processes read.
     pub path: PathBuf,
-    exe: PathBuf,
-    children: Vec<(String, Child)>,
+    children: Children,
 }
 
 impl Site {
@@ -73,8 +65,7 @@
         let agents = settings.targets.iter().map(|t| format!("agent-{}", t.name));
         let balancers = settings.balancers.iter().map(|b| b.name.to_string());
         let labels: Vec<String> = targets.chain(agents).chain(balancers).collect();
-        let (path, exe) = (path.to_path_buf(), exe.to_path_buf());
-        let mut site = Self { settings, path, exe, children: Vec::new() };
+        let mut site = Self { settings, path: path.to_path_buf(), children: Children::new(exe) };
         site.spawn("store", &["store"])?;
         for label in &labels {
             site.launch(label)?;
@@ -89,42 +80,13 @@
         self.path.with_file_name(format!("{}-{label}.log", self.settings.site))
     }
 
-    /// Takes a process out of the site's list.
-    fn take(&mut self, label: &str) -> Option<Child> {
-        let i = self.children.iter().position(|(l, _)| l == label)?;
-        Some(self.children.remove(i).1)
-    }
-
     fn spawn(&mut self, label: &str, args: &[&str]) -> anyhow::Result<()> {
         let (role, rest) = args.split_first().context("up: no role")?;
         let log = self.log(label);
-        let log = std::fs::File::options()
-            .create(true)
-            .append(true)
-            .open(&log)
-            .with_context(|| format!("up: opening {}", log.display()))?;
-        let child = Command::new(&self.exe)
-            .arg(role)
-            .arg("--config")
-            .arg(&self.path)
-            .args(rest)
-            .stdin(Stdio::null())
-            .stdout(Stdio::null())
-            .stderr(log)
-            .spawn()
-            .with_context(|| format!("up: starting {label}"))?;
-        self.children.push((label.to_string(), child));
-        Ok(())
-    }
-
-    /// Fails when a process has ended by itself, as one does whose address is
-    /// taken.
-    fn check_alive(&mut self) -> anyhow::Result<()> {
-        let ended = self.children.iter_mut().position(|(_, child)| !runs(child));
-        if let Some(label) = ended.map(|i| self.children[i].0.clone()) {
-            bail!("up: {label} ended at its start; see {}", self.log(&label).display());
-        }
-        Ok(())
+        let config = self.path.display().to_string();
+        let args: Vec<&str> =
+            [role, "--config", &config].into_iter().chain(rest.iter().copied()).collect();
+        self.children.spawn(label, &args, &log)
     }
 
     async fn ready(&mut self) -> anyhow::Result<()> {
@@ -133,7 +95,7 @@
         let keys = Keys::new(s.store.prefix.clone());
         let deadline = Instant::now() + READY;
         loop {
-            self.check_alive()?;
+            self.children.check_alive()?;
             if Instant::now() > deadline {
                 bail!("up: site {} not up within {READY:?}", s.site);
             }
@@ -157,14 +119,7 @@
 
     /// Stops one process by label (SIGTERM) and waits for its end.
     pub async fn stop(&mut self, label: &str) {
-        let Some(mut child) = self.take(label) else { return };
-        signal(&child);
-        let deadline = Instant::now() + STOP;
-        while Instant::now() < deadline && runs(&mut child) {
-            tokio::time::sleep(REAP_POLL).await;
-        }
-        let _ = child.kill();
-        let _ = child.wait();
+        self.children.stop(label).await;
     }
 
     /// Starts a process of the settings by its label: a balancer's or a
@@ -187,81 +142,25 @@
 
     /// Stops every process, at once, and waits for their ends; returns the
     /// labels of those that had to be killed.
-    pub async fn down(mut self) -> Vec<String> {
-        for (_, child) in &self.children {
-            signal(child);
-        }
-        let deadline = Instant::now() + STOP;
-        while Instant::now() < deadline && self.children.iter_mut().any(|(_, c)| runs(c)) {
-            tokio::time::sleep(REAP_POLL).await;
-        }
-        let mut killed = Vec::new();
-        for (label, child) in &mut self.children {
-            if runs(child) {
-                let _ = child.kill();
-                killed.push(label.clone());
-            }
-        }
-        killed
+    pub async fn down(self) -> Vec<String> {
+        self.children.down().await
     }
 
     /// Sends a signal to one process by label, for example `SIGSTOP` to
     /// freeze it and `SIGCONT` to let it run on.
     pub fn send(&self, label: &str, sig: Signal) {
-        if let Some((_, child)) = self.children.iter().find(|(l, _)| l == label)
-            && let Ok(pid) = i32::try_from(child.id())
-        {
-            let _ = kill(Pid::from_raw(pid), sig);
-        }
+        self.children.send(label, sig);
     }
 
     /// The process id of one process by label.
     #[must_use]
     pub fn pid(&self, label: &str) -> Option<u32> {
-        self.children.iter().find(|(l, _)| l == label).map(|(_, c)| c.id())
+        self.children.pid(label)
     }
 
     /// Kills one process by label at once (SIGKILL), then reaps it.
     pub fn kill(&mut self, label: &str) {
-        if let Some(mut child) = self.take(label) {
-            let _ = child.kill();
-            let _ = child.wait();
-        }
-    }
-}
-
-fn runs(child: &mut Child) -> bool {
-    matches!(child.try_wait(), Ok(None))
-}
-
-fn signal(child: &Child) {
-    if let Ok(pid) = i32::try_from(child.id()) {
-        let _ = kill(Pid::from_raw(pid), Signal::SIGTERM);
-    }
-}
-
-/// Waits for a child that was told to stop; kills it after [`STOP`].
-fn reap(child: &mut Child) {
-    let deadline = Instant::now() + STOP;
-    while Instant::now() < deadline {
-        if !runs(child) {
-            return;
-        }
-        std::thread::sleep(REAP_POLL);
-    }
-    let _ = child.kill();
-    let _ = child.wait();
-}
-
-impl Drop for Site {
-    fn drop(&mut self) {
-        // Every process is told at once, then each is joined.
-        for (_, child) in &self.children {
-            signal(child);
-        }
-        for (_, child) in &mut self.children {
-            reap(child);
-        }
+        self.children.kill(label);
     }
 }
 
--- /dev/null
+++ b/tests/whole.rs
@@ -0,0 +1,204 @@
+//! The platform's form end to end, on the stand-ins: real balancers and
+//! agents as processes, callers that keep their flows while things change.
+
+use std::path::PathBuf;
+use std::time::{Duration, Instant};
+
+use jujubepost::platform::{config, kv};
+use jujubepost::store::{Faults, Lessor};
+use jujubepost::trial::{Hash, Plan, Report, Trial};
+use jujubepost::up::Signal;
+
+const MS: Duration = Duration::from_millis(1);
+
+fn dir(name: &str) -> PathBuf {
+    std::env::temp_dir().join(format!("jujubepost-whole-{name}-{}", std::process::id()))
+}
+
+async fn start(name: &str, plan: Plan) -> Trial {
+    let exe = PathBuf::from(env!("CARGO_BIN_EXE_jujubepost"));
+    Trial::start(&exe, &dir(name), plan).await.unwrap()
+}
+
+/// What holds whatever happens.
+fn promises(r: &Report) {
+    assert_eq!(r.doubled, 0, "ran twice: {r}");
+    assert_eq!(r.foreign, 0, "another service's request: {r}");
+}
+
+async fn end(name: &str, trial: Trial) {
+    assert_eq!(trial.down().await, Vec::<String>::new(), "had to be killed");
+    let _ = std::fs::remove_dir_all(dir(name));
+}
+
+async fn get(url: String) -> String {
+    let client = ntex::client::Client::new().await;
+    let res = client.get(url).send().await.unwrap();
+    String::from_utf8(res.body().await.unwrap().to_vec()).unwrap()
+}
+
+#[ntex::test]
+async fn calm_run() {
+    let plan = Plan { base: 26_000, secs: 3, ..Plan::default() };
+    let mut t = start("calm", plan).await;
+    let r = t
+        .play(async |t: &mut Trial| {
+            tokio::time::sleep(1_500 * MS).await;
+            // What the processes say of themselves meanwhile.
+            let entry = t.inspect(true, 0, 0);
+            let sidecar = t.inspect(false, 0, 0);
+            let text = get(format!("http://{sidecar}/metrics")).await;
+            assert!(text.contains("jujubepost_answer_time_seconds_bucket"), "{text}");
+            let text = get(format!("http://{entry}/metrics")).await;
+            assert!(text.contains("fact=\"config_version\""), "{text}");
+            let flow = "100.64.0.7:1000%3E198.18.0.1:443";
+            let told = get(format!("http://{entry}/beliefs?flow={flow}")).await;
+            let told: serde_json::Value = serde_json::from_str(&told).unwrap();
+            assert_eq!((&told["version"], &told["flow"]["service"]), (&1.into(), &"meter".into()));
+            assert_eq!(told["agents"].as_array().unwrap().len(), 6);
+            Ok(())
+        })
+        .await
+        .unwrap();
+    promises(&r);
+    assert_eq!((r.failed, r.broken), (0, 0), "{r}");
+    assert!(r.served > 300, "{r}");
+    end("calm", t).await;
+}
+
+/// Balancers are stopped and started in turn, agents too, a target leaves:
+/// planned work breaks no flow.
+#[ntex::test]
+async fn planned_work() {
+    let plan = Plan { base: 26_100, secs: 12, ..Plan::default() };
+    let mut t = start("planned", plan).await;
+    let r = t
+        .play(async |t: &mut Trial| {
+            for label in ["entry-0-0", "sidecar-0-1", "entry-1-1", "sidecar-1-0"] {
+                tokio::time::sleep(500 * MS).await;
+                t.stop(label).await;
+                t.launch(label)?;
+            }
+            t.drain("meter-2");
+            Ok(())
+        })
+        .await
+        .unwrap();
+    promises(&r);
+    assert_eq!((r.failed, r.broken), (0, 0), "{r}");
+    end("planned", t).await;
+}
+
+/// Processes are killed and frozen: nothing runs twice, nothing reaches
+/// another service, and flows whose targets live go on.
+#[ntex::test]
+async fn killed_and_frozen() {
+    let plan = Plan { base: 26_200, secs: 10, hash: Hash::Steady, ..Plan::default() };
+    let mut t = start("killed", plan).await;
+    let r = t
+        .play(async |t: &mut Trial| {
+            for label in ["entry-0-1", "sidecar-0-0"] {
+                tokio::time::sleep(700 * MS).await;
+                t.kill(label);
+                tokio::time::sleep(300 * MS).await;
+                t.launch(label)?;
+            }
+            t.send("sidecar-1-1", Signal::SIGSTOP);
+            tokio::time::sleep(1_000 * MS).await;
+            t.send("sidecar-1-1", Signal::SIGCONT);
+            // All agents at once: every balancer's memory is all there is.
+            let agents: Vec<_> = (0..3).map(|n| format!("sidecar-0-{n}")).collect();
+            agents.iter().for_each(|label| t.kill(label));
+            tokio::time::sleep(300 * MS).await;
+            agents.iter().try_for_each(|label| t.launch(label))?;
+            Ok(())
+        })
+        .await
+        .unwrap();
+    promises(&r);
+    assert_eq!((r.failed, r.broken), (0, 0), "{r}");
+    end("killed", t).await;
+}
+
+async fn fault(t: &Trial, faults: &Faults) {
+    let client = ntex::client::Client::new().await;
+    let url = format!("http://{}/fault", t.store());
+    assert!(client.post(url).send_json(faults).await.unwrap().status().is_success());
+}
+
+async fn store(t: &Trial) -> kv::Client {
+    kv::Client::new(t.store().into(), 1_000 * MS, 1_000 * MS).await.unwrap()
+}
+
+/// The store is away longer than entries live, forgets its history and loses
+/// answers; a change made right after its return is in force within 3 s.
+#[ntex::test]
+async fn store_troubles() {
+    let plan = Plan { base: 26_300, secs: 14, ..Plan::default() };
+    let mut t = start("store", plan).await;
+    let r = t
+        .play(async |t: &mut Trial| {
+            fault(t, &Faults { outage: true, ..Faults::default() }).await;
+            tokio::time::sleep(4_000 * MS).await;
+            fault(t, &Faults { forget: true, lose: 2, ..Faults::default() }).await;
+            let client = store(t).await;
+            let old = client.get(config::KEY).await?.unwrap();
+            let newer = String::from_utf8(old.value)?.replace("\"version\":1", "\"version\":2");
+            // The answer is lost; the write has taken effect.
+            let _ = client.put(config::KEY, newer.as_bytes(), 0).await;
+            let since = Instant::now();
+            loop {
+                let mut versions = Vec::new();
+                for (z, n) in [(0, 0), (0, 1), (1, 0), (1, 1)] {
+                    let told = get(format!("http://{}/beliefs", t.inspect(true, z, n))).await;
+                    let told: serde_json::Value = serde_json::from_str(&told)?;
+                    versions.push(told["version"].as_u64());
+                }
+                if versions.iter().all(|v| *v == Some(2)) {
+                    break;
+                }
+                assert!(since.elapsed() < Duration::from_secs(3), "{versions:?}");
+                tokio::time::sleep(50 * MS).await;
+            }
+            Ok(())
+        })
+        .await
+        .unwrap();
+    promises(&r);
+    assert_eq!((r.failed, r.broken), (0, 0), "{r}");
+    end("store", t).await;
+}
+
+/// A store that takes connections and answers nothing must not keep a process
+/// from finding it again once it answers.
+#[ntex::test]
+async fn silent_store_found_again() {
+    let addr = "127.0.0.1:26390".parse().unwrap();
+    let deaf = std::net::TcpListener::bind(addr).unwrap();
+    let client = kv::Client::new(addr, 300 * MS, 300 * MS).await.unwrap();
+    let since = Instant::now();
+    assert!(client.get("x").await.is_err());
+    assert!(since.elapsed() < 1_000 * MS, "{:?}", since.elapsed());
+    drop(deaf);
+    let exe = PathBuf::from(env!("CARGO_BIN_EXE_jujubepost"));
+    let path = dir("silent");
+    std::fs::create_dir_all(&path).unwrap();
+    let config = path.join("store.jsonc");
+    std::fs::write(&config, r#"{"store": {"addr": "127.0.0.1:26390"}}"#).unwrap();
+    let mut children = jujubepost::up::Children::new(&exe);
+    let text = config.display().to_string();
+    children.spawn("store", &["store", "--config", &text], &path.join("log")).unwrap();
+    let since = Instant::now();
+    while client.get("x").await.is_err() {
+        assert!(since.elapsed() < Duration::from_secs(5));
+        tokio::time::sleep(20 * MS).await;
+    }
+    let lease = client.grant(1_000 * MS).await.unwrap();
+    client.put("x", b"1", lease).await.unwrap();
+    assert!(client.get("x").await.unwrap().is_some());
+    assert!(client.keepalive(lease).await.unwrap());
+    assert!(!client.keepalive(lease + 1).await.unwrap());
+    tokio::time::sleep(1_500 * MS).await;
+    assert!(client.get("x").await.unwrap().is_none(), "its lease lapsed");
+    children.down().await;
+}
