--- a/src/edge/sidecar.rs
+++ b/src/edge/sidecar.rs
@@ -111,7 +111,8 @@
     );
     let store = store(&settings).await?;
     let key = format!("{AGENTS}{}", settings.ip);
-    holder.borrow_mut().follows(served_before(&store, &key).await);
+    let served = served_before(&store, &key).await;
+    holder.borrow_mut().follows(served);
     let me = Announced { addr: settings.bus(), zone: settings.zone.clone(), service, target: None };
     let (entry, entries) = watch::channel(serde_json::to_vec(&me)?);
     let entry = Rc::new(Entry { me, value: entry });
@@ -146,10 +147,8 @@
     );
     announcer.abort();
     let _ = announcer.await;
-    if ended {
-        if let Err(e) = store.delete(&key).await {
-            log::warn!(event = events::EDGE_STORE, error:% = format!("{e:#}"); "entry not removed");
-        }
+    if ended && let Err(e) = store.delete(&key).await {
+        log::warn!(event = events::EDGE_STORE, error:% = format!("{e:#}"); "entry not removed");
     }
     holder.borrow_mut().stop();
     let most = settings.grace().mul_f64(STOP_PART);
@@ -358,7 +357,7 @@
         });
         wires.outbound.drain(&mut buf, |datagram, _| match packet::decode(datagram) {
             Ok(seg) => {
-                holder.from_target(&seg, datagram, now, &mut out, packet::clear_bounced);
+                holder.target_packet(&seg, datagram, now, &mut out, packet::clear_bounced);
             }
             Err(e) => metrics::dropped(e),
         });
--- a/src/events/mod.rs
+++ b/src/events/mod.rs
@@ -9,7 +9,7 @@
 /// well; the same at every process.
 #[must_use]
 pub const fn sampled(hash: u64) -> bool {
-    hash % SAMPLE == 0
+    hash.is_multiple_of(SAMPLE)
 }
 
 /// The store stand-in is listening.
--- a/src/hold/mod.rs
+++ b/src/hold/mod.rs
@@ -431,7 +431,7 @@
         let known = self.flows.get(flow, now).map(|h| h.accepts(seg));
         match known {
             Some(true) => {
-                self.from_caller(flow, seg, now);
+                self.note_caller(flow, seg, now);
                 out.target(packet);
                 if mode != Mode::Owner {
                     self.note(flow, Word::Held, from, now, out);
@@ -470,7 +470,7 @@
     }
 
     /// Notes what a packet of the caller says of its flow.
-    fn from_caller(&mut self, flow: Flow, seg: &Segment, now: Instant) {
+    fn note_caller(&mut self, flow: Flow, seg: &Segment, now: Instant) {
         let Some(h) = self.flows.get(flow, now) else { return };
         if seg.flags.ack {
             h.caller_ack = seg.ack;
@@ -491,7 +491,7 @@
     }
 
     /// Takes one packet that the target sent.
-    pub fn from_target(
+    pub fn target_packet(
         &mut self,
         seg: &Segment,
         packet: &mut [u8],
@@ -582,11 +582,11 @@
     }
 
     fn close(&mut self, flow: Flow, now: Instant) {
-        if let Some(h) = self.flows.get(flow, now) {
-            if h.stage != Stage::Closed {
-                h.stage = Stage::Closed;
-                self.looks.push_back((now + CLOSED, flow));
-            }
+        if let Some(h) = self.flows.get(flow, now)
+            && h.stage != Stage::Closed
+        {
+            h.stage = Stage::Closed;
+            self.looks.push_back((now + CLOSED, flow));
         }
         self.wait(flow, false, now);
     }
--- a/src/platform/dial.rs
+++ b/src/platform/dial.rs
@@ -35,7 +35,7 @@
 /// Fails when the client cannot be built.
 pub async fn client(addr: SocketAddr) -> anyhow::Result<Client> {
     let connect = fn_service::<_, _, _, _, SharedCfg>(move |_: Connect<Uri>| async move {
-        open(addr).await.map_err(|e| ConnectError::Io(e.into()))
+        open(addr).await.map_err(ConnectError::Io)
     });
     let connector =
         Connector::new().connector(connect.map_init_err(|()| io::Error::other("never")));
--- a/src/steer/mod.rs
+++ b/src/steer/mod.rs
@@ -3,7 +3,7 @@
 //! argument, what is to be sent goes out through [`Out`].
 //!
 //! - A new flow is offered to two agents of its route's service, which decide
-//!   between them by what they know of themselves ([`crate::agent::place`]).
+//!   between them by what they know of themselves ([`crate::agent::place()`]).
 //!   Agents that do not answer within [`ANSWER`] are left for the next two.
 //! - A packet of a flow that another balancer saw open goes to all agents of
 //!   the service; the one whose target holds the flow hands it on and says so.
--- a/src/steer/roster.rs
+++ b/src/steer/roster.rs
@@ -23,9 +23,9 @@
 const PING: Duration = Duration::from_millis(300);
 
 /// How long an agent that the store does not list is kept without an answer:
-/// about 2 s after the store is back, one that lives is listed again; a
-/// process that was killed is back within about 4 s.
-const KEEP: Duration = Duration::from_secs(8);
+/// one that lives is listed again about 2 s after the store is back, and one
+/// whose process was killed stays listed, as its lease lasts longer.
+const KEEP: Duration = Duration::from_secs(3);
 
 /// How long an agent's word that it can take nothing counts. It is asked
 /// again by being offered a flow, so this bounds offers that come to nothing.
@@ -206,11 +206,11 @@
 
     /// An agent did not answer in time.
     pub fn missed(&mut self, addr: SocketAddrV4, now: Instant) {
-        if let Some(a) = self.agents.get_mut(&addr) {
-            if now.duration_since(a.heard) >= super::ANSWER {
-                a.silent.get_or_insert(now);
-                self.due.get_or_insert(now);
-            }
+        if let Some(a) = self.agents.get_mut(&addr)
+            && now.duration_since(a.heard) >= super::ANSWER
+        {
+            a.silent.get_or_insert(now);
+            self.due.get_or_insert(now);
         }
     }
 
@@ -242,8 +242,10 @@
             .or_else(|| preferred(&left, flow, able))
             .or_else(|| preferred(&left, flow, |_| true))?;
         let other = |a: &SocketAddrV4| *a != first;
+        // Never one that does not answer: the first may pass the open on to it,
+        // and it would be lost there.
         let second = preferred(&left, flow, |a| other(a) && able(a))
-            .or_else(|| preferred(&left, flow, other));
+            .or_else(|| preferred(&left, flow, |a| other(a) && self.answers(*a)));
         Some((first, second))
     }
 
@@ -265,7 +267,7 @@
     }
 
     /// Asks the agents that are in doubt and drops those that the store does
-    /// not list and that have not answered for [`KEEP`].
+    /// not list and that have not answered for eight seconds.
     pub fn ping(&mut self, now: Instant, out: &mut impl Out) {
         if self.due.is_none_or(|at| at > now) {
             return;
