Decisions parted by job; a stopping balancer follows the store to its end

Change: hold and steer in modules of one job (opens, packets, life; opens, search); settings are loaded by one function; what operators can ask stands once. No behaviour but the above changed.

--- a/src/edge/entry.rs
+++ b/src/edge/entry.rs
@@ -83,7 +83,7 @@
     };
     let steer = Steer::new(settings.bus(), settings.zone.clone(), settings.flow_life());
     let steer = Rc::new(RefCell::new(steer));
-    let inspect = inspect::serve(&settings, Shared(steer.clone())).await?;
+    let inspect = inspect::serve(&settings, steer.clone()).await?;
     log::info!(
         event = events::EDGE_START, name:% = settings.name, zone:% = settings.zone,
         ip:% = settings.ip;
@@ -132,12 +132,12 @@
         event = events::EDGE_STOP, name:% = settings.name, flows = steer.borrow().remembered();
         "balancer stops"
     );
-    follower.abort();
-    let _ = follower.await;
     steer.borrow_mut().stop();
     board.set_ready(false);
     let linger = LINGER.min(settings.grace() / 2);
     let _ = tokio::time::timeout(linger, forward(&wires, &steer, port, &board)).await;
+    follower.abort();
+    let _ = follower.await;
     desk.stop().await;
     inspect.stop().await;
     if let Some(server) = ready {
@@ -147,20 +147,16 @@
     Ok(())
 }
 
-/// The decisions, as operators see them.
-struct Shared(Rc<RefCell<Steer>>);
-
-impl Inspect for Shared {
+impl Inspect for Steer {
     fn beliefs(&self, flow: Option<Flow>) -> serde_json::Value {
-        self.0.borrow().beliefs(flow, Instant::now())
+        Self::beliefs(self, flow, Instant::now())
     }
 
     fn gauge(&self) {
-        let steer = self.0.borrow();
-        metrics::state("config_version", steer.version().unwrap_or_default());
-        metrics::state("agents", steer.roster.len() as u64);
-        metrics::state("flows_remembered", steer.remembered() as u64);
-        metrics::state("ready", steer.ready().into());
+        metrics::state("config_version", self.version().unwrap_or_default());
+        metrics::state("agents", self.roster.len() as u64);
+        metrics::state("flows_remembered", self.remembered() as u64);
+        metrics::state("ready", self.ready().into());
     }
 }
 
--- a/src/edge/inspect.rs
+++ b/src/edge/inspect.rs
@@ -2,7 +2,9 @@
 //! and the metrics port: `/metrics`, in the format that Prometheus reads, and
 //! `/beliefs` (with `?flow=CALLER>SERVICE`, where that flow goes and why).
 
+use std::cell::RefCell;
 use std::net::SocketAddr;
+use std::rc::Rc;
 
 use ntex::http::StatusCode;
 
@@ -25,15 +27,18 @@
 /// # Errors
 ///
 /// Fails when the address is taken.
-pub async fn serve(settings: &Settings, process: impl Inspect + 'static) -> anyhow::Result<Server> {
+pub async fn serve<P: Inspect + 'static>(
+    settings: &Settings,
+    process: Rc<RefCell<P>>,
+) -> anyhow::Result<Server> {
     let addr = SocketAddr::new(settings.ip.into(), settings.metrics);
     Server::start(addr, move |asked| match asked.path.as_str() {
         "/metrics" => {
-            process.gauge();
+            process.borrow().gauge();
             Answer { status: StatusCode::OK, kind: "text/plain", body: metrics::text() }
         }
         "/beliefs" => match flow(&asked.query) {
-            Ok(flow) => Answer::json(process.beliefs(flow).to_string()),
+            Ok(flow) => Answer::json(process.borrow().beliefs(flow).to_string()),
             Err(e) => Answer {
                 status: StatusCode::BAD_REQUEST,
                 kind: "text/plain",
--- a/src/edge/settings.rs
+++ b/src/edge/settings.rs
@@ -7,7 +7,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use anyhow::{Context, bail};
+use anyhow::bail;
 use serde::Deserialize;
 
 /// Settings of one process.
@@ -91,9 +91,7 @@
     /// Fails when the file cannot be read or is no JSON with comments, and
     /// names the field that is unknown, of the wrong type or out of range.
     pub fn load(path: &Path) -> anyhow::Result<Self> {
-        let text = std::fs::read_to_string(path)
-            .with_context(|| format!("settings: reading {}", path.display()))?;
-        Self::parse(&text).with_context(|| format!("settings: in {}", path.display()))
+        crate::settings::load(path, Self::parse)
     }
 
     /// Parses and checks settings from text.
--- a/src/edge/sidecar.rs
+++ b/src/edge/sidecar.rs
@@ -103,7 +103,7 @@
     });
     let holder = Holder::new(service.clone(), settings.flow_life());
     let holder = Rc::new(RefCell::new(holder));
-    let inspect = inspect::serve(&settings, Shared(holder.clone())).await?;
+    let inspect = inspect::serve(&settings, holder.clone()).await?;
     log::info!(
         event = events::EDGE_START, name:% = settings.name, zone:% = settings.zone,
         service:% = service, ip:% = settings.ip;
@@ -171,18 +171,14 @@
     Ok(())
 }
 
-/// The decisions, as operators see them.
-struct Shared(Rc<RefCell<Holder>>);
-
-impl Inspect for Shared {
+impl Inspect for Holder {
     fn beliefs(&self, flow: Option<Flow>) -> serde_json::Value {
-        self.0.borrow().beliefs(flow, Instant::now())
+        Self::beliefs(self, flow, Instant::now())
     }
 
     fn gauge(&self) {
-        let holder = self.0.borrow();
-        metrics::state("flows", holder.flows() as u64);
-        metrics::state("waiting", holder.waiting().into());
+        metrics::state("flows", self.flows() as u64);
+        metrics::state("waiting", self.waiting().into());
     }
 }
 
--- /dev/null
+++ b/src/hold/life.rs
@@ -0,0 +1,180 @@
+//! The target's life, seen from the agent, and what comes due.
+
+use std::time::{Duration, Instant};
+
+use super::{
+    CLOSED, ENDING, Held, Holder, LONGEST_WORK, Out, Report, SILENT_WORK, Stage, Target, reset,
+};
+use crate::events;
+use crate::flow::Flow;
+
+impl Holder {
+    /// Takes a report of the target; says whether it changed what the agent
+    /// believes.
+    ///
+    /// A new start leaves the flows as they are: it may have opened some before
+    /// its first report. Those of the start before it come back bounced.
+    pub fn report(&mut self, report: Report, now: Instant) -> bool {
+        self.silent_since = None;
+        if *report.service != *self.service {
+            log::warn!(
+                event = events::REPORT_IGNORED, target_id = report.id, service = report.service,
+                expected:% = self.service;
+                "report of another service ignored"
+            );
+            return false;
+        }
+        match &mut self.target {
+            Some(t) if t.was(&report.id) => {
+                log::info!(
+                    event = events::REPORT_IGNORED, target_id = report.id, report = report.seq,
+                    current = t.id();
+                    "late report of an earlier start ignored"
+                );
+                false
+            }
+            Some(t) if t.is(&report.id) => t.update(&report, now),
+            before => {
+                let next = Target::new(&report, before.as_ref(), self.before.as_deref(), now);
+                *before = Some(next);
+                self.ending = None;
+                true
+            }
+        }
+    }
+
+    /// The target `id` says that it ends.
+    pub fn gone(&mut self, id: &str, now: Instant) -> bool {
+        let current = self.target.as_ref().is_some_and(|t| t.is(id));
+        if current {
+            self.ending = Some(now + ENDING);
+        }
+        current
+    }
+
+    /// The target's process is over: its flows are gone, and their callers
+    /// are told so that they can come again at once.
+    pub(super) fn drop_flows(&mut self, out: &mut impl Out) {
+        let lost: Vec<(Flow, u32)> = self
+            .flows
+            .iter()
+            .filter(|(_, h)| h.stage == Stage::Open && h.caller_ack != 0)
+            .map(|(f, h)| (f, h.caller_ack))
+            .collect();
+        for (flow, ack) in lost {
+            reset(flow, ack, out);
+        }
+        let flows: Vec<Flow> = self.flows.iter().map(|(f, _)| f).collect();
+        for flow in flows {
+            self.remove(flow);
+        }
+    }
+
+    /// Whether the target has been silent for so long that its port should be
+    /// tried.
+    #[must_use]
+    pub fn doubtful(&self, now: Instant) -> bool {
+        let alive = self.target.as_ref().is_some_and(Target::alive);
+        alive && self.silent_since.is_some_and(|at| now >= at)
+    }
+
+    /// The target's port is closed: its process is over, and its flows with
+    /// it. The next start reports itself.
+    pub fn crashed(&mut self, out: &mut impl Out) {
+        if let Some(t) = &mut self.target {
+            t.end();
+        }
+        self.silent_since = None;
+        self.drop_flows(out);
+    }
+
+    /// The target's port is open: it is slow, not gone.
+    pub fn slow(&mut self, now: Instant) {
+        self.silent_since = Some(now + SILENT_WORK);
+    }
+
+    /// Something was handed to the target that it answers within `within`.
+    pub(super) fn expect(&mut self, within: Duration, now: Instant) {
+        let at = now + within;
+        self.silent_since = Some(self.silent_since.map_or(at, |known| known.min(at)));
+    }
+
+    /// Counts the flow as waiting for its target, or no longer.
+    pub(super) fn wait(&mut self, flow: Flow, on: bool, now: Instant) {
+        let Some(h) = self.flows.get(flow, now) else { return };
+        if h.waiting.is_some() != on {
+            let since = std::mem::replace(&mut h.waiting, on.then_some(now));
+            let opened = !matches!(h.stage, Stage::Opening { .. } | Stage::Answered(_));
+            if let Some(at) = since.filter(|_| opened) {
+                self.answers.note(now.duration_since(at));
+            }
+            self.demand.observe(self.waiting, self.flows.len(), now);
+            self.waiting = if on { self.waiting + 1 } else { self.waiting.saturating_sub(1) };
+        }
+    }
+
+    pub(super) fn close(&mut self, flow: Flow, now: Instant) {
+        if let Some(h) = self.flows.get(flow, now)
+            && h.stage != Stage::Closed
+        {
+            h.stage = Stage::Closed;
+            self.looks.push_back((now + CLOSED, flow));
+        }
+        self.wait(flow, false, now);
+    }
+
+    pub(super) fn remove(&mut self, flow: Flow) -> Option<Held> {
+        let held = self.flows.remove(flow)?;
+        if held.waiting.is_some() {
+            self.waiting = self.waiting.saturating_sub(1);
+        }
+        Some(held)
+    }
+
+    /// When [`Holder::tick`] next has something to do.
+    #[must_use]
+    pub fn next_due(&self) -> Option<Instant> {
+        let look = self.looks.front().map(|(at, _)| *at);
+        let open = self.opens.front().map(|(at, _)| *at);
+        let alive = self.target.as_ref().is_some_and(Target::alive);
+        let silent = self.silent_since.filter(|_| alive);
+        [look, open, self.ending, silent].into_iter().flatten().min()
+    }
+
+    /// Does what has come due by `now`.
+    pub fn tick(&mut self, now: Instant, out: &mut impl Out) {
+        while let Some((_, flow)) = self.opens.front().copied().filter(|(at, _)| *at <= now) {
+            self.opens.pop_front();
+            let stage = self.flows.peek(flow).map(|h| h.stage);
+            if matches!(stage, Some(Stage::Opening { .. } | Stage::Answered(_))) {
+                self.wait(flow, false, now);
+            }
+        }
+        while let Some((_, flow)) = self.looks.front().copied().filter(|(at, _)| *at <= now) {
+            self.looks.pop_front();
+            self.look(flow, now);
+        }
+        if self.ending.is_some_and(|at| at <= now) {
+            self.ending = None;
+            if let Some(t) = &mut self.target {
+                t.end();
+            }
+            self.drop_flows(out);
+        }
+        let mut lost = 0;
+        self.flows.expire(now, |_, h| lost += u32::from(h.waiting.is_some()));
+        self.waiting = self.waiting.saturating_sub(lost);
+    }
+
+    /// Drops a flow that has ended or was never answered, and no longer counts
+    /// as waiting what has waited too long to be true.
+    pub(super) fn look(&mut self, flow: Flow, now: Instant) {
+        let Some(h) = self.flows.peek(flow) else { return };
+        let waited = h.waiting.map(|at| now.duration_since(at));
+        match (h.stage, waited) {
+            (Stage::Closed | Stage::Opening { .. }, _) => drop(self.remove(flow)),
+            (_, Some(t)) if t >= LONGEST_WORK => self.wait(flow, false, now),
+            _ => {}
+        }
+    }
+}
--- /dev/null
+++ b/src/hold/opens.rs
@@ -0,0 +1,121 @@
+//! New flows: which ones the agent takes for its target.
+
+use std::net::SocketAddrV4;
+use std::time::{Duration, Instant};
+
+use super::{Held, Holder, OPEN_KEPT, OPEN_WAIT, Out, SILENT_OPEN, Stage, pass};
+use crate::agent::place::{self, UNABLE, place};
+use crate::agent::{Admit, Step, admit};
+use crate::bus::{Open, Word};
+use crate::events;
+use crate::flow::{Flow, Segment};
+use crate::metrics::{self, Refusal};
+
+impl Holder {
+    pub(super) fn load(&self, now: Instant) -> u32 {
+        let Some(t) = &self.target else { return UNABLE };
+        if self.stopping || self.ending.is_some() || !t.takes() || self.full(now) {
+            return UNABLE;
+        }
+        let flows = u32::try_from(self.flows.len()).unwrap_or(u32::MAX);
+        place::backlog(flows, self.waiting + t.cold(now), self.demand.per_flow())
+    }
+
+    pub(super) fn full(&self, now: Instant) -> bool {
+        self.full_until.is_some_and(|at| now < at)
+    }
+
+    pub(super) fn admit(&self, open: &Open<'_>, now: Instant) -> Admit {
+        let Some(t) = &self.target else { return Admit::Refuse(Refusal::NoTarget) };
+        if self.full(now) {
+            return Admit::Refuse(Refusal::Full);
+        }
+        let queue = if open.aged { 0 } else { t.slots() };
+        if self.waiting >= t.slots() + queue {
+            return Admit::Refuse(Refusal::Busy);
+        }
+        let leaving = !t.takes() || self.ending.is_some();
+        let drain = leaving.then_some(Duration::ZERO);
+        let max = usize::try_from(open.max_flows).unwrap_or(usize::MAX);
+        admit(drain, Duration::ZERO, self.stopping, self.flows.len(), max)
+    }
+
+    /// An open offered to this agent.
+    pub(super) fn open(
+        &mut self,
+        open: &Open<'_>,
+        seg: &Segment,
+        packet: &[u8],
+        now: Instant,
+        out: &mut impl Out,
+    ) {
+        let flow = seg.by_caller();
+        if let Some(h) = self.flows.get(flow, now) {
+            if h.opened_by(seg) {
+                h.reply = Some(open.reply);
+                let answered = !matches!(h.stage, Stage::Opening { .. });
+                out.target(packet);
+                if answered {
+                    self.note(flow, Word::Held, open.reply, now, out);
+                }
+                return;
+            }
+            self.remove(flow);
+        }
+        let admit = if *open.service == *self.service {
+            self.admit(open, now)
+        } else {
+            Admit::Refuse(Refusal::ForeignOwner)
+        };
+        let load = self.load(now);
+        match place(admit, load, open.offer) {
+            Step::Take => self.take(open, seg, packet, now, out),
+            Step::Pass(offer) => pass(open, offer, packet, out),
+            Step::Refuse(reason) => self.refuse(flow, reason, open.reply, now, out),
+        }
+    }
+
+    pub(super) fn take(
+        &mut self,
+        open: &Open<'_>,
+        seg: &Segment,
+        packet: &[u8],
+        now: Instant,
+        out: &mut impl Out,
+    ) {
+        let flow = seg.by_caller();
+        if events::sampled(flow.hash64()) {
+            log::info!(
+                event = events::FLOW_TAKEN, flow:% = flow, waiting = self.waiting,
+                flows = self.flows.len(), aged = open.aged;
+                "flow taken (one of many)"
+            );
+        }
+        let stage =
+            Stage::Opening { offer: open.offer, max_flows: open.max_flows, aged: open.aged };
+        let held = Held { reply: Some(open.reply), ..Held::new(stage, seg.seq) };
+        self.flows.insert(flow, held, now);
+        self.wait(flow, true, now);
+        self.opens.push_back((now + OPEN_WAIT, flow));
+        self.looks.push_back((now + OPEN_KEPT, flow));
+        self.expect(SILENT_OPEN, now);
+        out.target(packet);
+    }
+
+    pub(super) fn refuse(
+        &self,
+        flow: Flow,
+        reason: Refusal,
+        reply: SocketAddrV4,
+        now: Instant,
+        out: &mut impl Out,
+    ) {
+        metrics::refused(reason);
+        log::info!(
+            event = events::OPEN_DECLINED, flow:% = flow, reason:% = reason,
+            waiting = self.waiting, flows = self.flows.len();
+            "open not taken"
+        );
+        self.note(flow, Word::Refused(reason), reply, now, out);
+    }
+}
--- /dev/null
+++ b/src/hold/packets.rs
@@ -0,0 +1,188 @@
+//! Packets of flows: from callers to the target and back, and what they say
+//! of the flow.
+
+use std::net::SocketAddrV4;
+use std::time::{Duration, Instant};
+
+use super::{
+    FULL, Held, Holder, LONGEST_WORK, NOBODY, Out, SILENT_WORK, Stage, Target, pass, reset,
+};
+use crate::agent::Step;
+use crate::agent::place::give_back;
+use crate::bus::{Message, Mode, Note, Open, Word};
+use crate::events;
+use crate::flow::{Flow, Segment};
+use crate::metrics::{self, Refusal, Retry};
+
+impl Holder {
+    /// A packet of a flow that some target has open.
+    pub(super) fn carry(
+        &mut self,
+        from: SocketAddrV4,
+        mode: Mode,
+        seg: &Segment,
+        packet: &[u8],
+        now: Instant,
+        out: &mut impl Out,
+    ) {
+        let flow = seg.by_caller();
+        let known = self.flows.get(flow, now).map(|h| h.accepts(seg));
+        match known {
+            Some(true) => {
+                self.note_caller(flow, seg, now);
+                out.target(packet);
+                if mode != Mode::Owner {
+                    self.note(flow, Word::Held, from, now, out);
+                }
+            }
+            Some(false) => self.note(flow, Word::Unknown, from, now, out),
+            None => self.carry_unknown(from, mode, seg, packet, now, out),
+        }
+    }
+
+    /// A packet of a flow that this agent has not seen.
+    pub(super) fn carry_unknown(
+        &mut self,
+        from: SocketAddrV4,
+        mode: Mode,
+        seg: &Segment,
+        packet: &[u8],
+        now: Instant,
+        out: &mut impl Out,
+    ) {
+        let flow = seg.by_caller();
+        let complete = self.target.as_ref().is_some_and(Target::complete);
+        if complete {
+            self.note(flow, Word::Unknown, from, now, out);
+        } else if mode == Mode::Ask {
+            self.note(flow, Word::Unsure, from, now, out);
+        } else {
+            log::info!(
+                event = events::FLOW_TRIED, flow:% = flow, mode:? = mode;
+                "unknown flow tried at the target"
+            );
+            let held = Held { reply: Some(from), ..Held::new(Stage::Trial, seg.seq) };
+            self.flows.insert(flow, held, now);
+            out.target(packet);
+        }
+    }
+
+    /// Notes what a packet of the caller says of its flow.
+    pub(super) fn note_caller(&mut self, flow: Flow, seg: &Segment, now: Instant) {
+        let Some(h) = self.flows.get(flow, now) else { return };
+        if seg.flags.ack {
+            h.caller_ack = seg.ack;
+        }
+        if matches!(h.stage, Stage::Answered(_)) {
+            h.stage = Stage::Open;
+        }
+        h.caller_done |= seg.flags.fin;
+        let over = seg.flags.rst || h.over();
+        if h.takes_data(seg) {
+            self.wait(flow, true, now);
+            self.looks.push_back((now + LONGEST_WORK, flow));
+            self.expect(SILENT_WORK, now);
+        }
+        if over {
+            self.close(flow, now);
+        }
+    }
+
+    /// Takes one packet that the target sent.
+    pub fn target_packet(
+        &mut self,
+        seg: &Segment,
+        packet: &mut [u8],
+        now: Instant,
+        out: &mut impl Out,
+        clear: impl FnOnce(&mut [u8]),
+    ) {
+        if seg.flags.bounced {
+            clear(packet);
+            self.silent_since = None;
+            self.bounced(seg, packet, now, out);
+            return;
+        }
+        self.silent_since = None;
+        let flow = seg.by_target();
+        self.answered(flow, seg, now, out);
+        out.caller(flow.caller, packet);
+    }
+
+    pub(super) fn answered(&mut self, flow: Flow, seg: &Segment, now: Instant, out: &mut impl Out) {
+        let Some(h) = self.flows.get(flow, now) else {
+            // The agent started after the flow opened.
+            if !seg.flags.rst {
+                let held = Held { ours: true, ..Held::new(Stage::Open, 0) };
+                self.flows.insert(flow, held, now);
+            }
+            return;
+        };
+        let before = h.stage;
+        h.stage = match before {
+            Stage::Opening { .. } | Stage::Answered(_) if seg.flags.syn => Stage::Answered(seg.seq),
+            Stage::Trial | Stage::Foreign => Stage::Open,
+            other => other,
+        };
+        h.ours = true;
+        let news = h.stage != before;
+        let reply = h.reply;
+        h.target_done |= seg.flags.fin;
+        let over = seg.flags.rst || h.over();
+        if seg.len > 0 || over {
+            self.wait(flow, false, now);
+        }
+        if over {
+            self.close(flow, now);
+        }
+        if let (true, Some(to)) = (news, reply) {
+            self.note(flow, Word::Held, to, now, out);
+        }
+    }
+
+    /// The target gave a packet back: it does not hold the flow, or cannot
+    /// accept it.
+    pub(super) fn bounced(
+        &mut self,
+        seg: &Segment,
+        packet: &[u8],
+        now: Instant,
+        out: &mut impl Out,
+    ) {
+        let flow = seg.by_caller();
+        let Some(h) = self.remove(flow) else { return };
+        let reply = h.reply.unwrap_or(NOBODY);
+        let (Stage::Opening { offer, max_flows, aged }, true) = (h.stage, seg.opens()) else {
+            if h.ours && h.stage != Stage::Closed {
+                reset(flow, seg.ack, out);
+            }
+            self.flows.insert(flow, Held::new(Stage::Foreign, 0), now);
+            self.note(flow, Word::Unknown, reply, now, out);
+            return;
+        };
+        let service = self.service.clone();
+        let open = Open { service: &service, max_flows, aged, offer, reply };
+        metrics::retried(Retry::Bounced);
+        self.full_until = Some(now + FULL);
+        self.expect(Duration::ZERO, now);
+        match give_back(offer) {
+            Step::Pass(on) => pass(&open, on, packet, out),
+            Step::Take | Step::Refuse(_) => self.refuse(flow, Refusal::Full, reply, now, out),
+        }
+    }
+
+    pub(super) fn note(
+        &self,
+        flow: Flow,
+        word: Word,
+        to: SocketAddrV4,
+        now: Instant,
+        out: &mut impl Out,
+    ) {
+        if to == NOBODY {
+            return;
+        }
+        let load = self.load(now);
+        out.peer(to, &Message::Note(Note { flow, word, load }), &[]);
+    }
+}
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -266,6 +266,17 @@
     2
 }
 
+/// Reads a settings file and has `parse` parse and check it.
+///
+/// # Errors
+///
+/// Fails when the file cannot be read or `parse` fails; names the file.
+pub fn load<T>(path: &Path, parse: impl FnOnce(&str) -> anyhow::Result<T>) -> anyhow::Result<T> {
+    let text = std::fs::read_to_string(path)
+        .with_context(|| format!("settings: reading {}", path.display()))?;
+    parse(&text).with_context(|| format!("settings: in {}", path.display()))
+}
+
 /// Parses JSON with comments.
 ///
 /// # Errors
@@ -294,9 +305,7 @@
     /// when a field is unknown or of the wrong type (the error names the
     /// field's path), or when [`check`] refuses a value.
     pub fn load(path: &Path) -> anyhow::Result<Self> {
-        let text = std::fs::read_to_string(path)
-            .with_context(|| format!("settings: reading {}", path.display()))?;
-        Self::parse(&text).with_context(|| format!("settings: in {}", path.display()))
+        load(path, Self::parse)
     }
 
     /// Parses and checks settings from text.
--- a/src/steer/mod.rs
+++ b/src/steer/mod.rs
@@ -10,8 +10,10 @@
 //! - What a balancer remembers of flows is a cache; the truth is at the agents.
 
 mod known;
+mod opens;
 mod roster;
 mod routes;
+mod search;
 
 use std::collections::VecDeque;
 use std::net::SocketAddrV4;
@@ -22,11 +24,10 @@
 pub use roster::{Announced, Roster};
 pub use routes::{Route, Routes, Share};
 
-use crate::bus::{Message, Mode, Note, Open, Word};
+use crate::bus::{Message, Mode, Note, Word};
 use crate::events;
 use crate::flow::{Flow, Segment, Table};
-use crate::metrics::{self, Refusal, Retry};
-use crate::wire::{Offer, Stage};
+use crate::metrics::{self, Refusal};
 
 /// How long agents may take to say what became of an open or of a packet of
 /// an unknown flow. A handshake costs a target 0.3 ms and a round trip
@@ -161,118 +162,6 @@
         }
     }
 
-    /// Offers a new flow, or the copy of one, to agents.
-    fn open(&mut self, flow: Flow, seq: u32, packet: &[u8], now: Instant, out: &mut impl Out) {
-        let (before, since) = match self.flows.get(flow, now) {
-            Some(Known::At { agent, .. }) => (Some(*agent), now),
-            Some(Known::Opening(o)) if o.seq == seq => (o.offered.first().copied(), o.since),
-            _ => (None, now),
-        };
-        let Some((route, share)) = self.routes.as_ref().and_then(|r| r.find(flow)) else {
-            refuse(flow, Refusal::NoProfile, out);
-            return;
-        };
-        let patience = PATIENCE.min(route.limit / 2);
-        let mut opening = Opening { since, patience, ..Opening::new(share, seq, packet, now) };
-        // A copy goes where the first went, if that agent answers: a second
-        // target would only answer a handshake that is thrown away.
-        let before = before.filter(|a| self.roster.answers(*a));
-        if !self.offer(flow, &mut opening, before, now, out) {
-            if self.certain(now) {
-                refuse(flow, Refusal::NoTarget, out);
-                return;
-            }
-            self.rest(flow, &mut opening, now);
-        }
-        self.flows.insert(flow, Known::Opening(opening), now);
-    }
-
-    /// Lets an open rest until the next round of offers.
-    fn rest(&mut self, flow: Flow, opening: &mut Opening, now: Instant) {
-        opening.offered.clear();
-        opening.resting = true;
-        opening.due = now + ROUND;
-        self.due.push_back((opening.due, flow));
-    }
-
-    /// Whether an agent that is not in the roster can be taken as gone.
-    fn certain(&self, now: Instant) -> bool {
-        self.sees_since.is_some_and(|at| now.duration_since(at) >= RELISTED)
-    }
-
-    /// Offers an open to the next two agents; `first` names the first of them
-    /// where it is already known. Says whether there was one left.
-    fn offer(
-        &mut self,
-        flow: Flow,
-        opening: &mut Opening,
-        first: Option<SocketAddrV4>,
-        now: Instant,
-        out: &mut impl Out,
-    ) -> bool {
-        let pair =
-            self.roster.pick(&opening.service, &self.zone, flow, first, &opening.offered, now);
-        let Some((first, second)) = pair else { return false };
-        let stage = if second.is_some() { Stage::Ask } else { Stage::Take };
-        let open = Open {
-            service: &opening.service,
-            max_flows: opening.max_flows,
-            aged: now.duration_since(opening.since) >= AGED,
-            offer: Offer { first, second, stage },
-            reply: self.me,
-        };
-        out.agent(first, &Message::Open(open), &opening.packet);
-        opening.offered.push(first);
-        opening.offered.extend(second);
-        opening.resting = false;
-        opening.due = now + ANSWER;
-        self.due.push_back((opening.due, flow));
-        true
-    }
-
-    /// Asks every agent of the service for the owner of a flow.
-    fn search(
-        &mut self,
-        flow: Flow,
-        seg: &Segment,
-        packet: &[u8],
-        now: Instant,
-        out: &mut impl Out,
-    ) {
-        let Some(routes) = &self.routes else { return };
-        let Some(share) = routes.share(flow) else {
-            if !seg.flags.rst {
-                refuse_at(flow, seg.ack, Refusal::NoProfile, out);
-            }
-            return;
-        };
-        let mut search = match self.flows.get(flow, now) {
-            Some(Known::Search(s)) => std::mem::take(s),
-            _ => Search::default(),
-        };
-        search.service = share.service.clone();
-        search.packet = packet.to_vec();
-        search.unsure.clear();
-        search.waiting.clear();
-        search.asked = 0;
-        search.ack = seg.ack;
-        let message = Message::Carry { service: &search.service, mode: Mode::Ask };
-        for agent in self.roster.of(&search.service) {
-            out.agent(agent, &message, packet);
-            search.waiting.push(agent);
-            search.asked += 1;
-        }
-        metrics::retried(Retry::OwnerAsked);
-        log::info!(
-            event = events::OWNER_ASKED, flow:% = flow, agents = search.asked,
-            version = routes.version;
-            "agents asked for a flow's owner"
-        );
-        search.due = Some(now + ANSWER);
-        self.flows.insert(flow, Known::Search(search), now);
-        self.due.push_back((now + ANSWER, flow));
-    }
-
     /// Takes what an agent says of a flow.
     pub fn note(&mut self, from: SocketAddrV4, note: Note, now: Instant, out: &mut impl Out) {
         self.roster.heard(from, note.load, now);
@@ -294,93 +183,6 @@
         self.flows.insert(flow, Known::At { agent: from, service }, now);
     }
 
-    fn refused(
-        &mut self,
-        from: SocketAddrV4,
-        flow: Flow,
-        reason: Refusal,
-        now: Instant,
-        out: &mut impl Out,
-    ) {
-        let Some(Known::Opening(o)) = self.flows.get(flow, now) else { return };
-        if !o.offered.contains(&from) {
-            return;
-        }
-        o.doubtful |= matches!(reason, Refusal::NoTarget | Refusal::Busy);
-        let Some(Known::Opening(mut opening)) = self.flows.remove(flow) else { return };
-        let enough = reason == Refusal::Busy && opening.offered.len() >= BUSY_OFFERS;
-        if !enough && self.offer(flow, &mut opening, None, now, out) {
-            self.flows.insert(flow, Known::Opening(opening), now);
-        } else if opening.doubtful || !self.certain(now) {
-            self.again(flow, opening, reason, now, out);
-        } else {
-            refuse(flow, reason, out);
-        }
-    }
-
-    /// Offers an open to all agents once more after a pause; one that was kept
-    /// for as long as it may be is refused for `reason`.
-    fn again(
-        &mut self,
-        flow: Flow,
-        mut opening: Opening,
-        reason: Refusal,
-        now: Instant,
-        out: &mut impl Out,
-    ) {
-        if now.duration_since(opening.since) >= opening.patience {
-            refuse(flow, reason, out);
-        } else {
-            self.rest(flow, &mut opening, now);
-            self.flows.insert(flow, Known::Opening(opening), now);
-        }
-    }
-
-    fn unknown(
-        &mut self,
-        from: SocketAddrV4,
-        flow: Flow,
-        unsure: bool,
-        now: Instant,
-        out: &mut impl Out,
-    ) {
-        match self.flows.get(flow, now) {
-            Some(Known::At { agent, .. }) if *agent == from => {
-                self.flows.remove(flow);
-            }
-            Some(Known::Search(s)) => {
-                s.answered(from, unsure);
-                if s.lost() && self.sees_since.is_some() {
-                    let ack = s.ack;
-                    self.flows.remove(flow);
-                    refuse_at(flow, ack, Refusal::Lost, out);
-                } else if s.waiting.is_empty() {
-                    self.try_unsure(flow, now, out);
-                }
-            }
-            _ => {}
-        }
-    }
-
-    /// No agent knew the flow: has agents that may have forgotten it try
-    /// their targets.
-    fn try_unsure(&mut self, flow: Flow, now: Instant, out: &mut impl Out) {
-        let Some(Known::Search(s)) = self.flows.get(flow, now) else { return };
-        s.tried.retain(|(at, _)| now.duration_since(*at) < TRIAL_SPAN);
-        let fresh: Vec<SocketAddrV4> = self
-            .roster
-            .likely(&s.unsure, &self.zone, flow)
-            .into_iter()
-            .filter(|a| s.tried.iter().all(|(_, t)| t != a))
-            .take(TRIALS.saturating_sub(s.tried.len()))
-            .collect();
-        let message = Message::Carry { service: &s.service, mode: Mode::Try };
-        for agent in fresh {
-            out.agent(agent, &message, &s.packet);
-            s.tried.push((now, agent));
-        }
-    }
-
     /// What the balancer believes, as JSON: the configuration's version, the
     /// agents with the age of what it last heard of each, and, where `flow` is
     /// given, where its packets go and by which rule.
@@ -453,29 +255,6 @@
         }
     }
 
-    /// The agents that an open was offered to did not answer, or its rest is
-    /// over: offers it to the next.
-    fn reoffer(&mut self, flow: Flow, now: Instant, out: &mut impl Out) {
-        let Some(Known::Opening(mut opening)) = self.flows.remove(flow) else { return };
-        if !opening.resting {
-            metrics::retried(Retry::OpenTimeout);
-            log::info!(
-                event = events::OPEN_UNANSWERED, flow:% = flow, offered:? = opening.offered,
-                age_ms = now.duration_since(opening.since).as_millis();
-                "agents did not answer an open"
-            );
-            for agent in opening.offered.iter().rev().take(2) {
-                self.roster.missed(*agent, now);
-            }
-            opening.doubtful = true;
-        }
-        if self.offer(flow, &mut opening, None, now, out) {
-            self.flows.insert(flow, Known::Opening(opening), now);
-        } else {
-            self.again(flow, opening, Refusal::NoTarget, now, out);
-        }
-    }
-
     /// Keeps a packet that came before any configuration was known.
     fn park(&mut self, seg: &Segment, packet: &[u8], now: Instant) {
         if self.parked.len() == PARKED {
--- /dev/null
+++ b/src/steer/search.rs
@@ -0,0 +1,100 @@
+//! Flows that the balancer does not know: which agent's target holds them.
+
+use std::net::SocketAddrV4;
+use std::time::Instant;
+
+use super::{ANSWER, Known, Out, Search, Steer, TRIAL_SPAN, TRIALS, refuse_at};
+use crate::bus::{Message, Mode};
+use crate::events;
+use crate::flow::{Flow, Segment};
+use crate::metrics::{self, Refusal, Retry};
+
+impl Steer {
+    /// Asks every agent of the service for the owner of a flow.
+    pub(super) fn search(
+        &mut self,
+        flow: Flow,
+        seg: &Segment,
+        packet: &[u8],
+        now: Instant,
+        out: &mut impl Out,
+    ) {
+        let Some(routes) = &self.routes else { return };
+        let Some(share) = routes.share(flow) else {
+            if !seg.flags.rst {
+                refuse_at(flow, seg.ack, Refusal::NoProfile, out);
+            }
+            return;
+        };
+        let mut search = match self.flows.get(flow, now) {
+            Some(Known::Search(s)) => std::mem::take(s),
+            _ => Search::default(),
+        };
+        search.service = share.service.clone();
+        search.packet = packet.to_vec();
+        search.unsure.clear();
+        search.waiting.clear();
+        search.asked = 0;
+        search.ack = seg.ack;
+        let message = Message::Carry { service: &search.service, mode: Mode::Ask };
+        for agent in self.roster.of(&search.service) {
+            out.agent(agent, &message, packet);
+            search.waiting.push(agent);
+            search.asked += 1;
+        }
+        metrics::retried(Retry::OwnerAsked);
+        log::info!(
+            event = events::OWNER_ASKED, flow:% = flow, agents = search.asked,
+            version = routes.version;
+            "agents asked for a flow's owner"
+        );
+        search.due = Some(now + ANSWER);
+        self.flows.insert(flow, Known::Search(search), now);
+        self.due.push_back((now + ANSWER, flow));
+    }
+
+    pub(super) fn unknown(
+        &mut self,
+        from: SocketAddrV4,
+        flow: Flow,
+        unsure: bool,
+        now: Instant,
+        out: &mut impl Out,
+    ) {
+        match self.flows.get(flow, now) {
+            Some(Known::At { agent, .. }) if *agent == from => {
+                self.flows.remove(flow);
+            }
+            Some(Known::Search(s)) => {
+                s.answered(from, unsure);
+                if s.lost() && self.sees_since.is_some() {
+                    let ack = s.ack;
+                    self.flows.remove(flow);
+                    refuse_at(flow, ack, Refusal::Lost, out);
+                } else if s.waiting.is_empty() {
+                    self.try_unsure(flow, now, out);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    /// No agent knew the flow: has agents that may have forgotten it try
+    /// their targets.
+    pub(super) fn try_unsure(&mut self, flow: Flow, now: Instant, out: &mut impl Out) {
+        let Some(Known::Search(s)) = self.flows.get(flow, now) else { return };
+        s.tried.retain(|(at, _)| now.duration_since(*at) < TRIAL_SPAN);
+        let fresh: Vec<SocketAddrV4> = self
+            .roster
+            .likely(&s.unsure, &self.zone, flow)
+            .into_iter()
+            .filter(|a| s.tried.iter().all(|(_, t)| t != a))
+            .take(TRIALS.saturating_sub(s.tried.len()))
+            .collect();
+        let message = Message::Carry { service: &s.service, mode: Mode::Try };
+        for agent in fresh {
+            out.agent(agent, &message, &s.packet);
+            s.tried.push((now, agent));
+        }
+    }
+}
