--- a/tests/events.rs
+++ b/tests/events.rs
@@ -3,12 +3,16 @@
 use jujubepost::metrics::{Refusal, Retry};
 
 const CATALOGUE: &str = include_str!("../docs/EVENTS.md");
+const METRICS: &str = include_str!("../docs/METRICS.md");
 const EVENTS: &str = include_str!("../src/events/mod.rs");
 
 #[test]
 fn every_event_listed() {
     let codes: Vec<&str> = EVENTS.lines().filter_map(|l| l.split('"').nth(1)).collect();
     assert!(codes.len() > 20, "{codes:?}");
+    for metric in ["refusals_total", "retries_total", "drops_total", "violations_total"] {
+        assert!(METRICS.contains(&format!("jujubepost_{metric}")), "{metric}");
+    }
     for code in codes {
         assert!(CATALOGUE.contains(&format!("| {code} |")), "{code} is not in docs/EVENTS.md");
     }
@@ -17,7 +21,8 @@
 #[test]
 fn every_reason_listed() {
     use Refusal::{
-        Draining, ForeignOwner, Full, NoProfile, NoTarget, Silent, UnknownFlow, Unreachable,
+        Busy, Draining, ForeignOwner, Full, Lost, NoConfig, NoProfile, NoTarget, Silent,
+        TargetEnded, UnknownFlow, Unreachable,
     };
     let refusals = [
         Draining,
@@ -29,6 +34,10 @@
         UnknownFlow,
         Refusal::OpenTimeout,
         Silent,
+        Busy,
+        NoConfig,
+        TargetEnded,
+        Lost,
     ];
     let retries = [
         Retry::PacketTimeout,
@@ -39,9 +48,12 @@
         Retry::StoreError,
         Retry::LeaseLapsed,
         Retry::WatchCompacted,
+        Retry::Bounced,
+        Retry::OwnerAsked,
     ];
     let names = refusals.map(|r| r.to_string()).into_iter().chain(retries.map(|r| r.to_string()));
     for name in names {
         assert!(CATALOGUE.contains(&format!("`{name}`")), "{name} is not in docs/EVENTS.md");
+        assert!(METRICS.contains(&format!("`{name}`")), "{name} is not in docs/METRICS.md");
     }
 }
