--- a/src/agent/mod.rs
+++ b/src/agent/mod.rs
@@ -22,7 +22,7 @@
 use anyhow::Context;
 use tokio::net::UdpSocket;
 use tokio::signal::unix::{SignalKind, signal};
-use tokio::sync::{mpsc, watch};
+use tokio::sync::{Notify, mpsc, watch};
 
 pub use admit::{Admit, admit};
 use orders::Orders;
@@ -65,7 +65,7 @@
     let key = keys.target(name);
     let (held, lease_ms) = (store.clone(), settings.agent.lease_ms);
     let announcer = tokio::task::spawn_local(async move {
-        store::lease::hold(&held, &key, value, lease_ms).await;
+        store::lease::hold(&held, &key, value, lease_ms, &Notify::new()).await;
     });
     let source = Source {
         store: store.clone(),
--- a/src/balancer/mod.rs
+++ b/src/balancer/mod.rs
@@ -191,7 +191,8 @@
         return;
     };
     let (_keep, value) = tokio::sync::watch::channel(value);
-    store::lease::hold(&store, &keys.balancer(&me.name), value, lease_ms).await;
+    let check = tokio::sync::Notify::new();
+    store::lease::hold(&store, &keys.balancer(&me.name), value, lease_ms, &check).await;
 }
 
 const fn ms(v: u64) -> Duration {
--- a/src/edge/entry.rs
+++ b/src/edge/entry.rs
@@ -13,15 +13,15 @@
 use tokio::signal::unix::{SignalKind, signal};
 
 use super::inspect::{self, Inspect};
+use super::listing::Reader;
 use super::socket::Socket;
-use super::{AGENTS, Settings, store};
+use super::{Settings, store};
 use crate::admin::{self, Board};
 use crate::bus::{self, Message};
 use crate::flow::Flow;
 use crate::listen::{Answer, Server};
 use crate::platform::{self, packet};
-use crate::steer::{self, Announced, Steer};
-use crate::store::Snapshot;
+use crate::steer::{self, Steer};
 use crate::store::mirror::{self, News, Source};
 use crate::{events, metrics};
 
@@ -99,9 +99,10 @@
     let (view, seen) = (steer.clone(), board.clone());
     let follower = tokio::task::spawn_local(async move {
         let mut lost = false;
+        let mut reader = Reader::default();
         mirror::follow(&source, |news| match news {
             News::Copy(copy) => {
-                learn(&mut view.borrow_mut(), copy);
+                reader.learn(&mut view.borrow_mut(), copy);
                 seen.set_ready(view.borrow().ready());
                 seen.set_copy(Arc::new(copy.clone()));
             }
@@ -172,49 +173,6 @@
     .await
 }
 
-/// Takes in a change of the store.
-fn learn(steer: &mut Steer, copy: &Snapshot) {
-    if let Some(kv) = copy.keys.get(platform::config::KEY) {
-        match platform::config::decode(&kv.value) {
-            Ok(routes) => {
-                let (version, n) = (routes.version, routes.routes.len());
-                if steer.obey(routes) {
-                    log::info!(
-                        event = events::EDGE_CONFIG, version = version, routes = n, rev = kv.rev;
-                        "configuration in force"
-                    );
-                }
-            }
-            Err(e) => log::error!(
-                event = events::EDGE_CONFIG, rev = kv.rev, error:% = format!("{e:#}");
-                "configuration refused, the last one stays in force"
-            ),
-        }
-    }
-    let mut agents = Vec::new();
-    for (key, kv) in
-        copy.keys.range::<str, _>((std::ops::Bound::Included(AGENTS), std::ops::Bound::Unbounded))
-    {
-        if !key.starts_with(AGENTS) {
-            break;
-        }
-        match serde_json::from_slice::<Announced>(&kv.value) {
-            Ok(a) => agents.push(a),
-            Err(e) => log::error!(
-                event = events::EDGE_ROSTER, key:% = key, error:% = e;
-                "agent's entry refused"
-            ),
-        }
-    }
-    if steer.roster.update(&agents, Instant::now()) {
-        log::info!(
-            event = events::EDGE_ROSTER, listed = agents.len(), believed = steer.roster.len(),
-            rev = copy.rev;
-            "agents listed"
-        );
-    }
-}
-
 /// Forwards packets until told otherwise.
 async fn forward(wires: &Wires, steer: &RefCell<Steer>, port: u16, board: &Board) {
     let mut buf = vec![0; PACKET];
--- a/src/edge/sidecar.rs
+++ b/src/edge/sidecar.rs
@@ -11,7 +11,7 @@
 use ntex::http::StatusCode;
 use tokio::net::TcpStream;
 use tokio::signal::unix::{SignalKind, signal};
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 use tokio::task::JoinSet;
 
 use super::inspect::{self, Inspect};
@@ -51,8 +51,10 @@
 /// How long the target's port may take to answer; it is on the same VM.
 const PROBE: Duration = Duration::from_millis(300);
 
-/// Longest sleep without a timer due, so that old flows are forgotten.
-const IDLE_TICK: Duration = Duration::from_secs(5);
+/// After how long without a word of any balancer an agent looks whether its
+/// entry still stands. A balancer that misses the entry says so; one that was
+/// started after the entry had lapsed does not know of the agent.
+const QUIET: Duration = Duration::from_secs(2);
 
 struct Wires {
     bus: Socket,
@@ -115,7 +117,8 @@
     holder.borrow_mut().follows(served);
     let me = Announced { addr: settings.bus(), zone: settings.zone.clone(), service, target: None };
     let (entry, entries) = watch::channel(serde_json::to_vec(&me)?);
-    let entry = Rc::new(Entry { me, value: entry });
+    let check = Rc::new(Notify::new());
+    let entry = Rc::new(Entry { me, value: entry, check: check.clone() });
     let reports = settings.reports.with_context(missing("reports"))?;
     let desk = serve_reports(reports, holder.clone(), entry.clone()).await?;
     let ready = match settings.ready {
@@ -128,7 +131,7 @@
         // One write with the target's start instead of two: each is an event
         // at every balancer.
         let _ = tokio::time::timeout(UNREPORTED, entries.changed()).await;
-        lease::hold(&held, &held_key, entries, LEASE_MS).await;
+        lease::hold(&held, &held_key, entries, LEASE_MS, &check).await;
     });
     let mut term = signal(SignalKind::terminate()).context("signal")?;
     let mut hup = signal(SignalKind::hangup()).context("signal")?;
@@ -186,6 +189,8 @@
 struct Entry {
     me: Announced,
     value: watch::Sender<Vec<u8>>,
+    /// Has the entry's lease looked at.
+    check: Rc<Notify>,
 }
 
 impl Entry {
@@ -300,19 +305,24 @@
     let mut scratch = Vec::with_capacity(bus::DATAGRAM);
     let mut relisted: Option<Instant> = None;
     let mut probes = JoinSet::new();
+    let mut heard = Instant::now();
     loop {
         let now = Instant::now();
+        if now.duration_since(heard) >= QUIET {
+            heard = now;
+            entry.check.notify_one();
+        }
         if probes.is_empty() && holder.borrow().doubtful(now) {
             probes.spawn_local(probe(wires.target));
         }
         let due = holder.borrow().next_due().filter(|_| probes.is_empty());
-        let wait = due.map_or(IDLE_TICK, |at| at.saturating_duration_since(now));
+        let wait = due.map_or(QUIET, |at| at.saturating_duration_since(now));
         let mut probed = None;
         tokio::select! {
             () = wires.bus.readable() => {}
             () = wires.outbound.readable() => {}
             Some(found) = probes.join_next() => probed = found.ok(),
-            () = tokio::time::sleep(wait.min(IDLE_TICK)) => {}
+            () = tokio::time::sleep(wait.min(QUIET)) => {}
         }
         let mut holder = holder.borrow_mut();
         let mut out = Sender { wires, buf: &mut scratch };
@@ -338,6 +348,7 @@
         }
         let mut missing = false;
         wires.bus.drain(&mut buf, |datagram, from| {
+            heard = now;
             let Ok((message, packet)) = bus::decode(datagram) else {
                 metrics::dropped("not a message");
                 return;
--- a/src/platform/kv.rs
+++ b/src/platform/kv.rs
@@ -101,6 +101,12 @@
     ttl_ms: u64,
 }
 
+#[derive(Debug, Deserialize)]
+struct Revision {
+    #[serde(rename = "revision")]
+    _rev: i64,
+}
+
 #[derive(Debug, Deserialize)]
 struct Granted {
     lease: i64,
@@ -181,10 +187,9 @@
     async fn change(&self, step: &str, txn: &Txn<'_>) -> anyhow::Result<()> {
         let req = self.http.post(self.url("/v1/kv-txn"));
         let res = self.send(step, req, Some(serde_json::to_vec(txn)?), self.timeout).await?;
-        if !res.status().is_success() {
-            bail!("{step} at store {}: status {}", self.addr, res.status());
-        }
-        Ok(())
+        // Read to its end: a connection whose answer was left unread breaks
+        // under the next call.
+        self.read::<Revision>(step, res).await.map(|_| ())
     }
 }
 
@@ -251,7 +256,7 @@
     async fn keepalive(&self, lease: i64) -> anyhow::Result<bool> {
         let step = format!("keepalive of lease {lease}");
         let req = self.http.post(self.url(&format!("/v1/kv-keep/{lease}")));
-        let res = self.send(&step, req, Some(b"{}".to_vec()), self.timeout).await?;
+        let res = self.send(&step, req, None, self.timeout).await?;
         if res.status() == StatusCode::NOT_FOUND {
             return Ok(false);
         }
@@ -264,6 +269,10 @@
         self.change(&format!("put {key}"), &txn).await
     }
 
+    async fn has(&self, key: &str) -> anyhow::Result<bool> {
+        Ok(self.get(key).await?.is_some())
+    }
+
     async fn delete(&self, key: &str) -> anyhow::Result<()> {
         let txn = Txn { expected_rev: [], writes: Vec::new(), remove: vec![key] };
         self.change(&format!("delete {key}"), &txn).await
--- a/src/platform/server.rs
+++ b/src/platform/server.rs
@@ -5,6 +5,7 @@
 
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD as B64;
+use ntex::util::Bytes;
 use ntex::web::types::{Json, Path, Query, State};
 use ntex::web::{self, HttpResponse, ServiceConfig};
 use serde::{Deserialize, Serialize};
@@ -257,7 +258,9 @@
     HttpResponse::Ok().json(&Granted { lease, ttl_ms: req.ttl_ms })
 }
 
-async fn keep(st: State<Shared>, id: Path<i64>) -> HttpResponse {
+// The body is read although it says nothing: a connection closed with bytes
+// unread is reset, and the answer with it.
+async fn keep(st: State<Shared>, id: Path<i64>, _body: Bytes) -> HttpResponse {
     if let Err(r) = gate(&st).await {
         return r;
     }
--- a/src/store/keeper.rs
+++ b/src/store/keeper.rs
@@ -55,6 +55,14 @@
     /// As [`Lessor::grant`].
     fn put(&self, key: &str, value: &[u8], lease: i64) -> impl Future<Output = anyhow::Result<()>>;
 
+    /// Whether the key is there: the service may take keys away whose leases
+    /// stand.
+    ///
+    /// # Errors
+    ///
+    /// As [`Lessor::grant`].
+    fn has(&self, key: &str) -> impl Future<Output = anyhow::Result<bool>>;
+
     /// Removes one key.
     ///
     /// # Errors
@@ -87,6 +95,10 @@
         Client::put(self, key, value, lease).await
     }
 
+    async fn has(&self, key: &str) -> anyhow::Result<bool> {
+        Ok(Client::get(self, key).await?.is_some())
+    }
+
     async fn delete(&self, key: &str) -> anyhow::Result<()> {
         Client::delete(self, key).await
     }
--- a/src/store/lease.rs
+++ b/src/store/lease.rs
@@ -7,7 +7,7 @@
 
 use std::time::Duration;
 
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 
 use super::Lessor;
 use crate::events;
@@ -18,19 +18,20 @@
 const PAUSE: Duration = Duration::from_millis(500);
 
 /// Holds `key` under a lease of `lease_ms`, with the latest of `value`,
-/// forever.
+/// forever. Looks whether it is still there when `check` says so.
 pub async fn hold<L: Lessor>(
     store: &L,
     key: &str,
     mut value: watch::Receiver<Vec<u8>>,
     lease_ms: u64,
+    check: &Notify,
 ) {
     let ttl = Duration::from_millis(lease_ms.max(1_000));
     let beat = Duration::from_millis((lease_ms / 3).max(100));
     loop {
         let latest = value.borrow_and_update().clone();
         match take(store, key, &latest, ttl).await {
-            Ok(lease) => renew(store, key, lease, &mut value, beat).await,
+            Ok(lease) => renew(store, key, lease, &mut value, beat, check).await,
             Err(e) => {
                 failed(&e);
                 ntex::time::sleep(PAUSE.min(beat)).await;
@@ -52,10 +53,20 @@
     lease: i64,
     value: &mut watch::Receiver<Vec<u8>>,
     beat: Duration,
+    check: &Notify,
 ) {
     let mut pause = beat;
     loop {
         tokio::select! {
+            () = check.notified() => match store.has(key).await {
+                Ok(true) => {}
+                Ok(false) => {
+                    log::warn!(event = events::AGENT_LAPSED, key = key, lease = lease; "entry gone");
+                    metrics::retried(Retry::LeaseLapsed);
+                    return;
+                }
+                Err(e) => failed(&e),
+            },
             () = ntex::time::sleep(pause) => match store.keepalive(lease).await {
                 Ok(true) => pause = beat,
                 Ok(false) => {
@@ -74,7 +85,6 @@
                 if let Err(e) = store.put(key, &latest, lease).await {
                     // The lease may have lapsed; a new one is taken.
                     failed(&e);
-                    ntex::time::sleep(PAUSE.min(beat)).await;
                     return;
                 }
             }
--- a/tests/whole.rs
+++ b/tests/whole.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use jujubepost::platform::{config, kv};
-use jujubepost::store::{Faults, Lessor};
+use jujubepost::store::{Faults, Keeper, Lessor};
 use jujubepost::trial::{Hash, Plan, Report, Trial};
 use jujubepost::up::Signal;
 
@@ -169,6 +169,33 @@
     end("store", t).await;
 }
 
+/// The store takes away the agents' entries, whose leases stand, while no
+/// balancer runs that knew them: the agents write them again.
+#[ntex::test]
+async fn entries_taken_away() {
+    let plan = Plan { base: 26_400, secs: 2, targets: 1, ..Plan::default() };
+    let mut t = start("taken", plan).await;
+    let balancers = ["entry-0-0", "entry-0-1", "entry-1-0", "entry-1-1"];
+    balancers.iter().for_each(|label| t.kill(label));
+    let client = store(&t).await;
+    let (_, agents) = client.list("jujubepost/agents/").await.unwrap();
+    assert_eq!(agents.len(), 2);
+    for kv in &agents {
+        client.delete(&kv.key).await.unwrap();
+    }
+    balancers.iter().try_for_each(|label| t.launch(label)).unwrap();
+    let since = Instant::now();
+    while client.list("jujubepost/agents/").await.unwrap().1.len() < 2 {
+        assert!(since.elapsed() < Duration::from_secs(6));
+        tokio::time::sleep(100 * MS).await;
+    }
+    tokio::time::sleep(1_000 * MS).await;
+    let r = t.play(async |_: &mut Trial| Ok(())).await.unwrap();
+    promises(&r);
+    assert_eq!((r.failed, r.broken), (0, 0), "{r}");
+    end("taken", t).await;
+}
+
 /// A store that takes connections and answers nothing must not keep a process
 /// from finding it again once it answers.
 #[ntex::test]
@@ -200,5 +227,11 @@
     assert!(!client.keepalive(lease + 1).await.unwrap());
     tokio::time::sleep(1_500 * MS).await;
     assert!(client.get("x").await.unwrap().is_none(), "its lease lapsed");
+    // Many calls one after the other on the client's connections.
+    for i in 0..200 {
+        client.put("y", b"1", 0).await.unwrap_or_else(|e| panic!("put {i}: {e:#}"));
+        client.has("y").await.unwrap_or_else(|e| panic!("has {i}: {e:#}"));
+        client.keepalive(lease).await.unwrap_or_else(|e| panic!("keepalive {i}: {e:#}"));
+    }
     children.down().await;
 }
