--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -6,12 +6,14 @@
 pub mod entry;
 mod inspect;
 mod listing;
+
 mod settings;
 pub mod sidecar;
 mod socket;
 
 use std::time::Duration;
 
+pub use listing::Reader;
 pub use settings::{Bounds, Settings};
 
 use crate::{events, metrics, platform};
