--- a/src/hold/opens.rs
+++ b/src/hold/opens.rs
@@ -18,7 +18,8 @@
             return UNABLE;
         }
         let flows = u32::try_from(self.flows.len()).unwrap_or(u32::MAX);
-        place::backlog(flows, self.waiting + t.cold(now), self.demand.per_flow())
+        let backlog = place::backlog(flows, self.waiting + t.cold(now), self.demand.per_flow());
+        place::slowed(backlog, self.pace.slower())
     }
 
     pub(super) fn full(&self, now: Instant) -> bool {
