--- a/src/agent/place.rs
+++ b/src/agent/place.rs
@@ -78,18 +78,6 @@
     u32::try_from(busy + open).map_or(UNABLE - 1, |load| load.min(UNABLE - 1))
 }
 
-/// The load `backlog` of an agent whose target is `slower` times as slow as
-/// usual: the request to be placed, and each before it, takes that much longer.
-#[must_use]
-pub fn slowed(backlog: u32, slower: f64) -> u32 {
-    if slower <= 1.0 {
-        return backlog;
-    }
-    let load = f64::from(backlog.saturating_add(SLOT)) * slower - f64::from(SLOT);
-    // The cast saturates; a load beyond the highest is the highest.
-    (load as u32).min(UNABLE - 1)
-}
-
 /// Whether `load` is below `theirs` by enough to move a flow: by more than a
 /// sixteenth and an eighth of a slot. Without the margin, short requests all
 /// follow small differences in long feeds, and pile up where the feeds are
--- a/src/hold/life.rs
+++ b/src/hold/life.rs
@@ -112,12 +112,7 @@
             let since = std::mem::replace(&mut h.waiting, on.then_some(now));
             let opened = !matches!(h.stage, Stage::Opening { .. } | Stage::Answered(_));
             if let Some(at) = since.filter(|_| opened) {
-                let took = now.duration_since(at);
-                self.answers.note(took);
-                // While it queues, an answer's time says how full it is.
-                if self.target.as_ref().is_some_and(|t| self.waiting < t.slots()) {
-                    self.pace.note(took);
-                }
+                self.answers.note(now.duration_since(at));
             }
             self.demand.observe(self.waiting, self.flows.len(), now);
             self.waiting = if on { self.waiting + 1 } else { self.waiting.saturating_sub(1) };
--- a/src/hold/mod.rs
+++ b/src/hold/mod.rs
@@ -10,7 +10,6 @@
 mod held;
 mod life;
 mod opens;
-mod pace;
 mod packets;
 mod target;
 
@@ -21,7 +20,6 @@
 
 pub use demand::Demand;
 pub use held::{Held, Stage};
-pub use pace::Pace;
 pub use target::{Report, State, Target};
 
 use crate::bus::{Message, Open};
@@ -93,7 +91,6 @@
     /// Flows whose target has work to do.
     waiting: u32,
     demand: Demand,
-    pace: Pace,
     answers: metrics::Answers,
     /// Until when the target is taken to be full, after it gave an open back.
     full_until: Option<Instant>,
@@ -122,7 +119,6 @@
             flows: Table::new(idle),
             waiting: 0,
             demand: Demand::default(),
-            pace: Pace::default(),
             full_until: None,
             looks: VecDeque::new(),
             opens: VecDeque::new(),
--- a/src/hold/opens.rs
+++ b/src/hold/opens.rs
@@ -18,8 +18,7 @@
             return UNABLE;
         }
         let flows = u32::try_from(self.flows.len()).unwrap_or(u32::MAX);
-        let backlog = place::backlog(flows, self.waiting + t.cold(now), self.demand.per_flow());
-        place::slowed(backlog, self.pace.slower())
+        place::backlog(flows, self.waiting + t.cold(now), self.demand.per_flow())
     }
 
     pub(super) fn full(&self, now: Instant) -> bool {
--- a/tests/hold.rs
+++ b/tests/hold.rs
@@ -278,26 +278,3 @@
     h.crashed(&mut Wires::default());
     assert_eq!(carry(&mut h, Mode::Ask, 2, 5_001, now).words(), [Word::Unknown]);
 }
-
-/// Pattern: a target turns five times as slow while its slots are free. Its
-/// load grows, so that new flows go to the others, and falls when it is fast
-/// again; chance does not count.
-#[test]
-fn slow_target_left() {
-    let pace = |took: &[u64]| {
-        let mut p = jujubepost::hold::Pace::default();
-        took.iter().for_each(|t| p.note(Duration::from_millis(*t)));
-        p
-    };
-    let usual: Vec<u64> = (0..200).map(|i| [20, 30, 40, 50, 60][i % 5]).collect();
-    assert!((pace(&usual).slower() - 1.0).abs() < f64::EPSILON);
-    let mut slow = usual.clone();
-    slow.extend([200; 10]);
-    assert!(pace(&slow).slower() > 3.0, "{}", pace(&slow).slower());
-    slow.extend([200; 100]);
-    assert!(pace(&slow).slower() > 3.0, "a spell does not become usual");
-    slow.extend([40; 20]);
-    assert!((pace(&slow).slower() - 1.0).abs() < f64::EPSILON);
-    let idle_but_slow = jujubepost::agent::place::slowed(0, 5.0);
-    assert!(idle_but_slow > jujubepost::agent::place::backlog(0, 3, 0), "three waiting elsewhere");
-}
