Mirror: own interface asks peers only while it has no copy, as before

On the platform agents are judged by their own answers, so the newest copy is right there.

Ruled out: the renewals of leases (the store did not answer them before either).

Change: Source::ask says when peers are asked.

--- a/src/agent/mod.rs
+++ b/src/agent/mod.rs
@@ -71,6 +71,7 @@
         store: store.clone(),
         prefix: keys.config(),
         peers: settings.balancers.iter().map(|b| b.addr).collect(),
+        ask: mirror::Ask::Empty,
         gather: Duration::ZERO,
     };
     let follower =
--- a/src/balancer/mod.rs
+++ b/src/balancer/mod.rs
@@ -98,6 +98,7 @@
         store: store.clone(),
         prefix: keys.all(),
         peers: settings.peers(me.addr),
+        ask: store::mirror::Ask::Empty,
         gather: Duration::ZERO,
     };
     let watcher = tokio::task::spawn_local(follow::follow(
--- a/src/edge/entry.rs
+++ b/src/edge/entry.rs
@@ -94,6 +94,7 @@
         store: store(&settings).await?,
         prefix: String::new(),
         peers: settings.peers(),
+        ask: mirror::Ask::Always,
         gather: GATHER,
     };
     let (view, seen) = (steer.clone(), board.clone());
--- a/src/store/mirror.rs
+++ b/src/store/mirror.rs
@@ -115,11 +115,24 @@
     pub prefix: String,
     /// Processes that hold a copy of at least this prefix.
     pub peers: Vec<SocketAddr>,
+    /// When they are asked.
+    pub ask: Ask,
     /// Pause after a change before the next is asked for: changes that come
     /// together (many agents start at once) cost one call instead of many.
     pub gather: Duration,
 }
 
+/// When a mirror whose service fails asks its peers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ask {
+    /// While it has no copy. Where a missing announcement counts as a dead
+    /// process, a peer's newer copy may carry a lapse of leases that this
+    /// process was spared, and a process that starts next would believe it.
+    Empty,
+    /// At each failure, where processes are judged by their own answers.
+    Always,
+}
+
 /// What a mirror tells its owner.
 #[derive(Debug)]
 pub enum News<'a> {
@@ -167,7 +180,8 @@
                 tell(News::Failed(&e));
                 metrics::retried(Retry::StoreError);
                 lost = true;
-                if from_peers(source, &mut copy).await {
+                let ask = source.ask == Ask::Always || copy.rev == 0;
+                if ask && from_peers(source, &mut copy).await {
                     tell(News::Copy(&copy));
                 }
                 ntex::time::sleep(if copy.rev == 0 { EMPTY_PAUSE } else { PAUSE }).await;
