Agents: each kind of look in its own queue; platform's names out of trial

Cause (read, then tests/hold.rs ended_flow_remembered, red): flows to look at after 1.5, 2 and 3.2 s stood in one queue in the order they came, so looks came up to 3.2 s late, and a look meant for one reason dropped a flow that had ended 0.1 s before; its caller's last copies were answered with a reset ('lost' in the logs, 5 to 15 a second after each loss of power).

Ruled out: a heap (one queue a reason is in order by itself).

Change: four queues; an ended flow is remembered for 3.2 s in full. Bodies that the stand-ins write stand in src/platform/.

--- a/src/hold/life.rs
+++ b/src/hold/life.rs
@@ -3,7 +3,8 @@
 use std::time::{Duration, Instant};
 
 use super::{
-    CLOSED, ENDING, Held, Holder, LONGEST_WORK, Out, Report, SILENT_WORK, Stage, Target, reset,
+    CLOSED, ENDING, Held, Holder, LONGEST_WORK, Out, Queue, Report, SILENT_WORK, Stage, Target,
+    reset,
 };
 use crate::events;
 use crate::flow::Flow;
@@ -124,7 +125,7 @@
             && h.stage != Stage::Closed
         {
             h.stage = Stage::Closed;
-            self.looks.push_back((now + CLOSED, flow));
+            self.ended.push_back((now + CLOSED, flow));
         }
         self.wait(flow, false, now);
     }
@@ -140,24 +141,35 @@
     /// When [`Holder::tick`] next has something to do.
     #[must_use]
     pub fn next_due(&self) -> Option<Instant> {
-        let look = self.looks.front().map(|(at, _)| *at);
-        let open = self.opens.front().map(|(at, _)| *at);
+        let queues = [&self.opens, &self.unanswered, &self.working, &self.ended];
+        let first = queues.into_iter().filter_map(|q| q.front().map(|(at, _)| *at)).min();
         let silent = self.silent_since.filter(|_| self.may_live());
-        [look, open, self.ending, silent].into_iter().flatten().min()
+        [first, self.ending, silent].into_iter().flatten().min()
     }
 
     /// Does what has come due by `now`.
     pub fn tick(&mut self, now: Instant, out: &mut impl Out) {
-        while let Some((_, flow)) = self.opens.front().copied().filter(|(at, _)| *at <= now) {
-            self.opens.pop_front();
+        while let Some(flow) = due(&mut self.opens, now) {
             let stage = self.flows.peek(flow).map(|h| h.stage);
             if matches!(stage, Some(Stage::Opening { .. } | Stage::Answered(_))) {
                 self.wait(flow, false, now);
             }
         }
-        while let Some((_, flow)) = self.looks.front().copied().filter(|(at, _)| *at <= now) {
-            self.looks.pop_front();
-            self.look(flow, now);
+        while let Some(flow) = due(&mut self.unanswered, now) {
+            if matches!(self.flows.peek(flow).map(|h| h.stage), Some(Stage::Opening { .. })) {
+                self.remove(flow);
+            }
+        }
+        while let Some(flow) = due(&mut self.working, now) {
+            let since = self.flows.peek(flow).and_then(|h| h.waiting);
+            if since.is_some_and(|at| now.duration_since(at) >= LONGEST_WORK) {
+                self.wait(flow, false, now);
+            }
+        }
+        while let Some(flow) = due(&mut self.ended, now) {
+            if self.flows.peek(flow).is_some_and(|h| h.stage == Stage::Closed) {
+                self.remove(flow);
+            }
         }
         if self.ending.is_some_and(|at| at <= now) {
             self.ending = None;
@@ -167,16 +179,10 @@
         self.flows.expire(now, |_, h| lost += u32::from(h.waiting.is_some()));
         self.waiting = self.waiting.saturating_sub(lost);
     }
+}
 
-    /// Drops a flow that has ended or was never answered, and no longer counts
-    /// as waiting what has waited too long to be true.
-    pub(super) fn look(&mut self, flow: Flow, now: Instant) {
-        let Some(h) = self.flows.peek(flow) else { return };
-        let waited = h.waiting.map(|at| now.duration_since(at));
-        match (h.stage, waited) {
-            (Stage::Closed | Stage::Opening { .. }, _) => drop(self.remove(flow)),
-            (_, Some(t)) if t >= LONGEST_WORK => self.wait(flow, false, now),
-            _ => {}
-        }
-    }
+/// Takes the first flow out whose time has come.
+fn due(queue: &mut Queue, now: Instant) -> Option<Flow> {
+    queue.front().filter(|(at, _)| *at <= now)?;
+    queue.pop_front().map(|(_, flow)| flow)
 }
--- a/src/hold/mod.rs
+++ b/src/hold/mod.rs
@@ -79,6 +79,10 @@
     fn peer(&mut self, to: SocketAddrV4, message: &Message<'_>, packet: &[u8]);
 }
 
+/// Flows in the order of their time; all wait equally long, so the last to
+/// come is the last to go.
+type Queue = VecDeque<(Instant, Flow)>;
+
 /// One agent's knowledge of its target.
 #[derive(Debug)]
 pub struct Holder {
@@ -94,10 +98,14 @@
     answers: metrics::Answers,
     /// Until when the target is taken to be full, after it gave an open back.
     full_until: Option<Instant>,
-    /// Flows to look at, once each has had its time.
-    looks: VecDeque<(Instant, Flow)>,
-    /// Opens to look at, in the order of their time.
-    opens: VecDeque<(Instant, Flow)>,
+    /// Opens that count as waiting until their time.
+    opens: Queue,
+    /// Opens that are remembered without an answer until their time.
+    unanswered: Queue,
+    /// Flows whose work counts as waiting until their time at most.
+    working: Queue,
+    /// Ended flows that are remembered until their time.
+    ended: Queue,
     ending: Option<Instant>,
     /// No process of the target runs: its port is closed, or it said goodbye.
     absent: bool,
@@ -120,8 +128,10 @@
             waiting: 0,
             demand: Demand::default(),
             full_until: None,
-            looks: VecDeque::new(),
-            opens: VecDeque::new(),
+            opens: Queue::default(),
+            unanswered: Queue::default(),
+            working: Queue::default(),
+            ended: Queue::default(),
             ending: None,
             absent: false,
             stopping: false,
--- a/src/hold/opens.rs
+++ b/src/hold/opens.rs
@@ -97,7 +97,7 @@
         self.flows.insert(flow, held, now);
         self.wait(flow, true, now);
         self.opens.push_back((now + OPEN_WAIT, flow));
-        self.looks.push_back((now + OPEN_KEPT, flow));
+        self.unanswered.push_back((now + OPEN_KEPT, flow));
         self.expect(SILENT_OPEN, now);
         out.target(packet);
     }
--- a/src/hold/packets.rs
+++ b/src/hold/packets.rs
@@ -83,7 +83,7 @@
         let over = seg.flags.rst || h.over();
         if h.takes_data(seg) {
             self.wait(flow, true, now);
-            self.looks.push_back((now + LONGEST_WORK, flow));
+            self.working.push_back((now + LONGEST_WORK, flow));
             self.expect(SILENT_WORK, now);
         }
         if over {
--- a/src/platform/config.rs
+++ b/src/platform/config.rs
@@ -72,6 +72,20 @@
     idle_timeout_ms: Option<u64>,
 }
 
+/// A configuration as operators write it, with a route for each service: for
+/// the stand-ins.
+#[must_use]
+pub fn body(version: u64, routes: &[(&str, SocketAddrV4)]) -> serde_json::Value {
+    let route = |(service, addr): &(&str, SocketAddrV4)| {
+        serde_json::json!({
+            "name": service, "host": addr.ip(), "prefix": format!("/{}/", addr.port()),
+            "type": "safe", "timeout_ms": 3_000, "service": service,
+        })
+    };
+    let routes: Vec<_> = routes.iter().map(route).collect();
+    serde_json::json!({ "version": version, "routes": routes, "services": [], "limits": {} })
+}
+
 /// Reads a configuration.
 ///
 /// # Errors
--- a/src/platform/report.rs
+++ b/src/platform/report.rs
@@ -1,5 +1,6 @@
 //! What a target says of itself to the agent beside it, over HTTP.
 
+use std::net::SocketAddrV4;
 use std::time::Duration;
 
 use anyhow::Context;
@@ -44,6 +45,15 @@
     Draining,
 }
 
+/// The body of a heartbeat, as the stand-in of a target sends it.
+#[must_use]
+pub fn body(service: &str, addr: SocketAddrV4, state: State, seq: u64) -> serde_json::Value {
+    serde_json::json!({
+        "service": service, "address": addr, "zone": "", "version": "v1", "capacity": 5,
+        "state": state.to_string(), "warmup_left_ms": 0, "seq": seq,
+    })
+}
+
 /// Reads a call of a target; `None` when the path is not one.
 ///
 /// # Errors
--- a/src/trial/mod.rs
+++ b/src/trial/mod.rs
@@ -236,14 +236,8 @@
         let path = self.write("store", &json!({ "store": { "addr": addr } }))?;
         let log = self.dir.join("store.log");
         self.children.spawn("store", &["store", "--config", &path], &log)?;
-        let routes: Vec<_> = SERVICES
-            .iter()
-            .map(|(service, port)| {
-                json!({ "name": service, "host": VIP, "prefix": format!("/{port}/"),
-                        "type": "safe", "timeout_ms": 3000, "service": service })
-            })
-            .collect();
-        let config = json!({ "version": 1, "routes": routes, "services": [], "limits": {} });
+        let routes = SERVICES.map(|(service, port)| (service, SocketAddrV4::new(VIP, port)));
+        let config = platform::config::body(1, &routes);
         let wait = Duration::from_millis(500);
         let client = platform::kv::Client::new(addr.into(), wait, wait).await?;
         let deadline = Instant::now() + READY;
--- a/src/trial/target.rs
+++ b/src/trial/target.rs
@@ -14,6 +14,7 @@
 
 use super::Report;
 use crate::flow::{Flags, Flow, Segment};
+use crate::hold;
 use crate::platform::{packet, report};
 
 /// How often a target reports itself.
@@ -126,11 +127,8 @@
     let mut left = LEAVING;
     for seq in 1_u64.. {
         let draining = state.draining.get();
-        let word = if draining { "draining" } else { "ready" };
-        let body = serde_json::json!({
-            "service": service, "address": app, "zone": "", "version": "v1", "capacity": 5,
-            "state": word, "warmup_left_ms": 0, "seq": seq,
-        });
+        let word = if draining { hold::State::Draining } else { hold::State::Ready };
+        let body = report::body(service, app, word, seq);
         let url = format!("http://{reports}{}{id}", report::HEARTBEAT);
         let call = client.post(url).send_json(&body);
         let ok = matches!(
--- a/tests/hold.rs
+++ b/tests/hold.rs
@@ -278,3 +278,30 @@
     h.crashed(&mut Wires::default());
     assert_eq!(carry(&mut h, Mode::Ask, 2, 5_001, now).words(), [Word::Unknown]);
 }
+
+/// A flow that ended is remembered for twice the longest pause between copies,
+/// whatever else about it was to be looked at before: otherwise its caller's
+/// last copies were answered with a reset.
+#[test]
+fn ended_flow_remembered() {
+    let now = Instant::now();
+    let mut h = holder(now);
+    opened(&mut h, 1, 5_000, now);
+    carry(&mut h, Mode::Owner, 1, 5_001, now);
+    let mut w = Wires::default();
+    let end = now + 1_900 * MS;
+    let fin = |seg: jujubepost::flow::Segment| jujubepost::flow::Segment {
+        flags: jujubepost::flow::Flags { fin: true, ..seg.flags },
+        ..seg
+    };
+    h.target_packet(&fin(answer(1, 5_001, 10)), &mut b"answer".to_vec(), end, &mut w, |_| {});
+    let m = Message::Carry { service: SERVICE, mode: Mode::Owner };
+    let last = fin(data(1, 1_101, 5_012, 0));
+    h.message(balancer(), &m, Some(&last), b"fin", end, &mut w);
+    for ms in [150, 1_000, 3_000] {
+        h.tick(end + ms * MS, &mut w);
+        assert_eq!(carry(&mut h, Mode::Ask, 1, 5_012, end).words(), [Word::Held], "{ms} ms");
+    }
+    h.tick(end + 3_300 * MS, &mut w);
+    assert_eq!(carry(&mut h, Mode::Ask, 1, 5_012, end).words(), [Word::Unknown]);
+}
