--- a/src/logs/bounded.rs
+++ b/src/logs/bounded.rs
@@ -151,7 +151,9 @@
         let mut flushed = gather(first, &mut text);
         if flushed.is_none() {
             std::thread::sleep(GATHER);
-            flushed = queue.try_iter().find_map(|item| gather(item, &mut text));
+            // No more than one queue: with lines coming as fast as they are taken,
+            // this would not end, and the text would grow without bound.
+            flushed = queue.try_iter().take(QUEUE).find_map(|item| gather(item, &mut text));
         }
         let lost = dropped.load(Ordering::Relaxed);
         if lost > told {
