Losing a flow stands once; a comment that gave an old figure

The reset of a lost flow stood twice in steer::search, the end of a target's silence twice in hold::packets, and a comment of the roster still said eight seconds where KEEP is three.

Ruled out: nothing to measure, behaviour is the same; no test was touched.

--- a/src/hold/packets.rs
+++ b/src/hold/packets.rs
@@ -100,13 +100,12 @@
         out: &mut impl Out,
         clear: impl FnOnce(&mut [u8]),
     ) {
+        self.silent_since = None;
         if seg.flags.bounced {
             clear(packet);
-            self.silent_since = None;
             self.bounced(seg, packet, now, out);
             return;
         }
-        self.silent_since = None;
         let flow = seg.by_target();
         self.answered(flow, seg, now, out);
         out.caller(flow.caller, packet);
--- a/src/steer/roster.rs
+++ b/src/steer/roster.rs
@@ -280,7 +280,7 @@
     }
 
     /// Asks the agents that are in doubt and drops those that the store does
-    /// not list and that have not answered for eight seconds.
+    /// not list and that have not answered for three seconds.
     pub fn ping(&mut self, now: Instant, out: &mut impl Out) {
         if self.due.is_none_or(|at| at > now) {
             return;
--- a/src/steer/search.rs
+++ b/src/steer/search.rs
@@ -68,9 +68,7 @@
             Some(Known::Search(s)) => {
                 s.answered(from, unsure);
                 if s.lost() && self.sees_since.is_some() {
-                    let ack = s.ack;
-                    self.flows.remove(flow);
-                    refuse_at(flow, ack, Refusal::Lost, out);
+                    self.lose(flow, out);
                 } else if s.waiting.is_empty() {
                     self.try_unsure(flow, now, out);
                 }
@@ -87,14 +85,19 @@
         let gone = s.waiting.iter().all(|a| self.roster.gone(*a, now));
         let most = s.waiting.len() * 2 < usize::try_from(s.asked).unwrap_or(usize::MAX);
         if gone && most && s.unsure.is_empty() && self.sees_since.is_some() {
-            let ack = s.ack;
-            self.flows.remove(flow);
-            refuse_at(flow, ack, Refusal::Lost, out);
+            self.lose(flow, out);
         } else {
             self.try_unsure(flow, now, out);
         }
     }
 
+    /// The target that held the flow is gone: tells its caller at once.
+    fn lose(&mut self, flow: Flow, out: &mut impl Out) {
+        if let Some(Known::Search(s)) = self.flows.remove(flow) {
+            refuse_at(flow, s.ack, Refusal::Lost, out);
+        }
+    }
+
     /// No agent knew the flow: has agents that may have forgotten it try
     /// their targets.
     pub(super) fn try_unsure(&mut self, flow: Flow, now: Instant, out: &mut impl Out) {
