Agents: an early report is proof only where it is a retry

Cause: an agent that started after its target took itself to know all flows when the store named another start and the report was among the first four. If its predecessor met that start while the store was away, it could write nothing down; restarted within the start's first seconds, the successor denied flows that its predecessor had taken, and their callers were reset.

Ruled out: the VM's clocks, boot identity and uptime as proof of a loss of power (trial: boot identity and uptime do not change, the steady clock's origin changes but its old value lasts nowhere); the target's warm-up as its age (the full warm-up is not known to a process that starts); writing the start down before the first flow (no flows during an outage).

Change: the report must also come within 0.2 s of the agent's start. A target that nobody answers tries ten times a second; one that was answered is silent for about 1 s, so one case in six is left.

Test: hold.rs unwritten_start, red before.

--- a/src/edge/sidecar.rs
+++ b/src/edge/sidecar.rs
@@ -115,7 +115,7 @@
     let store = store(&settings).await?;
     let key = format!("{AGENTS}{}", settings.ip);
     let served = served_before(&store, &key).await;
-    holder.borrow_mut().follows(served);
+    holder.borrow_mut().follows(served, Instant::now());
     let me = Announced { addr: settings.bus(), zone: settings.zone.clone(), service, target: None };
     let (entry, entries) = watch::channel(serde_json::to_vec(&me)?);
     let check = Rc::new(Notify::new());
--- a/src/hold/life.rs
+++ b/src/hold/life.rs
@@ -36,7 +36,7 @@
             }
             Some(t) if t.is(&report.id) => t.update(&report, now),
             before => {
-                let next = Target::new(&report, before.as_ref(), self.before.as_deref(), now);
+                let next = Target::new(&report, before.as_ref(), self.before.as_ref(), now);
                 *before = Some(next);
                 self.absent = false;
                 self.ending = None;
--- a/src/hold/mod.rs
+++ b/src/hold/mod.rs
@@ -20,7 +20,7 @@
 
 pub use demand::Demand;
 pub use held::{Held, Stage};
-pub use target::{Report, State, Target};
+pub use target::{Predecessor, Report, State, Target};
 
 use crate::bus::{Message, Open};
 use crate::events;
@@ -88,9 +88,7 @@
 pub struct Holder {
     service: Arc<str>,
     target: Option<Target>,
-    /// The start of the target for which an earlier process beside it took
-    /// flows, if that is known.
-    before: Option<String>,
+    before: Option<Predecessor>,
     flows: Table<Held>,
     /// Flows whose target has work to do.
     waiting: u32,
@@ -140,9 +138,10 @@
     }
 
     /// An earlier process beside the target last took flows for the start
-    /// `target`.
-    pub fn follows(&mut self, target: Option<String>) {
-        self.before = target;
+    /// `target`, if that is known; this one takes the target's reports from
+    /// `now` on.
+    pub fn follows(&mut self, target: Option<String>, now: Instant) {
+        self.before = target.map(|target| Predecessor { target, until: now });
     }
 
     /// Open flows known.
--- a/src/hold/target.rs
+++ b/src/hold/target.rs
@@ -13,6 +13,35 @@
 /// when no process beside it answers: it tries again about ten times a second.
 const EARLY: u64 = 4;
 
+/// How long after the agent began to take reports an early one comes from a
+/// target that nobody had answered before: that target tries again each 0.1 s,
+/// and the agent's start-up on a small share of a core delays it by as much
+/// again. A target whose last report was answered is silent for about 1 s, so
+/// that it is mistaken for the other one time in six, not always.
+const RETRIED: Duration = Duration::from_millis(200);
+
+/// An earlier process of the agent, as far as the store tells.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Predecessor {
+    /// The start of the target for which it is known to have taken flows.
+    pub target: String,
+    /// When the present process began to take the target's reports.
+    pub until: Instant,
+}
+
+impl Predecessor {
+    /// Whether `report` shows that the earlier process took no flows for the
+    /// start that sent it.
+    ///
+    /// That the store names another start is not enough: the earlier process
+    /// may have met the start of `report` while the store was away. Then it
+    /// answered the start's reports, and the next one is not a retry.
+    fn missed(&self, report: &Report, now: Instant) -> bool {
+        let retried = now.saturating_duration_since(self.until) <= RETRIED;
+        self.target != report.id && report.seq <= EARLY && retried
+    }
+}
+
 /// Whether a target takes new flows.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, derive_more::Display)]
 pub enum State {
@@ -56,17 +85,21 @@
 
 impl Target {
     /// A target first heard of by `report`; `before` is the one that ran here
-    /// until then, `served` the start for which an earlier process of the
-    /// agent took flows.
+    /// until then, `earlier` the process of the agent before this one.
     ///
     /// Its flows are all known if its start was seen, by its first report or
     /// after another's. Where both started at once (the VM lost power), the
     /// first reports met no agent; then an early one is enough if the earlier
-    /// process is known to have served another start.
+    /// process missed this start.
     #[must_use]
-    pub fn new(report: &Report, before: Option<&Self>, served: Option<&str>, now: Instant) -> Self {
-        let other = served.is_some_and(|id| id != report.id);
-        let seen = before.is_some() || report.seq <= FIRST || report.seq <= EARLY && other;
+    pub fn new(
+        report: &Report,
+        before: Option<&Self>,
+        earlier: Option<&Predecessor>,
+        now: Instant,
+    ) -> Self {
+        let missed = earlier.is_some_and(|e| e.missed(report, now));
+        let seen = before.is_some() || report.seq <= FIRST || missed;
         let mut ids: Vec<String> = before.map(|t| t.before.clone()).unwrap_or_default();
         ids.extend(before.map(|t| t.id.clone()));
         let excess = ids.len().saturating_sub(REMEMBERED);
--- a/tests/hold.rs
+++ b/tests/hold.rs
@@ -138,7 +138,7 @@
     ];
     for (seq, served, word) in cases {
         let mut h = Holder::new(SERVICE.into(), Duration::from_secs(60));
-        h.follows(served.map(String::from));
+        h.follows(served.map(String::from), now);
         h.report(report("i-1", seq, State::Ready), now);
         let w = carry(&mut h, Mode::Ask, 1, 5_001, now);
         assert_eq!(w.words(), [word], "seq {seq}, served {served:?}");
@@ -146,6 +146,22 @@
     }
 }
 
+/// The agent before was killed soon after the start `i-1`, which it could not
+/// write down as the store was away: the next report comes about a second after
+/// the last answered one, not within the tenth of a second in which a target
+/// that nobody answers tries again.
+#[test]
+fn unwritten_start() {
+    let now = Instant::now();
+    for (heard, word) in [(100 * MS, Word::Unknown), (350 * MS, Word::Unsure)] {
+        let mut h = Holder::new(SERVICE.into(), Duration::from_secs(60));
+        h.follows(Some("i-0".into()), now);
+        h.report(report("i-1", 2, State::Ready), now + heard);
+        let w = carry(&mut h, Mode::Ask, 1, 5_001, now + heard);
+        assert_eq!(w.words(), [word], "heard after {heard:?}");
+    }
+}
+
 #[test]
 fn trial_once() {
     let now = Instant::now();
