House: the circle of bench, script and up parted; large files split by job

Cause: script imported up for its Site, up imported bench and script, bench imported script.

The roster marks changes while it walks and touches only the services concerned.

Ruled out: a change of behaviour (tests unchanged but for the names of the two calls that moved).

--- a/src/edge/entry.rs
+++ b/src/edge/entry.rs
@@ -8,9 +8,8 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use anyhow::Context;
 use ntex::http::StatusCode;
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::task::JoinHandle;
 
 use super::inspect::{self, Inspect};
 use super::listing::Reader;
@@ -90,15 +89,40 @@
         ip:% = settings.ip;
         "balancer started"
     );
+    let follower = follow_store(&settings, &steer, &board).await?;
+    let port = settings.packets.port();
+    super::until_stopped(path, forward(&wires, &steer, port, &board)).await?;
+    log::info!(
+        event = events::EDGE_STOP, name:% = settings.name, flows = steer.borrow().remembered();
+        "balancer stops"
+    );
+    steer.borrow_mut().stop();
+    board.set_ready(false);
+    let linger = LINGER.min(settings.grace() / 2);
+    let _ = tokio::time::timeout(linger, forward(&wires, &steer, port, &board)).await;
+    follower.abort();
+    let _ = follower.await;
+    desk.stop().await;
+    super::finish(inspect, ready).await;
+    Ok(())
+}
+
+/// Has the balancer's view follow what the store says, for as long as the task
+/// runs.
+async fn follow_store(
+    settings: &Settings,
+    steer: &Rc<RefCell<Steer>>,
+    board: &Board,
+) -> anyhow::Result<JoinHandle<()>> {
     let source = Source {
-        store: store(&settings).await?,
+        store: store(settings).await?,
         prefix: String::new(),
         peers: settings.peers(),
         ask: mirror::Ask::Always,
         gather: GATHER,
     };
     let (view, seen) = (steer.clone(), board.clone());
-    let follower = tokio::task::spawn_local(async move {
+    Ok(tokio::task::spawn_local(async move {
         let mut lost = false;
         let mut reader = Reader::default();
         mirror::follow(&source, |news| match news {
@@ -120,34 +144,7 @@
             News::Failed(_) => {}
         })
         .await;
-    });
-    let mut term = signal(SignalKind::terminate()).context("signal")?;
-    let mut hup = signal(SignalKind::hangup()).context("signal")?;
-    let port = settings.packets.port();
-    loop {
-        tokio::select! {
-            () = forward(&wires, &steer, port, &board) => {}
-            _ = term.recv() => break,
-            _ = hup.recv() => super::reload(path),
-        }
-    }
-    log::info!(
-        event = events::EDGE_STOP, name:% = settings.name, flows = steer.borrow().remembered();
-        "balancer stops"
-    );
-    steer.borrow_mut().stop();
-    board.set_ready(false);
-    let linger = LINGER.min(settings.grace() / 2);
-    let _ = tokio::time::timeout(linger, forward(&wires, &steer, port, &board)).await;
-    follower.abort();
-    let _ = follower.await;
-    desk.stop().await;
-    inspect.stop().await;
-    if let Some(server) = ready {
-        server.stop().await;
-    }
-    super::log_counters();
-    Ok(())
+    }))
 }
 
 impl Inspect for Steer {
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -11,11 +11,15 @@
 pub mod sidecar;
 mod socket;
 
+use std::path::Path;
 use std::time::Duration;
 
+use anyhow::Context;
 pub use listing::Reader;
 pub use settings::{Bounds, Settings};
+use tokio::signal::unix::{SignalKind, signal};
 
+use crate::listen::Server;
 use crate::{events, metrics, platform};
 
 /// Prefix of the agents' entries in the store.
@@ -39,7 +43,30 @@
     platform::kv::Client::new(settings.store, CALL, WATCH).await
 }
 
-/// Logs the totals of all counters.
+/// Does `work` until the process is told to stop; reads the settings again
+/// whenever it is told that they changed.
+async fn until_stopped(path: &Path, work: impl Future<Output = ()>) -> anyhow::Result<()> {
+    let mut term = signal(SignalKind::terminate()).context("signal")?;
+    let mut hup = signal(SignalKind::hangup()).context("signal")?;
+    tokio::pin!(work);
+    loop {
+        tokio::select! {
+            () = &mut work => return Ok(()),
+            _ = term.recv() => return Ok(()),
+            _ = hup.recv() => reload(path),
+        }
+    }
+}
+
+/// Ends what a role served and logs the totals of all counters.
+async fn finish(inspect: Server, ready: Option<Server>) {
+    inspect.stop().await;
+    if let Some(server) = ready {
+        server.stop().await;
+    }
+    log_counters();
+}
+
 fn log_counters() {
     for c in metrics::snapshot() {
         log::info!(
@@ -53,7 +80,7 @@
 /// Reads the settings again and says whether they are good. What a process
 /// was started with stays in force: its addresses and its data centre do not
 /// change while it runs.
-fn reload(path: &std::path::Path) {
+fn reload(path: &Path) {
     match Settings::load(path) {
         Ok(s) => log::info!(event = events::EDGE_RELOAD, name:% = s.name; "settings read again"),
         Err(e) => log::error!(
--- a/src/edge/sidecar.rs
+++ b/src/edge/sidecar.rs
@@ -10,7 +10,6 @@
 use anyhow::Context;
 use ntex::http::StatusCode;
 use tokio::net::TcpStream;
-use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{Notify, watch};
 use tokio::task::JoinSet;
 
@@ -134,15 +133,7 @@
         let _ = tokio::time::timeout(UNREPORTED, entries.changed()).await;
         lease::hold(&held, &held_key, entries, LEASE_MS, &check).await;
     });
-    let mut term = signal(SignalKind::terminate()).context("signal")?;
-    let mut hup = signal(SignalKind::hangup()).context("signal")?;
-    loop {
-        tokio::select! {
-            () = forward(&wires, &holder, &entry) => {}
-            _ = term.recv() => break,
-            _ = hup.recv() => super::reload(path),
-        }
-    }
+    super::until_stopped(path, forward(&wires, &holder, &entry)).await?;
     let ended = holder.borrow().target().is_none_or(|t| !t.alive());
     log::info!(
         event = events::EDGE_STOP, name:% = settings.name, flows = holder.borrow().flows(),
@@ -167,11 +158,7 @@
         () = tokio::time::sleep(most) => {}
     }
     desk.stop().await;
-    inspect.stop().await;
-    if let Some(server) = ready {
-        server.stop().await;
-    }
-    super::log_counters();
+    super::finish(inspect, ready).await;
     Ok(())
 }
 
--- a/src/flow/mod.rs
+++ b/src/flow/mod.rs
@@ -5,6 +5,7 @@
 mod table;
 
 use std::net::SocketAddrV4;
+use std::time::Instant;
 
 use anyhow::Context;
 use serde::{Deserialize, Serialize};
@@ -125,3 +126,22 @@
         self.flags.syn && !self.flags.ack
     }
 }
+
+/// A caller's packet as it came.
+#[derive(Clone, Copy, Debug)]
+pub struct Arrival<'a> {
+    /// What its head says.
+    pub seg: &'a Segment,
+    /// Its bytes.
+    pub packet: &'a [u8],
+    /// When it came.
+    pub now: Instant,
+}
+
+impl Arrival<'_> {
+    /// The flow that it belongs to.
+    #[must_use]
+    pub const fn flow(&self) -> Flow {
+        self.seg.by_caller()
+    }
+}
--- a/src/hold/mod.rs
+++ b/src/hold/mod.rs
@@ -24,7 +24,7 @@
 
 use crate::bus::{Message, Open};
 use crate::events;
-use crate::flow::{Flow, Segment, Table};
+use crate::flow::{Arrival, Flow, Segment, Table};
 use crate::metrics::{self, Refusal, Retry};
 use crate::wire::Offer;
 
@@ -209,10 +209,10 @@
         out: &mut impl Out,
     ) {
         match (message, seg) {
-            (Message::Open(open), Some(seg)) => self.open(open, seg, packet, now, out),
+            (Message::Open(open), Some(seg)) => self.open(open, &Arrival { seg, packet, now }, out),
             (Message::Carry { service, mode }, Some(seg)) => {
                 if **service == *self.service {
-                    self.carry(from, *mode, seg, packet, now, out);
+                    self.carry(from, *mode, &Arrival { seg, packet, now }, out);
                 } else {
                     metrics::refused(Refusal::ForeignOwner);
                 }
--- a/src/hold/opens.rs
+++ b/src/hold/opens.rs
@@ -8,7 +8,7 @@
 use crate::agent::{Admit, Step, admit};
 use crate::bus::{Open, Word};
 use crate::events;
-use crate::flow::{Flow, Segment};
+use crate::flow::{Arrival, Flow};
 use crate::metrics::{self, Refusal};
 
 impl Holder {
@@ -41,20 +41,13 @@
     }
 
     /// An open offered to this agent.
-    pub(super) fn open(
-        &mut self,
-        open: &Open<'_>,
-        seg: &Segment,
-        packet: &[u8],
-        now: Instant,
-        out: &mut impl Out,
-    ) {
-        let flow = seg.by_caller();
+    pub(super) fn open(&mut self, open: &Open<'_>, came: &Arrival<'_>, out: &mut impl Out) {
+        let (flow, now) = (came.flow(), came.now);
         if let Some(h) = self.flows.get(flow, now) {
-            if h.opened_by(seg) {
+            if h.opened_by(came.seg) {
                 h.reply = Some(open.reply);
                 let answered = !matches!(h.stage, Stage::Opening { .. });
-                out.target(packet);
+                out.target(came.packet);
                 if answered {
                     self.note(flow, Word::Held, open.reply, now, out);
                 }
@@ -69,21 +62,14 @@
         };
         let load = self.load(now);
         match place(admit, load, open.offer) {
-            Step::Take => self.take(open, seg, packet, now, out),
-            Step::Pass(offer) => pass(open, offer, packet, out),
+            Step::Take => self.take(open, came, out),
+            Step::Pass(offer) => pass(open, offer, came.packet, out),
             Step::Refuse(reason) => self.refuse(flow, reason, open.reply, now, out),
         }
     }
 
-    pub(super) fn take(
-        &mut self,
-        open: &Open<'_>,
-        seg: &Segment,
-        packet: &[u8],
-        now: Instant,
-        out: &mut impl Out,
-    ) {
-        let flow = seg.by_caller();
+    pub(super) fn take(&mut self, open: &Open<'_>, came: &Arrival<'_>, out: &mut impl Out) {
+        let (flow, now) = (came.flow(), came.now);
         if events::sampled(flow.hash64()) {
             log::info!(
                 event = events::FLOW_TAKEN, flow:% = flow, waiting = self.waiting,
@@ -93,13 +79,13 @@
         }
         let stage =
             Stage::Opening { offer: open.offer, max_flows: open.max_flows, aged: open.aged };
-        let held = Held { reply: Some(open.reply), ..Held::new(stage, seg.seq) };
+        let held = Held { reply: Some(open.reply), ..Held::new(stage, came.seg.seq) };
         self.flows.insert(flow, held, now);
         self.wait(flow, true, now);
         self.opens.push_back((now + OPEN_WAIT, flow));
         self.unanswered.push_back((now + OPEN_KEPT, flow));
         self.expect(SILENT_OPEN, now);
-        out.target(packet);
+        out.target(came.packet);
     }
 
     pub(super) fn refuse(
--- a/src/hold/packets.rs
+++ b/src/hold/packets.rs
@@ -11,7 +11,7 @@
 use crate::agent::place::give_back;
 use crate::bus::{Message, Mode, Note, Open, Word};
 use crate::events;
-use crate::flow::{Flow, Segment};
+use crate::flow::{Arrival, Flow, Segment};
 use crate::metrics::{self, Refusal, Retry};
 
 impl Holder {
@@ -20,12 +20,11 @@
         &mut self,
         from: SocketAddrV4,
         mode: Mode,
-        seg: &Segment,
-        packet: &[u8],
-        now: Instant,
+        came: &Arrival<'_>,
         out: &mut impl Out,
     ) {
-        let flow = seg.by_caller();
+        let Arrival { seg, packet, now } = *came;
+        let flow = came.flow();
         let known = self.flows.get(flow, now).map(|h| h.accepts(seg));
         match known {
             Some(true) => {
@@ -36,7 +35,7 @@
                 }
             }
             Some(false) => self.note(flow, Word::Unknown, from, now, out),
-            None => self.carry_unknown(from, mode, seg, packet, now, out),
+            None => self.carry_unknown(from, mode, came, out),
         }
     }
 
@@ -45,12 +44,11 @@
         &mut self,
         from: SocketAddrV4,
         mode: Mode,
-        seg: &Segment,
-        packet: &[u8],
-        now: Instant,
+        came: &Arrival<'_>,
         out: &mut impl Out,
     ) {
-        let flow = seg.by_caller();
+        let Arrival { seg, packet, now } = *came;
+        let flow = came.flow();
         let complete = self.target.as_ref().is_some_and(Target::complete);
         if complete || self.absent {
             self.note(flow, Word::Unknown, from, now, out);
--- a/src/script/mod.rs
+++ b/src/script/mod.rs
@@ -3,7 +3,7 @@
 //!
 //! A step is written `AT_MS ACTION [ARG]`, for example `1500 drain meter-1`.
 //! A running site takes every action that goes over its interfaces; starting,
-//! ending and freezing processes needs the [`Site`] that started them.
+//! ending and freezing processes is left to whoever started them.
 
 use std::str::FromStr;
 use std::time::Duration;
@@ -15,7 +15,6 @@
 use crate::settings::Settings;
 use crate::store;
 use crate::target;
-use crate::up::{Signal, Site};
 
 /// How long a process may take to take a fault.
 const ASK: Duration = Duration::from_secs(1);
@@ -131,53 +130,25 @@
             }
         }
     }
-
-    /// Takes the action on a site and its processes.
-    ///
-    /// # Errors
-    ///
-    /// Fails when the site does not take it.
-    pub async fn take_on(&self, site: &mut Site) -> anyhow::Result<()> {
-        match self {
-            Self::Kill(p) => site.kill(p),
-            Self::Stop(p) => site.stop(p).await,
-            Self::Start(p) => site.launch(p)?,
-            Self::Freeze(p) => site.send(p, Signal::SIGSTOP),
-            Self::Thaw(p) => site.send(p, Signal::SIGCONT),
-            _ => self.take(&site.settings.clone()).await?,
-        }
-        Ok(())
-    }
 }
 
 async fn disturb(addr: std::net::SocketAddr, faults: &Faults) -> anyhow::Result<()> {
     Peer::connect(addr, ASK).await?.disturb(faults.clone()).await
 }
 
-/// Takes each step at its time.
+/// Has `take` take each step's action at its time.
 ///
 /// # Errors
 ///
 /// Fails at the first step that fails.
-pub async fn play(steps: &[Step], s: &Settings) -> anyhow::Result<()> {
-    let start = tokio::time::Instant::now();
-    for step in steps {
-        tokio::time::sleep_until(start + step.at).await;
-        step.action.take(s).await?;
-    }
-    Ok(())
-}
-
-/// Takes each step at its time, on a site and its processes.
-///
-/// # Errors
-///
-/// As [`play`].
-pub async fn play_on(steps: &[Step], site: &mut Site) -> anyhow::Result<()> {
+pub async fn play<T>(steps: &[Step], mut take: T) -> anyhow::Result<()>
+where
+    T: AsyncFnMut(&Action) -> anyhow::Result<()>,
+{
     let start = tokio::time::Instant::now();
     for step in steps {
         tokio::time::sleep_until(start + step.at).await;
-        step.action.take_on(site).await?;
+        take(&step.action).await?;
     }
     Ok(())
 }
--- a/src/steer/mod.rs
+++ b/src/steer/mod.rs
@@ -26,7 +26,7 @@
 
 use crate::bus::{Message, Mode, Note, Word};
 use crate::events;
-use crate::flow::{Flow, Segment, Table};
+use crate::flow::{Arrival, Flow, Segment, Table};
 use crate::metrics::{self, Refusal};
 
 /// How long agents may take to say what became of an open or of a packet of
@@ -144,21 +144,21 @@
 
     /// Takes one packet of a caller.
     pub fn packet(&mut self, seg: &Segment, packet: &[u8], now: Instant, out: &mut impl Out) {
-        let flow = seg.by_caller();
+        let came = Arrival { seg, packet, now };
         if self.routes.is_none() {
-            self.park(seg, packet, now);
+            self.park(&came);
             return;
         }
         if seg.opens() {
-            self.open(flow, seg.seq, packet, now, out);
+            self.open(&came, out);
             return;
         }
-        match self.flows.get(flow, now) {
+        match self.flows.get(came.flow(), now) {
             Some(Known::At { agent, service }) if !self.roster.gone(*agent, now) => {
                 let message = Message::Carry { service, mode: Mode::Owner };
                 out.agent(*agent, &message, packet);
             }
-            _ => self.search(flow, seg, packet, now, out),
+            _ => self.search(&came, out),
         }
     }
 
@@ -261,13 +261,14 @@
     }
 
     /// Keeps a packet that came before any configuration was known.
-    fn park(&mut self, seg: &Segment, packet: &[u8], now: Instant) {
+    fn park(&mut self, came: &Arrival<'_>) {
         if self.parked.len() == PARKED {
             metrics::refused(Refusal::NoConfig);
             self.parked.pop_front();
         }
-        self.unpark_at.get_or_insert(now + UNPARK);
-        self.parked.push_back(Parked { since: now, seg: *seg, packet: packet.to_vec() });
+        self.unpark_at.get_or_insert(came.now + UNPARK);
+        let (seg, packet) = (*came.seg, came.packet.to_vec());
+        self.parked.push_back(Parked { since: came.now, seg, packet });
     }
 
     /// Takes the packets kept until a configuration was known; those whose
--- a/src/steer/opens.rs
+++ b/src/steer/opens.rs
@@ -8,20 +8,14 @@
 };
 use crate::bus::{Message, Open};
 use crate::events;
-use crate::flow::Flow;
+use crate::flow::{Arrival, Flow};
 use crate::metrics::{self, Refusal, Retry};
 use crate::wire::{Offer, Stage};
 
 impl Steer {
     /// Offers a new flow, or the copy of one, to agents.
-    pub(super) fn open(
-        &mut self,
-        flow: Flow,
-        seq: u32,
-        packet: &[u8],
-        now: Instant,
-        out: &mut impl Out,
-    ) {
+    pub(super) fn open(&mut self, came: &Arrival<'_>, out: &mut impl Out) {
+        let (flow, seq, now) = (came.flow(), came.seg.seq, came.now);
         let (before, since) = match self.flows.get(flow, now) {
             Some(Known::At { agent, .. }) => (Some(*agent), now),
             Some(Known::Opening(o)) if o.seq == seq => (o.offered.first().copied(), o.since),
@@ -32,7 +26,7 @@
             return;
         };
         let patience = PATIENCE.min(route.limit / 2);
-        let mut opening = Opening { since, patience, ..Opening::new(share, seq, packet, now) };
+        let mut opening = Opening { since, patience, ..Opening::new(share, seq, came.packet, now) };
         // A copy goes where the first went, if that agent answers: a second
         // target would only answer a handshake that is thrown away.
         let before = before.filter(|a| self.roster.answers(*a));
--- a/src/steer/roster.rs
+++ b/src/steer/roster.rs
@@ -6,7 +6,7 @@
 //! as long as it answers. One that does not answer is offered flows last, and
 //! is asked until it does.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddrV4;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -106,31 +106,36 @@
     /// Takes in the agents that the store lists now; says whether any came or
     /// went.
     pub fn update(&mut self, announced: &[Announced], now: Instant) -> bool {
-        let before: Vec<(SocketAddrV4, bool)> = self.listing();
-        for a in self.agents.values_mut() {
-            a.unlisted.get_or_insert(now);
+        let listed: HashSet<SocketAddrV4> = announced.iter().map(|a| a.addr).collect();
+        let mut changed = false;
+        for (addr, a) in &mut self.agents {
+            if a.unlisted.is_none() && !listed.contains(addr) {
+                a.unlisted = Some(now);
+                changed = true;
+            }
         }
         for a in announced {
-            match self.agents.get_mut(&a.addr) {
-                Some(known) if known.service == a.service => {
-                    known.unlisted = None;
-                    known.zone = a.zone.clone();
-                }
-                _ => self.insert(a, now),
-            }
+            changed |= self.list(a, now);
         }
-        self.index();
         if self.agents.values().any(Agent::doubtful) {
             self.due = Some(now);
         }
-        self.listing() != before
+        changed
     }
 
-    fn listing(&self) -> Vec<(SocketAddrV4, bool)> {
-        let mut all: Vec<_> =
-            self.agents.iter().map(|(addr, a)| (*addr, a.unlisted.is_none())).collect();
-        all.sort_unstable();
-        all
+    /// Takes in one agent that the store lists; says whether that is new.
+    fn list(&mut self, a: &Announced, now: Instant) -> bool {
+        match self.agents.get_mut(&a.addr) {
+            Some(known) if known.service == a.service => {
+                known.zone = a.zone.clone();
+                known.unlisted.take().is_some()
+            }
+            _ => {
+                self.remove(a.addr);
+                self.insert(a, now);
+                true
+            }
+        }
     }
 
     fn insert(&mut self, a: &Announced, now: Instant) {
@@ -144,12 +149,18 @@
             pinged: None,
         };
         self.agents.insert(a.addr, agent);
+        self.services.entry(a.service.clone()).or_default().push(a.addr);
     }
 
-    fn index(&mut self) {
-        self.services.clear();
-        for (addr, a) in &self.agents {
-            self.services.entry(a.service.clone()).or_default().push(*addr);
+    /// Takes an agent out of the roster and of its service: work that grows
+    /// with the service, not with the fleet.
+    fn remove(&mut self, addr: SocketAddrV4) {
+        let Some(gone) = self.agents.remove(&addr) else { return };
+        if let Some(of) = self.services.get_mut(&gone.service) {
+            of.retain(|a| *a != addr);
+            if of.is_empty() {
+                self.services.remove(&gone.service);
+            }
         }
     }
 
@@ -211,8 +222,7 @@
     /// An agent answered a question: its target runs `service`.
     pub fn pong(&mut self, addr: SocketAddrV4, service: &str, load: u32, now: Instant) {
         if self.agents.get(&addr).is_some_and(|a| &*a.service != service) {
-            self.agents.remove(&addr);
-            self.index();
+            self.remove(addr);
         }
         self.heard(addr, load, now);
     }
@@ -285,10 +295,10 @@
         if self.due.is_none_or(|at| at > now) {
             return;
         }
-        let before = self.agents.len();
-        self.agents.retain(|_, a| a.kept(now));
-        if self.agents.len() != before {
-            self.index();
+        let dropped: Vec<SocketAddrV4> =
+            self.agents.iter().filter(|(_, a)| !a.kept(now)).map(|(addr, _)| *addr).collect();
+        for addr in dropped {
+            self.remove(addr);
         }
         for (addr, a) in self.agents.iter_mut().filter(|(_, a)| a.doubtful()) {
             if a.pinged.is_none_or(|at| now.duration_since(at) >= PING) {
--- a/src/steer/search.rs
+++ b/src/steer/search.rs
@@ -6,19 +6,14 @@
 use super::{ANSWER, Known, Out, Search, Steer, TRIAL_SPAN, TRIALS, refuse_at};
 use crate::bus::{Message, Mode};
 use crate::events;
-use crate::flow::{Flow, Segment};
+use crate::flow::{Arrival, Flow};
 use crate::metrics::{self, Refusal, Retry};
 
 impl Steer {
     /// Asks every agent of the service for the owner of a flow.
-    pub(super) fn search(
-        &mut self,
-        flow: Flow,
-        seg: &Segment,
-        packet: &[u8],
-        now: Instant,
-        out: &mut impl Out,
-    ) {
+    pub(super) fn search(&mut self, came: &Arrival<'_>, out: &mut impl Out) {
+        let Arrival { seg, packet, now } = *came;
+        let flow = came.flow();
         let Some(routes) = &self.routes else { return };
         let Some(share) = routes.share(flow) else {
             if !seg.flags.rst {
--- a/src/trial/mod.rs
+++ b/src/trial/mod.rs
@@ -6,11 +6,12 @@
 //! The ends are simple: one packet a request, one an answer, one in flight.
 
 mod caller;
+mod plan;
+mod report;
 mod router;
 mod target;
 
 use std::cell::RefCell;
-use std::collections::HashMap;
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
@@ -20,157 +21,20 @@
 use serde_json::json;
 use tokio::task::JoinSet;
 
+pub use plan::{Plan, SERVICES, ZONES};
+pub use report::Report;
 pub use router::Hash;
 
 use crate::platform;
 use crate::store::Lessor;
 use crate::up::{Children, Signal};
+use plan::{Ports, VIP, balancer_ip, caller_ip, target_ip};
 use router::Router;
 use target::Target;
 
-/// The data centres of a trial.
-pub const ZONES: [&str; 2] = ["gjw-a", "gjw-b"];
-
-/// The services of a trial, and the port of each one's route.
-pub const SERVICES: [(&str, u16); 2] = [("meter", 443), ("fieldlog", 8_443)];
-
 /// How long a trial may take to come up.
 const READY: Duration = Duration::from_secs(15);
 
-/// Address that callers call.
-const VIP: Ipv4Addr = Ipv4Addr::new(198, 18, 0, 1);
-
-/// The ports of a trial, from its first port on.
-#[derive(Clone, Copy, Debug)]
-struct Ports {
-    base: u16,
-}
-
-impl Ports {
-    const fn packets(self) -> u16 {
-        self.base
-    }
-    const fn ready(self) -> u16 {
-        self.base + 1
-    }
-    const fn outbound(self) -> u16 {
-        self.base + 2
-    }
-    const fn reports(self) -> u16 {
-        self.base + 3
-    }
-    const fn app(self) -> u16 {
-        self.base + 4
-    }
-    const fn metrics(self) -> u16 {
-        self.base + 5
-    }
-    const fn store(self) -> u16 {
-        self.base + 6
-    }
-    const fn bus(self) -> u16 {
-        self.base + 10
-    }
-}
-
-/// The size of a trial and its load.
-#[derive(Clone, Debug, clap::Args)]
-pub struct Plan {
-    /// First port; the trial uses twenty from it on, at loopback addresses of
-    /// its own.
-    #[arg(long, default_value_t = 25_000)]
-    pub base: u16,
-    /// Balancers in each of the two data centres.
-    #[arg(long, default_value_t = 2)]
-    pub balancers: u8,
-    /// Targets of each of the two services.
-    #[arg(long, default_value_t = 3)]
-    pub targets: u8,
-    /// Callers that hold a flow open and ask again and again.
-    #[arg(long, default_value_t = 20)]
-    pub feeds: u16,
-    /// Requests a second on flows of their own.
-    #[arg(long, default_value_t = 50)]
-    pub rate: u16,
-    /// How long the load lasts, in seconds.
-    #[arg(long, default_value_t = 5)]
-    pub secs: u64,
-    /// How routers spread flows over balancers.
-    #[arg(long, value_enum, default_value_t = Hash::Mod)]
-    pub hash: Hash,
-}
-
-impl Default for Plan {
-    fn default() -> Self {
-        Self {
-            base: 25_000,
-            balancers: 2,
-            targets: 3,
-            feeds: 20,
-            rate: 50,
-            secs: 5,
-            hash: Hash::Mod,
-        }
-    }
-}
-
-/// What callers and targets saw.
-#[derive(Clone, Debug, Default)]
-pub struct Report {
-    /// Requests answered.
-    pub served: u32,
-    /// Requests that got no answer in time, or whose flow was reset.
-    pub failed: u32,
-    /// Feeds whose flow broke.
-    pub broken: u32,
-    /// Requests that ran twice.
-    pub doubled: u32,
-    /// Requests that reached a target of another service.
-    pub foreign: u32,
-    /// Flows opened at each target.
-    pub opened: HashMap<String, u32>,
-    /// Times to the answer, in milliseconds.
-    pub times: Vec<u64>,
-}
-
-impl Report {
-    /// Flows of the busiest target of a service over the mean.
-    #[must_use]
-    pub fn imbalance(&self, service: &str) -> f64 {
-        let of = |(name, n): (&String, &u32)| name.starts_with(service).then_some(f64::from(*n));
-        let flows: Vec<f64> = self.opened.iter().filter_map(of).collect();
-        let mean = flows.iter().sum::<f64>() / flows.len().max(1) as f64;
-        flows.iter().copied().fold(0.0, f64::max) / mean.max(1.0)
-    }
-
-    fn quantile(&self, q: f64) -> u64 {
-        let mut times = self.times.clone();
-        times.sort_unstable();
-        let at = (times.len() as f64 * q) as usize;
-        times.get(at.min(times.len().saturating_sub(1))).copied().unwrap_or_default()
-    }
-}
-
-impl std::fmt::Display for Report {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        writeln!(
-            f,
-            "served {} failed {} broken feeds {} doubled {} foreign {}",
-            self.served, self.failed, self.broken, self.doubled, self.foreign
-        )?;
-        writeln!(
-            f,
-            "time to answer: p50 {} ms, p99 {} ms",
-            self.quantile(0.5),
-            self.quantile(0.99)
-        )?;
-        for (service, _) in SERVICES {
-            writeln!(f, "{service}: busiest target over mean {:.2}", self.imbalance(service))?;
-        }
-        Ok(())
-    }
-}
-
 /// A running trial.
 pub struct Trial {
     plan: Plan,
@@ -183,18 +47,6 @@
     pub report: Rc<RefCell<Report>>,
 }
 
-const fn balancer_ip(zone: u8, n: u8) -> Ipv4Addr {
-    Ipv4Addr::new(127, 1, zone + 1, n + 1)
-}
-
-const fn target_ip(service: u8, n: u8) -> Ipv4Addr {
-    Ipv4Addr::new(127, 2, service + 1, n + 1)
-}
-
-const fn caller_ip(zone: u8) -> Ipv4Addr {
-    Ipv4Addr::new(127, 3, zone + 1, 1)
-}
-
 impl Trial {
     /// Starts the trial's processes from the binary `exe`, with settings and
     /// logs in `dir`, and waits until every balancer is ready and every target
--- a/src/up/mod.rs
+++ b/src/up/mod.rs
@@ -19,7 +19,7 @@
 pub use plan::Plan;
 
 use crate::bench;
-use crate::script;
+use crate::script::{self, Action, Step};
 use crate::settings::Settings;
 use crate::store::{self, Keys, Kv};
 
@@ -146,6 +146,32 @@
         self.children.down().await
     }
 
+    /// Takes a scripted action on the site and its processes.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the site does not take it.
+    pub async fn take(&mut self, action: &Action) -> anyhow::Result<()> {
+        match action {
+            Action::Kill(p) => self.kill(p),
+            Action::Stop(p) => self.stop(p).await,
+            Action::Start(p) => self.launch(p)?,
+            Action::Freeze(p) => self.send(p, Signal::SIGSTOP),
+            Action::Thaw(p) => self.send(p, Signal::SIGCONT),
+            _ => action.take(&self.settings).await?,
+        }
+        Ok(())
+    }
+
+    /// Takes each step at its time.
+    ///
+    /// # Errors
+    ///
+    /// Fails at the first step that fails.
+    pub async fn play(&mut self, steps: &[Step]) -> anyhow::Result<()> {
+        script::play(steps, async |action| self.take(action).await).await
+    }
+
     /// Sends a signal to one process by label, for example `SIGSTOP` to
     /// freeze it and `SIGCONT` to let it run on.
     pub fn send(&self, label: &str, sig: Signal) {
@@ -186,7 +212,7 @@
         let settings = site.settings.clone();
         let (rows, changes) = futures_util::join!(
             bench::measure(&settings, &args.load),
-            script::play_on(&args.load.change, &mut site)
+            site.play(&args.load.change)
         );
         bench::print(&settings.site, &rows);
         site.down().await;
--- a/tests/compaction.rs
+++ b/tests/compaction.rs
@@ -16,12 +16,12 @@
     let steps =
         ["freeze lb-0", "limit meter 77", "limit meter 78", "store forget", "limit meter 79"];
     for step in steps {
-        step.parse::<Action>().unwrap().take_on(&mut site).await.unwrap();
+        site.take(&step.parse().unwrap()).await.unwrap();
     }
     // The waiting watch of the frozen balancer has been answered; its next
     // one starts at a revision that is forgotten.
     "store forget".parse::<Action>().unwrap().take(&s).await.unwrap();
-    "thaw lb-0".parse::<Action>().unwrap().take_on(&mut site).await.unwrap();
+    site.take(&"thaw lb-0".parse().unwrap()).await.unwrap();
     fleet::in_force(&s, Duration::from_secs(5)).await.unwrap();
     let addr = s.balancer("lb-0").unwrap().addr;
     let status = admin::ask(addr, Duration::from_secs(1)).await.unwrap();
--- a/tests/matrix.rs
+++ b/tests/matrix.rs
@@ -17,7 +17,7 @@
 use jujubepost::admin;
 use jujubepost::bench::{self, Load, Row};
 use jujubepost::ctl::{self, Outcome, fleet};
-use jujubepost::script::{self, Action, Step};
+use jujubepost::script::{Action, Step};
 use jujubepost::settings::Settings;
 use jujubepost::store::{self, Keys};
 use jujubepost::target;
@@ -167,7 +167,7 @@
 async fn strike(case: &Case, when: When, site: &mut Site) -> Line {
     let s = site.settings.clone();
     for action in &case.before {
-        action.take_on(site).await.unwrap();
+        site.take(action).await.unwrap();
     }
     let load = Load { feeds: FEEDS, requests: REQUESTS, secs: 3, ..Load::default() };
     let s2 = s.clone();
@@ -185,9 +185,9 @@
     let steps: Vec<Step> = case.on.iter().map(|a| step(from, a)).collect();
     let ends: Vec<Step> = case.off.iter().map(|a| step(0, a)).collect();
     let start = tokio::time::Instant::now();
-    script::play_on(&steps, site).await.unwrap();
+    site.play(&steps).await.unwrap();
     tokio::time::sleep_until(start + Duration::from_millis(over)).await;
-    script::play_on(&ends, site).await.unwrap();
+    site.play(&ends).await.unwrap();
     let rows = run.await.unwrap();
     let in_force = fleet::in_force(&s, IN_FORCE).await;
     let mut leaves = None;
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -98,7 +98,7 @@
             for action in &f.on {
                 // An operator's change may meet a store that is down: it is
                 // refused, and that is said.
-                let taken = action.take_on(&mut site).await.is_ok();
+                let taken = site.take(action).await.is_ok();
                 story.push(format!("{action:?} taken {taken}"));
             }
             faults.push(f);
@@ -106,7 +106,7 @@
         tokio::time::sleep(Duration::from_millis(rng.random_range(100..700))).await;
         for f in faults.iter().rev() {
             for action in &f.off {
-                let taken = action.take_on(&mut site).await;
+                let taken = site.take(action).await;
                 assert!(taken.is_ok(), "seed {seed} round {round} {action:?}: {taken:?}");
             }
         }
