Trials of unknown flows: none during a restart, two first, then all at once

Cause: balancers had forgotten the flow, and its own agent was restarting. The other agents that had restarted were unsure, so two of their targets were tried; 2.8 s later, when the span of 2.5 s was over, two more, one of them wrong. The platform counts three packets at other targets and none at the flow's own, and a pause between them does not end the count. The constant took the 2 s of the rule for a window that slides.

Ruled out: the same flow at a second agent (the trace shows one), stale entries (roster complete), trials by a balancer that believed in an owner.

Change: no trial while an agent of the service is silent for less than 1.2 s; it may be restarting with the flow. Then the two likeliest targets. Once these gave the packet back, all others at once, where all answered and the list of agents is current, so that the flow's own is among them; else no more. Agents say that a target was tried (Word::Foreign), so that trials of another balancer count. A flow that no target holds is now known as lost at once and reset.

--- a/src/bus/mod.rs
+++ b/src/bus/mod.rs
@@ -94,6 +94,8 @@
     Unsure,
     /// The offered agents may not take it; nothing ran.
     Refused(Refusal),
+    /// It was tried at the target, which does not hold it.
+    Foreign,
 }
 
 /// Encodes `message`, followed by `packet`, into `buf`.
--- a/src/edge/sidecar.rs
+++ b/src/edge/sidecar.rs
@@ -63,6 +63,18 @@
     port: u16,
 }
 
+impl Wires {
+    async fn bind(settings: &Settings) -> anyhow::Result<Self> {
+        let outbound = settings.outbound.with_context(missing("outbound"))?;
+        Ok(Self {
+            bus: Socket::bind(settings.bus(), "balancers and agents").await?,
+            outbound: Socket::bind(outbound, "the target's packets").await?,
+            target: settings.target.with_context(missing("target"))?,
+            port: settings.packets.port(),
+        })
+    }
+}
+
 /// The wires with a buffer to encode messages in.
 struct Sender<'a> {
     wires: &'a Wires,
@@ -94,15 +106,8 @@
 /// Fails when the settings are refused or an address is taken.
 pub async fn run(path: &Path) -> anyhow::Result<()> {
     let settings = Settings::load(path)?;
-    let missing = |field| move || format!("settings: field `{field}`: an agent needs it");
     let service = settings.service.clone().with_context(missing("service"))?;
-    let outbound = settings.outbound.with_context(missing("outbound"))?;
-    let wires = Rc::new(Wires {
-        bus: Socket::bind(settings.bus(), "balancers and agents").await?,
-        outbound: Socket::bind(outbound, "the target's packets").await?,
-        target: settings.target.with_context(missing("target"))?,
-        port: settings.packets.port(),
-    });
+    let wires = Wires::bind(&settings).await?;
     let holder = Holder::new(service.clone(), settings.flow_life());
     let holder = Rc::new(RefCell::new(holder));
     let inspect = inspect::serve(&settings, holder.clone()).await?;
@@ -116,23 +121,16 @@
     let served = served_before(&store, &key).await;
     holder.borrow_mut().follows(served, Instant::now());
     let me = Announced { addr: settings.bus(), zone: settings.zone.clone(), service, target: None };
-    let (entry, entries) = watch::channel(serde_json::to_vec(&me)?);
-    let check = Rc::new(Notify::new());
-    let entry = Rc::new(Entry { me, value: entry, check: check.clone() });
+    let (value, values) = watch::channel(serde_json::to_vec(&me)?);
+    let entry = Rc::new(Entry { me, value, check: Rc::new(Notify::new()) });
     let reports = settings.reports.with_context(missing("reports"))?;
     let desk = serve_reports(reports, holder.clone(), entry.clone()).await?;
     let ready = match settings.ready {
         Some(addr) => Some(Server::start(addr, |_| Answer::empty(StatusCode::OK)).await?),
         None => None,
     };
-    let (held, held_key) = (store.clone(), key.clone());
-    let mut entries = entries;
-    let announcer = tokio::task::spawn_local(async move {
-        // One write with the target's start instead of two: each is an event
-        // at every balancer.
-        let _ = tokio::time::timeout(UNREPORTED, entries.changed()).await;
-        lease::hold(&held, &held_key, entries, LEASE_MS, &check).await;
-    });
+    let announcing = announce(store.clone(), key.clone(), values, entry.check.clone());
+    let announcer = tokio::task::spawn_local(announcing);
     super::until_stopped(path, forward(&wires, &holder, &entry)).await?;
     let ended = holder.borrow().target().is_none_or(|t| !t.alive());
     log::info!(
@@ -146,22 +144,40 @@
         log::warn!(event = events::EDGE_STORE, error:% = format!("{e:#}"); "entry not removed");
     }
     holder.borrow_mut().stop();
-    let most = settings.grace().mul_f64(STOP_PART);
-    let finish = async {
-        while !holder.borrow().idle() {
-            tokio::time::sleep(STOP_POLL).await;
-        }
-    };
     tokio::select! {
         () = forward(&wires, &holder, &entry) => {}
-        () = finish => {}
-        () = tokio::time::sleep(most) => {}
+        () = idle(&holder) => {}
+        () = tokio::time::sleep(settings.grace().mul_f64(STOP_PART)) => {}
     }
     desk.stop().await;
     super::finish(inspect, ready).await;
     Ok(())
 }
 
+fn missing(field: &'static str) -> impl Fn() -> String {
+    move || format!("settings: field `{field}`: an agent needs it")
+}
+
+/// Holds the agent's entry, forever.
+async fn announce(
+    store: platform::kv::Client,
+    key: String,
+    mut values: watch::Receiver<Vec<u8>>,
+    check: Rc<Notify>,
+) {
+    // One write with the target's start instead of two: each is an event at
+    // every balancer.
+    let _ = tokio::time::timeout(UNREPORTED, values.changed()).await;
+    lease::hold(&store, &key, values, LEASE_MS, &check).await;
+}
+
+/// Waits until the target of a stopping agent has no work in progress.
+async fn idle(holder: &RefCell<Holder>) {
+    while !holder.borrow().idle() {
+        tokio::time::sleep(STOP_POLL).await;
+    }
+}
+
 impl Inspect for Holder {
     fn beliefs(&self, flow: Option<Flow>) -> serde_json::Value {
         Self::beliefs(self, flow, Instant::now())
--- a/src/hold/packets.rs
+++ b/src/hold/packets.rs
@@ -34,7 +34,11 @@
                     self.note(flow, Word::Held, from, now, out);
                 }
             }
-            Some(false) => self.note(flow, Word::Unknown, from, now, out),
+            Some(false) => {
+                let tried = self.flows.peek(flow).is_some_and(|h| h.stage == Stage::Foreign);
+                let word = if tried { Word::Foreign } else { Word::Unknown };
+                self.note(flow, word, from, now, out);
+            }
             None => self.carry_unknown(from, mode, came, out),
         }
     }
@@ -157,7 +161,7 @@
                 reset(flow, seg.ack, out);
             }
             self.flows.insert(flow, Held::new(Stage::Foreign, 0), now);
-            self.note(flow, Word::Unknown, reply, now, out);
+            self.note(flow, Word::Foreign, reply, now, out);
             return;
         };
         let service = self.service.clone();
--- a/src/steer/known.rs
+++ b/src/steer/known.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, Instant};
 
 use super::Share;
+use crate::bus::Word;
 
 /// What is known of a flow.
 #[derive(Debug)]
@@ -96,8 +97,8 @@
     pub waiting: Vec<SocketAddrV4>,
     /// Agents that may have forgotten the flow.
     pub unsure: Vec<SocketAddrV4>,
-    /// Agents whose targets were tried, and when.
-    pub tried: Vec<(Instant, SocketAddrV4)>,
+    /// Agents whose targets were tried, by this balancer or another.
+    pub tried: Vec<SocketAddrV4>,
 }
 
 impl Search {
@@ -108,13 +109,29 @@
         self.asked > 0 && self.waiting.is_empty() && self.unsure.is_empty()
     }
 
-    /// An agent does not know the flow; `unsure` says whether it may have
-    /// forgotten it.
-    pub fn answered(&mut self, from: SocketAddrV4, unsure: bool) {
+    /// An agent answered that it does not know the flow, or may have forgotten
+    /// it ([`Word::Unsure`]), or that its target was tried ([`Word::Foreign`]).
+    pub fn answered(&mut self, from: SocketAddrV4, word: Word) {
         self.waiting.retain(|a| *a != from);
         self.unsure.retain(|a| *a != from);
-        if unsure {
+        if word == Word::Unsure {
             self.unsure.push(from);
         }
+        if word == Word::Foreign {
+            self.try_at(from);
+        }
+    }
+
+    /// Notes that an agent's target is tried.
+    pub fn try_at(&mut self, agent: SocketAddrV4) {
+        if !self.tried.contains(&agent) {
+            self.tried.push(agent);
+        }
+    }
+
+    /// Whether a target that is being tried has not answered yet.
+    #[must_use]
+    pub fn trying(&self) -> bool {
+        self.unsure.iter().any(|a| self.tried.contains(a))
     }
 }
--- a/src/steer/mod.rs
+++ b/src/steer/mod.rs
@@ -61,14 +61,17 @@
 /// How often it is looked whether a configuration has come.
 const UNPARK: Duration = Duration::from_millis(20);
 
-/// Most agents whose targets are tried for one flow that no agent knows,
-/// within [`TRIAL_SPAN`]. Each trial is a packet at a target that may not
-/// hold the flow.
+/// Targets that are tried at first for a flow that no agent knows; where the
+/// flow's own target may not be among those left, they are the only ones. Each
+/// trial is a packet at a target that may not hold the flow, and the platform
+/// counts a flow as misrouted once three have reached others, and none its own,
+/// for 2 s or more, however long the pause between them.
 const TRIALS: usize = 2;
 
-/// The span in which at most [`TRIALS`] targets are tried: the platform
-/// counts three packets at wrong targets within 2 s as a misrouted flow.
-const TRIAL_SPAN: Duration = Duration::from_millis(2_500);
+/// How long an agent of the service that does not answer holds up trials: it
+/// may be the flow's own, and one that is killed or stopped as planned is back
+/// within 1 s.
+const RESTART: Duration = Duration::from_millis(1_200);
 
 /// What a balancer sends.
 pub trait Out {
@@ -174,8 +177,8 @@
         match note.word {
             Word::Held => self.held(from, note.flow, now),
             Word::Refused(reason) => self.refused(from, note.flow, reason, now, out),
-            Word::Unknown | Word::Unsure => {
-                self.unknown(from, note.flow, note.word == Word::Unsure, now, out);
+            Word::Unknown | Word::Unsure | Word::Foreign => {
+                self.unknown(from, note.flow, note.word, now, out);
             }
         }
     }
@@ -257,7 +260,7 @@
             Some(Known::Search(s)) if s.due.is_some_and(|at| at <= now) => {
                 log::info!(
                     event = events::OWNER_UNKNOWN, flow:% = flow, silent:? = s.waiting,
-                    unsure:? = s.unsure, tried:? = s.tried.len();
+                    unsure:? = s.unsure, tried:? = s.tried;
                     "flow's owner not found"
                 );
                 self.unanswered(flow, now, out);
--- a/src/steer/roster.rs
+++ b/src/steer/roster.rs
@@ -206,8 +206,14 @@
     /// is lost to its caller.
     #[must_use]
     pub fn gone(&self, addr: SocketAddrV4, now: Instant) -> bool {
+        self.silent_for(addr, GONE, now)
+    }
+
+    /// Whether the agent has not answered for `span` or longer.
+    #[must_use]
+    pub fn silent_for(&self, addr: SocketAddrV4, span: Duration, now: Instant) -> bool {
         let silent = self.agents.get(&addr).map(|a| a.silent);
-        silent.is_none_or(|s| s.is_some_and(|at| now.duration_since(at) >= GONE))
+        silent.is_none_or(|s| s.is_some_and(|at| now.duration_since(at) >= span))
     }
 
     /// An agent said something; `load` is its load now.
--- a/src/steer/search.rs
+++ b/src/steer/search.rs
@@ -3,8 +3,8 @@
 use std::net::SocketAddrV4;
 use std::time::Instant;
 
-use super::{ANSWER, Known, Out, Search, Steer, TRIAL_SPAN, TRIALS, refuse_at};
-use crate::bus::{Message, Mode};
+use super::{ANSWER, Known, Out, RESTART, Search, Steer, TRIALS, refuse_at};
+use crate::bus::{Message, Mode, Word};
 use crate::events;
 use crate::flow::{Arrival, Flow};
 use crate::metrics::{self, Refusal, Retry};
@@ -52,7 +52,7 @@
         &mut self,
         from: SocketAddrV4,
         flow: Flow,
-        unsure: bool,
+        word: Word,
         now: Instant,
         out: &mut impl Out,
     ) {
@@ -61,7 +61,7 @@
                 self.flows.remove(flow);
             }
             Some(Known::Search(s)) => {
-                s.answered(from, unsure);
+                s.answered(from, word);
                 if s.lost() && self.sees_since.is_some() {
                     self.lose(flow, out);
                 } else if s.waiting.is_empty() {
@@ -77,11 +77,15 @@
     /// knows nothing.
     pub(super) fn unanswered(&mut self, flow: Flow, now: Instant, out: &mut impl Out) {
         let Some(Known::Search(s)) = self.flows.peek(flow) else { return };
-        let gone = s.waiting.iter().all(|a| self.roster.gone(*a, now));
-        let most = s.waiting.len() * 2 < usize::try_from(s.asked).unwrap_or(usize::MAX);
+        let silent = s.waiting.clone();
+        for agent in &silent {
+            self.roster.missed(*agent, now);
+        }
+        let gone = silent.iter().all(|a| self.roster.gone(*a, now));
+        let most = silent.len() * 2 < usize::try_from(s.asked).unwrap_or(usize::MAX);
         if gone && most && s.unsure.is_empty() && self.sees_since.is_some() {
             self.lose(flow, out);
-        } else {
+        } else if silent.iter().all(|a| self.roster.silent_for(*a, RESTART, now)) {
             self.try_unsure(flow, now, out);
         }
     }
@@ -93,22 +97,23 @@
         }
     }
 
-    /// No agent knew the flow: has agents that may have forgotten it try
-    /// their targets.
+    /// No agent knew the flow: has agents that may have forgotten it try their
+    /// targets, first those to which the open was most likely offered. Once these
+    /// gave it back, all others at once, if the flow's own must be among them:
+    /// every agent of the service answered, and the list of them is current.
     pub(super) fn try_unsure(&mut self, flow: Flow, now: Instant, out: &mut impl Out) {
+        let certain = self.certain(now);
         let Some(Known::Search(s)) = self.flows.get(flow, now) else { return };
-        s.tried.retain(|(at, _)| now.duration_since(*at) < TRIAL_SPAN);
-        let fresh: Vec<SocketAddrV4> = self
-            .roster
-            .likely(&s.unsure, &self.zone, flow)
-            .into_iter()
-            .filter(|a| s.tried.iter().all(|(_, t)| t != a))
-            .take(TRIALS.saturating_sub(s.tried.len()))
-            .collect();
+        let mut left = self.roster.likely(&s.unsure, &self.zone, flow);
+        left.retain(|a| !s.tried.contains(a));
+        let all = certain && s.waiting.is_empty() && s.tried.len() >= TRIALS && !s.trying();
+        if !all {
+            left.truncate(TRIALS.saturating_sub(s.tried.len()));
+        }
         let message = Message::Carry { service: &s.service, mode: Mode::Try };
-        for agent in fresh {
-            out.agent(agent, &message, &s.packet);
-            s.tried.push((now, agent));
+        for agent in &left {
+            out.agent(*agent, &message, &s.packet);
         }
+        s.tried.extend(left);
     }
 }
