Stopping agents try again to remove their entries

Cause: an agent whose target is over removed its entry with one call. The store was busy just then, so the entries stayed for their lease of 300 s. Balancers that started later listed the two agents and waited 4 s for their word before they took any flow of the service as lost.

Change: the call is made again each 0.4 s within the grace of a planned stop.

Test: whole.rs entry_removed_late, red before. It shows an outage of 1.5 s.

--- a/src/edge/sidecar.rs
+++ b/src/edge/sidecar.rs
@@ -35,6 +35,10 @@
 /// How often a stopping agent looks whether its target is done.
 const STOP_POLL: Duration = Duration::from_millis(50);
 
+/// Pause before a stopping agent tries again to remove its entry: some ten
+/// tries within the grace of a planned stop.
+const WITHDRAW: Duration = Duration::from_millis(400);
+
 /// Least pause between two writes of the agent's entry that balancers ask
 /// for: their views lag the store by some milliseconds.
 const RELIST: Duration = Duration::from_millis(1_000);
@@ -140,8 +144,8 @@
     );
     announcer.abort();
     let _ = announcer.await;
-    if ended && let Err(e) = store.delete(&key).await {
-        log::warn!(event = events::EDGE_STORE, error:% = format!("{e:#}"); "entry not removed");
+    if ended {
+        withdraw(&store, &key, settings.grace().mul_f64(STOP_PART)).await;
     }
     holder.borrow_mut().stop();
     tokio::select! {
@@ -171,6 +175,22 @@
     lease::hold(&store, &key, values, LEASE_MS, &check).await;
 }
 
+/// Removes the entry of an agent whose target is over, and tries for as long as
+/// `most` where the store does not answer. An entry that is left names the agent
+/// until its lease lapses; balancers that start meanwhile wait 4 s for its word
+/// before they take any flow of the service as lost.
+async fn withdraw(store: &platform::kv::Client, key: &str, most: Duration) {
+    let removed = tokio::time::timeout(most, async {
+        while let Err(e) = store.delete(key).await {
+            log::warn!(event = events::EDGE_STORE, error:% = format!("{e:#}"); "entry not removed");
+            tokio::time::sleep(WITHDRAW).await;
+        }
+    });
+    if removed.await.is_err() {
+        log::error!(event = events::EDGE_STORE, key = key; "entry left to its lease");
+    }
+}
+
 /// Waits until the target of a stopping agent has no work in progress.
 async fn idle(holder: &RefCell<Holder>) {
     while !holder.borrow().idle() {
--- a/tests/whole.rs
+++ b/tests/whole.rs
@@ -121,8 +121,12 @@
 }
 
 async fn fault(t: &Trial, faults: &Faults) {
+    fault_at(t.store(), faults).await;
+}
+
+async fn fault_at(store: std::net::SocketAddrV4, faults: &Faults) {
     let client = ntex::client::Client::new().await;
-    let url = format!("http://{}/fault", t.store());
+    let url = format!("http://{store}/fault");
     assert!(client.post(url).send_json(faults).await.unwrap().status().is_success());
 }
 
@@ -196,6 +200,39 @@
     end("taken", t).await;
 }
 
+/// An agent whose target has left removes its entry, also when the store is
+/// away at that moment: an entry left to its lease of minutes has every
+/// balancer that starts wait for an agent that is gone.
+#[ntex::test]
+async fn entry_removed_late() {
+    let plan = Plan { base: 28_600, targets: 2, ..Plan::default() };
+    let mut t = start("removed", plan).await;
+    let client = store(&t).await;
+    t.drain("meter-1");
+    let agent = t.inspect(false, 0, 1);
+    let since = Instant::now();
+    loop {
+        let told = get(format!("http://{agent}/beliefs")).await;
+        let told: serde_json::Value = serde_json::from_str(&told).unwrap();
+        if told["target"]["alive"] == false {
+            break;
+        }
+        assert!(since.elapsed() < Duration::from_secs(15), "{told}");
+        tokio::time::sleep(100 * MS).await;
+    }
+    fault(&t, &Faults { outage: true, ..Faults::default() }).await;
+    let at = t.store();
+    let back = async {
+        tokio::time::sleep(1_500 * MS).await;
+        fault_at(at, &Faults::default()).await;
+    };
+    futures_util::join!(t.stop("sidecar-0-1"), back);
+    let (_, agents) = client.list("jujubepost/agents/").await.unwrap();
+    let left: Vec<_> = agents.iter().map(|kv| &*kv.key).collect();
+    assert_eq!(left.len(), 3, "{left:?}");
+    end("removed", t).await;
+}
+
 /// A store that takes connections and answers nothing must not keep a process
 /// from finding it again once it answers.
 #[ntex::test]
