A new agent takes no flow before all balancers can know it

Cause (found by reading): balancers pause for 0.3 s after each change of the store. One that sees a new agent first offers it flows; if the routers then hand such a flow to one that is still in its pause, all agents that this one knows deny the flow for certain, and it resets the flow of a living target, in planned work.

Ruled out: a second denial before a reset (every flow lost with its target would wait longer); no verdict during a pause (after a loss of power all agents rewrite their entries, so the pauses follow each other).

Change: an agent that the store did not list before takes no flow in the first 0.5 s after its target's first report. Agents that the store lists, or cannot be asked about, do not wait.

--- a/src/edge/sidecar.rs
+++ b/src/edge/sidecar.rs
@@ -122,8 +122,11 @@
     );
     let store = store(&settings).await?;
     let key = format!("{AGENTS}{}", settings.ip);
-    let served = served_before(&store, &key).await;
-    holder.borrow_mut().follows(served, Instant::now());
+    match earlier(&store, &key).await {
+        Earlier::Unknown => {}
+        Earlier::None => holder.borrow_mut().is_new(),
+        Earlier::Listed(target) => holder.borrow_mut().follows(target, Instant::now()),
+    }
     let me = Announced { addr: settings.bus(), zone: settings.zone.clone(), service, target: None };
     let (value, values) = watch::channel(serde_json::to_vec(&me)?);
     let entry = Rc::new(Entry { me, value, check: Rc::new(Notify::new()) });
@@ -236,30 +239,41 @@
     }
 }
 
-/// The target's start for which an earlier process here took flows, if the
-/// store answers at once.
-async fn served_before(store: &platform::kv::Client, key: &str) -> Option<String> {
+/// What the store says of the agent at its start, if it answers at once.
+async fn earlier(store: &platform::kv::Client, key: &str) -> Earlier {
     let read = tokio::time::timeout(READ, store.get(key)).await;
     let kv = match read {
-        Ok(Ok(kv)) => kv?,
+        Ok(Ok(Some(kv))) => kv,
+        Ok(Ok(None)) => return Earlier::None,
         Ok(Err(e)) => {
             log::warn!(event = events::EDGE_STORE, error:% = format!("{e:#}"); "entry not read");
-            return None;
+            return Earlier::Unknown;
         }
         Err(_) => {
             log::warn!(event = events::EDGE_STORE, key = key; "entry not read in time");
-            return None;
+            return Earlier::Unknown;
         }
     };
     match serde_json::from_slice::<Announced>(&kv.value) {
-        Ok(entry) => entry.target,
+        Ok(entry) => Earlier::Listed(entry.target),
         Err(e) => {
             log::error!(event = events::EDGE_STORE, key = key, error:% = e; "entry refused");
-            None
+            Earlier::Unknown
         }
     }
 }
 
+/// An earlier process of the agent, as the store tells of it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+enum Earlier {
+    /// The store did not answer at once, or not in words.
+    Unknown,
+    /// It lists none.
+    None,
+    /// It lists one, and the target's start for which that took flows.
+    Listed(Option<String>),
+}
+
 /// Takes the target's reports.
 async fn serve_reports(
     addr: std::net::SocketAddr,
--- a/src/hold/life.rs
+++ b/src/hold/life.rs
@@ -25,6 +25,7 @@
             );
             return false;
         }
+        self.met.get_or_insert(now);
         match &mut self.target {
             Some(t) if t.was(&report.id) => {
                 log::info!(
--- a/src/hold/mod.rs
+++ b/src/hold/mod.rs
@@ -55,6 +55,13 @@
 /// its process is over, which trying its port shows meanwhile.
 const FULL: Duration = Duration::from_millis(250);
 
+/// How long an agent that the store did not list before takes no flow after its
+/// target's first report, on which it lists itself. Balancers look at the store
+/// again 0.3 s after a change, so some see the agent that much later than the
+/// first; asked for a flow that it took meanwhile, they would find that no agent
+/// they know holds it, and reset it. The rest is for the write and the watch.
+const SEEN: Duration = Duration::from_millis(500);
+
 /// Silence after an open was handed to the target before its port is tried: a
 /// handshake takes 0.3 ms, and a balancer offers the flow elsewhere after 40.
 const SILENT_OPEN: Duration = Duration::from_millis(60);
@@ -108,6 +115,10 @@
     /// No process of the target runs: its port is closed, or it said goodbye.
     absent: bool,
     stopping: bool,
+    /// The store did not list the agent before this process.
+    newcomer: bool,
+    /// When its target first reported.
+    met: Option<Instant>,
     /// When the target was first handed something that it should have
     /// answered by now, if nothing has come from it since.
     silent_since: Option<Instant>,
@@ -133,6 +144,8 @@
             ending: None,
             absent: false,
             stopping: false,
+            newcomer: false,
+            met: None,
             silent_since: None,
         }
     }
@@ -144,6 +157,11 @@
         self.before = target.map(|target| Predecessor { target, until: now });
     }
 
+    /// The store did not list the agent before: balancers are yet to see it.
+    pub const fn is_new(&mut self) {
+        self.newcomer = true;
+    }
+
     /// Open flows known.
     #[must_use]
     pub fn flows(&self) -> usize {
--- a/src/hold/opens.rs
+++ b/src/hold/opens.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddrV4;
 use std::time::{Duration, Instant};
 
-use super::{Held, Holder, OPEN_KEPT, OPEN_WAIT, Out, SILENT_OPEN, Stage, pass};
+use super::{Held, Holder, OPEN_KEPT, OPEN_WAIT, Out, SEEN, SILENT_OPEN, Stage, pass};
 use crate::agent::place::{self, UNABLE, place};
 use crate::agent::{Admit, Step, admit};
 use crate::bus::{Open, Word};
@@ -21,6 +21,11 @@
         place::backlog(flows, self.waiting + t.cold(now), self.demand.per_flow())
     }
 
+    /// Whether some balancers may not have seen the agent yet.
+    fn unseen(&self, now: Instant) -> bool {
+        self.newcomer && self.met.is_none_or(|at| now.duration_since(at) < SEEN)
+    }
+
     pub(super) fn full(&self, now: Instant) -> bool {
         self.full_until.is_some_and(|at| now < at)
     }
@@ -55,10 +60,12 @@
             }
             self.remove(flow);
         }
-        let admit = if *open.service == *self.service {
-            self.admit(open, now)
-        } else {
+        let admit = if *open.service != *self.service {
             Admit::Refuse(Refusal::ForeignOwner)
+        } else if self.unseen(now) {
+            Admit::Refuse(Refusal::NoTarget)
+        } else {
+            self.admit(open, now)
         };
         let load = self.load(now);
         match place(admit, load, open.offer) {
--- a/tests/hold.rs
+++ b/tests/hold.rs
@@ -162,6 +162,27 @@
     }
 }
 
+/// A new agent, of which balancers learn one after the other: a flow that it
+/// took at once would be taken as lost by a balancer that does not know it yet.
+#[test]
+fn newcomer_waits() {
+    let now = Instant::now();
+    let mut h = Holder::new(SERVICE.into(), Duration::from_secs(60));
+    h.is_new();
+    h.report(report("i-1", 1, State::Ready), now);
+    for at in [now, now + 490 * MS] {
+        assert_eq!(offer(&mut h, 1, false, at).words(), [Word::Refused(Refusal::NoTarget)]);
+    }
+    // Its target's later reports do not begin the wait again.
+    h.report(report("i-1", 2, State::Ready), now + 450 * MS);
+    assert_eq!(offer(&mut h, 2, false, now + 510 * MS).target, [b"syn".to_vec()]);
+    // One that is listed from before takes flows at once.
+    let mut h = Holder::new(SERVICE.into(), Duration::from_secs(60));
+    h.follows(Some("i-0".into()), now);
+    h.report(report("i-1", 1, State::Ready), now);
+    assert_eq!(offer(&mut h, 1, false, now).target, [b"syn".to_vec()]);
+}
+
 #[test]
 fn trial_once() {
     let now = Instant::now();
