--- a/src/bench/call.rs
+++ b/src/bench/call.rs
@@ -14,8 +14,8 @@
 /// Bytes of one upload.
 const UPLOAD: usize = 40_000;
 
-/// How long a caller waits for an answer: far above the longest delay that
-/// the fault matrix causes (4 s).
+/// How long a caller waits for an answer: longer than the fault matrix keeps
+/// its load up (3 s), so that a fault ends before its callers give up.
 const PATIENCE: Duration = Duration::from_secs(10);
 
 fn path(service: Service, id: &str) -> (&'static str, String, Vec<u8>) {
--- a/src/edge/sidecar.rs
+++ b/src/edge/sidecar.rs
@@ -124,7 +124,7 @@
     let key = format!("{AGENTS}{}", settings.ip);
     match earlier(&store, &key).await {
         Earlier::Unknown => {}
-        Earlier::None => holder.borrow_mut().is_new(),
+        Earlier::None => holder.borrow_mut().mark_new(),
         Earlier::Listed(target) => holder.borrow_mut().follows(target, Instant::now()),
     }
     let me = Announced { addr: settings.bus(), zone: settings.zone.clone(), service, target: None };
--- a/src/hold/mod.rs
+++ b/src/hold/mod.rs
@@ -158,7 +158,7 @@
     }
 
     /// The store did not list the agent before: balancers are yet to see it.
-    pub const fn is_new(&mut self) {
+    pub const fn mark_new(&mut self) {
         self.newcomer = true;
     }
 
--- a/tests/hold.rs
+++ b/tests/hold.rs
@@ -168,7 +168,7 @@
 fn newcomer_waits() {
     let now = Instant::now();
     let mut h = Holder::new(SERVICE.into(), Duration::from_secs(60));
-    h.is_new();
+    h.mark_new();
     h.report(report("i-1", 1, State::Ready), now);
     for at in [now, now + 490 * MS] {
         assert_eq!(offer(&mut h, 1, false, at).words(), [Word::Refused(Refusal::NoTarget)]);
