--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -68,6 +68,7 @@
     log_counters();
 }
 
+/// Logs the totals of all counters.
 fn log_counters() {
     for c in metrics::snapshot() {
         log::info!(
