Wire: starts of a target told by id and birth; reports and entries of another writer

A target may start again under the id that it had, its reports counting anew from 1. Cause of what would break: the agent told starts by id alone and took a lower seq as late, so a reborn target that drained before stayed closed.

A start is now id and born (Unix ms). A later start is heard at once, a late report of an earlier one is dropped, also one never heard of; as the time of day of a VM may step back between two starts, one born earlier is heard once the other has been silent for 2.4 s or its port was closed. A goodbye that does not name its start has the port tried, it ends nothing by itself. The store's entry names the start, for the agent's next process.

A report must have every field, of the right type, and the target's own service and address; an entry must name the VM of its key; an item of the store that cannot be read no longer fails the whole listing or watch. Each is dropped by itself, logged and counted under jujubepost.drops.

--- a/examples/packet.rs
+++ b/examples/packet.rs
@@ -133,9 +133,9 @@
 
     let now = Instant::now();
     let mut h = Holder::new("meter".into(), Duration::from_secs(60));
-    let (id, service) = ("i-1".to_string(), "meter".to_string());
+    let (start, service) = ("i-1".into(), "meter".to_string());
     let cold = Duration::ZERO;
-    let report = Report { id, service, slots: 5, state: State::Ready, cold, seq: 9 };
+    let report = Report { start, service, slots: 5, state: State::Ready, cold, seq: 9 };
     h.report(report, now);
     let message = Message::Carry { service: "meter", mode: Mode::Owner };
     let mut buf = Vec::new();
--- a/src/edge/listing.rs
+++ b/src/edge/listing.rs
@@ -11,7 +11,7 @@
 use crate::relay::{self, Part};
 use crate::steer::{Announced, Routes, Steer};
 use crate::store::{Kv, Snapshot};
-use crate::{events, platform};
+use crate::{events, metrics, platform};
 
 /// What was read so far, by revision.
 #[derive(Debug, Default)]
@@ -101,15 +101,20 @@
     }
 }
 
+/// Reads an agent's entry. One that cannot be read, or that names another VM
+/// than its key, names no agent; the others hold.
 fn announced(kv: &Kv) -> Option<Announced> {
-    serde_json::from_slice(&kv.value)
-        .inspect_err(|e| {
-            log::error!(
-                event = events::EDGE_ROSTER, key:% = kv.key, error:% = e;
-                "agent's entry refused"
-            );
-        })
-        .ok()
+    let (reason, error) = match serde_json::from_slice::<Announced>(&kv.value) {
+        Ok(a) if kv.key.strip_prefix(AGENTS) == Some(&a.addr.ip().to_string()) => return Some(a),
+        Ok(a) => ("entry_of_other_vm", format!("names {}", a.addr)),
+        Err(e) => ("entry_unreadable", e.to_string()),
+    };
+    metrics::dropped(reason);
+    log::error!(
+        event = events::EDGE_ROSTER, key:% = kv.key, reason = reason, error:% = error;
+        "agent's entry refused"
+    );
+    None
 }
 
 /// Reads what the operators wrote and puts it in force, unless something newer
@@ -133,6 +138,7 @@
 }
 
 fn refused(kv: &Kv, e: &dyn std::fmt::Display) {
+    metrics::dropped("configuration_unreadable");
     log::error!(
         event = events::EDGE_CONFIG, key:% = kv.key, rev = kv.rev, error:% = format!("{e:#}");
         "configuration refused, the last one stays in force"
--- a/src/edge/sidecar.rs
+++ b/src/edge/sidecar.rs
@@ -18,7 +18,7 @@
 use super::{AGENTS, LEASE_MS, Settings, store};
 use crate::bus::{self, Message};
 use crate::flow::Flow;
-use crate::hold::{self, Holder};
+use crate::hold::{self, Holder, Start};
 use crate::listen::{Answer, Asked, Server};
 use crate::platform::{self, packet, report};
 use crate::steer::Announced;
@@ -129,7 +129,8 @@
     }
     let me = Announced { addr: settings.bus(), zone: settings.zone.clone(), service, target: None };
     let (value, values) = watch::channel(serde_json::to_vec(&me)?);
-    let entry = Rc::new(Entry { me, value, check: Rc::new(Notify::new()) });
+    let target = wires.target;
+    let entry = Rc::new(Entry { me, target, value, check: Rc::new(Notify::new()) });
     let reports = settings.reports.with_context(missing("reports"))?;
     let desk = serve_reports(reports, holder.clone(), entry.clone()).await?;
     let ready = match settings.ready {
@@ -215,6 +216,8 @@
 /// The agent's entry in the store.
 struct Entry {
     me: Announced,
+    /// Where the target takes packets.
+    target: SocketAddrV4,
     value: watch::Sender<Vec<u8>>,
     /// Has the entry's lease looked at.
     check: Rc<Notify>,
@@ -223,8 +226,8 @@
 impl Entry {
     /// Writes down the target's start, so that the next process here knows for
     /// which one this process took flows.
-    fn serves(&self, id: &str) {
-        let me = Announced { target: Some(id.to_string()), ..self.me.clone() };
+    fn serves(&self, start: Start) {
+        let me = Announced { target: Some(start), ..self.me.clone() };
         match serde_json::to_vec(&me) {
             Ok(value) => {
                 self.value.send_if_modified(|old| {
@@ -257,6 +260,7 @@
     match serde_json::from_slice::<Announced>(&kv.value) {
         Ok(entry) => Earlier::Listed(entry.target),
         Err(e) => {
+            metrics::dropped("entry_unreadable");
             log::error!(event = events::EDGE_STORE, key = key, error:% = e; "entry refused");
             Earlier::Unknown
         }
@@ -271,7 +275,7 @@
     /// It lists none.
     None,
     /// It lists one, and the target's start for which that took flows.
-    Listed(Option<String>),
+    Listed(Option<Start>),
 }
 
 /// Takes the target's reports.
@@ -285,23 +289,23 @@
 
 fn heard(asked: &Asked, holder: &mut Holder, entry: &Entry) -> Answer {
     let now = Instant::now();
-    match report::decode(&asked.path, &asked.body) {
+    match report::decode(&asked.path, &asked.body, entry.target) {
         Ok(Some(report::Call::Heartbeat(r))) => {
-            let (id, state, seq) = (r.id.clone(), r.state, r.seq);
+            let (start, state, seq) = (r.start.clone(), r.state, r.seq);
             if holder.report(r, now) {
                 log::info!(
-                    event = events::EDGE_TARGET, target_id = id, state:% = state, report = seq,
+                    event = events::EDGE_TARGET, target_id:% = start, state:% = state, report = seq,
                     flows = holder.flows();
                     "target reports"
                 );
-                entry.serves(&id);
+                entry.serves(start);
             }
             Answer::json(report::ANSWER.to_string())
         }
-        Ok(Some(report::Call::Gone(id))) => {
-            if holder.gone(&id, now) {
+        Ok(Some(report::Call::Gone(start))) => {
+            if holder.gone(&start, now) {
                 log::info!(
-                    event = events::EDGE_TARGET, target_id = id, state = "gone",
+                    event = events::EDGE_TARGET, target_id:% = start, state = "gone",
                     flows = holder.flows();
                     "target ends"
                 );
@@ -310,6 +314,7 @@
         }
         Ok(None) => Answer::empty(StatusCode::NOT_FOUND),
         Err(e) => {
+            metrics::dropped("report_unreadable");
             log::warn!(event = events::REPORT_IGNORED, error:% = format!("{e:#}"); "report refused");
             Answer::empty(StatusCode::BAD_REQUEST)
         }
--- a/src/hold/life.rs
+++ b/src/hold/life.rs
@@ -3,11 +3,11 @@
 use std::time::{Duration, Instant};
 
 use super::{
-    CLOSED, ENDING, Held, Holder, LONGEST_WORK, Out, Queue, Report, SILENT_WORK, Stage, Target,
-    reset,
+    CLOSED, ENDING, Held, Holder, Ignored, LONGEST_WORK, Out, Queue, Report, SILENT_WORK, Stage,
+    Start, Target, reset,
 };
-use crate::events;
 use crate::flow::Flow;
+use crate::{events, metrics};
 
 impl Holder {
     /// Takes a report of the target; says whether it changed what the agent
@@ -16,26 +16,20 @@
     /// A new start leaves the flows as they are: it may have opened some before
     /// its first report. Those of the start before it come back bounced.
     pub fn report(&mut self, report: Report, now: Instant) -> bool {
-        self.silent_since = None;
-        if *report.service != *self.service {
+        if let Some(reason) = self.ignores(&report, now) {
+            metrics::dropped(reason);
             log::warn!(
-                event = events::REPORT_IGNORED, target_id = report.id, service = report.service,
-                expected:% = self.service;
-                "report of another service ignored"
+                event = events::REPORT_IGNORED, target_id:% = report.start, report = report.seq,
+                service = report.service, reason:% = reason,
+                current:? = self.target.as_ref().map(|t| t.start().to_string());
+                "report ignored"
             );
             return false;
         }
+        self.silent_since = None;
         self.met.get_or_insert(now);
         match &mut self.target {
-            Some(t) if t.was(&report.id) => {
-                log::info!(
-                    event = events::REPORT_IGNORED, target_id = report.id, report = report.seq,
-                    current = t.id();
-                    "late report of an earlier start ignored"
-                );
-                false
-            }
-            Some(t) if t.is(&report.id) => t.update(&report, now),
+            Some(t) if *t.start() == report.start => t.update(&report, now),
             before => {
                 let next = Target::new(&report, before.as_ref(), self.before.as_ref(), now);
                 *before = Some(next);
@@ -46,13 +40,29 @@
         }
     }
 
-    /// The target `id` says that it ends.
-    pub fn gone(&mut self, id: &str, now: Instant) -> bool {
-        let current = self.target.as_ref().is_some_and(|t| t.is(id));
-        if current {
+    /// Why a report says nothing of this agent's target.
+    fn ignores(&self, report: &Report, now: Instant) -> Option<Ignored> {
+        if *report.service != *self.service {
+            return Some(Ignored::Service);
+        }
+        self.target.as_ref().and_then(|t| t.ignores(&report.start, now))
+    }
+
+    /// The target says that its start `start` ends.
+    ///
+    /// Where it does not say which start that is, an earlier one under the same
+    /// identity may have said it, and a late call would end the flows of this
+    /// one: the target's port is tried instead.
+    pub fn gone(&mut self, start: &Start, now: Instant) -> bool {
+        let Some(current) = self.target.as_ref().map(Target::start) else { return false };
+        if current == start {
             self.ending = Some(now + ENDING);
+            return true;
+        }
+        if current.id == start.id && start.born.is_none() {
+            self.expect(ENDING, now);
         }
-        current
+        false
     }
 
     /// The target's process is over: its flows are gone, and their callers
--- a/src/hold/mod.rs
+++ b/src/hold/mod.rs
@@ -20,7 +20,7 @@
 
 pub use demand::Demand;
 pub use held::{Held, Stage};
-pub use target::{Predecessor, Report, State, Target};
+pub use target::{Ignored, Predecessor, Report, Start, State, Target};
 
 use crate::bus::{Message, Open};
 use crate::events;
@@ -153,7 +153,7 @@
     /// An earlier process beside the target last took flows for the start
     /// `target`, if that is known; this one takes the target's reports from
     /// `now` on.
-    pub fn follows(&mut self, target: Option<String>, now: Instant) {
+    pub fn follows(&mut self, target: Option<Start>, now: Instant) {
         self.before = target.map(|target| Predecessor { target, until: now });
     }
 
@@ -186,7 +186,7 @@
     pub fn beliefs(&self, flow: Option<Flow>, now: Instant) -> serde_json::Value {
         let target = self.target.as_ref().map(|t| {
             serde_json::json!({
-                "id": t.id(),
+                "start": t.start().to_string(),
                 "state": t.state().to_string(),
                 "alive": t.alive(),
                 "slots": t.slots(),
--- a/src/hold/target.rs
+++ b/src/hold/target.rs
@@ -1,7 +1,10 @@
 //! The target beside an agent, as it reports itself.
 
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use serde::{Deserialize, Serialize};
+
 /// Reports of an earlier start are remembered for this many starts, so that a
 /// late one is not taken for a new start.
 const REMEMBERED: usize = 8;
@@ -20,11 +23,36 @@
 /// that it is mistaken for the other one time in six, not always.
 const RETRIED: Duration = Duration::from_millis(200);
 
+/// How long after its last report a start is taken as alive, so that a report
+/// of one that was born before it is late: two of the longest pauses between
+/// reports (1.2 s). After that the VM's time of day may have stepped back
+/// between the two starts, and the report is heard.
+const ALIVE: Duration = Duration::from_millis(2_400);
+
+/// One start of a target, which may start again under the identity that it had
+/// before.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, derive_more::Display)]
+#[display("{id}{}", born.map(|ms| format!("@{ms}")).unwrap_or_default())]
+pub struct Start {
+    /// The target's identity.
+    pub id: Arc<str>,
+    /// When it started, in Unix milliseconds by its VM's time of day; none where
+    /// targets do not say.
+    pub born: Option<u64>,
+}
+
+impl From<&str> for Start {
+    /// The start of a target that does not say when it started.
+    fn from(id: &str) -> Self {
+        Self { id: id.into(), born: None }
+    }
+}
+
 /// An earlier process of the agent, as far as the store tells.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Predecessor {
     /// The start of the target for which it is known to have taken flows.
-    pub target: String,
+    pub target: Start,
     /// When the present process began to take the target's reports.
     pub until: Instant,
 }
@@ -38,7 +66,7 @@
     /// answered the start's reports, and the next one is not a retry.
     fn missed(&self, report: &Report, now: Instant) -> bool {
         let retried = now.saturating_duration_since(self.until) <= RETRIED;
-        self.target != report.id && report.seq <= EARLY && retried
+        self.target != report.start && report.seq <= EARLY && retried
     }
 }
 
@@ -56,8 +84,8 @@
 /// One report.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Report {
-    /// Identifies one start of the target.
-    pub id: String,
+    /// The start of the target that made it.
+    pub start: Start,
     /// The service it runs.
     pub service: String,
     /// Requests it works on at once.
@@ -66,15 +94,31 @@
     pub state: State,
     /// How much longer it is slow after its start.
     pub cold: Duration,
-    /// Counts the target's reports.
+    /// Counts the reports of one start.
     pub seq: u64,
 }
 
+/// Why a report is not heard.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, derive_more::Display)]
+pub enum Ignored {
+    /// It is of another service.
+    #[display("report_of_other_service")]
+    Service,
+    /// It is of a start that another one has followed.
+    #[display("report_of_earlier_start")]
+    Earlier,
+    /// It does not say when its target started, as the target's own reports do.
+    #[display("report_without_start")]
+    Unborn,
+}
+
 /// The target as last reported.
 #[derive(Clone, Debug)]
 pub struct Target {
-    id: String,
-    before: Vec<String>,
+    start: Start,
+    before: Vec<Start>,
+    /// When it last reported.
+    heard: Instant,
     slots: u32,
     state: State,
     cold_until: Instant,
@@ -100,13 +144,14 @@
     ) -> Self {
         let missed = earlier.is_some_and(|e| e.missed(report, now));
         let seen = before.is_some() || report.seq <= FIRST || missed;
-        let mut ids: Vec<String> = before.map(|t| t.before.clone()).unwrap_or_default();
-        ids.extend(before.map(|t| t.id.clone()));
-        let excess = ids.len().saturating_sub(REMEMBERED);
-        ids.drain(..excess);
+        let mut starts = before.map(|t| t.before.clone()).unwrap_or_default();
+        starts.extend(before.map(|t| t.start.clone()));
+        let excess = starts.len().saturating_sub(REMEMBERED);
+        starts.drain(..excess);
         Self {
-            id: report.id.clone(),
-            before: ids,
+            start: report.start.clone(),
+            before: starts,
+            heard: now,
             slots: report.slots,
             state: report.state,
             cold_until: now + report.cold,
@@ -121,6 +166,7 @@
         if report.seq < self.seq {
             return false;
         }
+        self.heard = now;
         self.seq = report.seq;
         self.slots = report.slots;
         self.cold_until = now + report.cold;
@@ -129,22 +175,27 @@
         changed
     }
 
-    /// Its identity.
+    /// Which start of the target it is.
     #[must_use]
-    pub fn id(&self) -> &str {
-        &self.id
+    pub const fn start(&self) -> &Start {
+        &self.start
     }
 
-    /// Whether this start has the identity `id`.
+    /// Why a report of `start` is none of this target's or of one that follows
+    /// it.
     #[must_use]
-    pub fn is(&self, id: &str) -> bool {
-        self.id == id
+    pub fn ignores(&self, start: &Start, now: Instant) -> Option<Ignored> {
+        let over = self.before.contains(start) || self.ended && self.start == *start;
+        if over || self.follows(start, now) {
+            return Some(Ignored::Earlier);
+        }
+        (self.start.born.is_some() && start.born.is_none()).then_some(Ignored::Unborn)
     }
 
-    /// Whether an earlier start, or one that has ended, had the identity `id`.
-    #[must_use]
-    pub fn was(&self, id: &str) -> bool {
-        self.before.iter().any(|b| b == id) || self.ended && self.id == id
+    /// Whether `start` came before this one, by the time of day of their VM.
+    fn follows(&self, start: &Start, now: Instant) -> bool {
+        let alive = !self.ended && now.saturating_duration_since(self.heard) < ALIVE;
+        alive && start.born.zip(self.start.born).is_some_and(|(theirs, ours)| theirs < ours)
     }
 
     /// Requests it works on at once.
--- a/src/platform/kv.rs
+++ b/src/platform/kv.rs
@@ -13,8 +13,8 @@
 use ntex::http::StatusCode;
 use serde::{Deserialize, Serialize};
 
-use crate::metrics;
 use crate::store::{Batch, Change, Keeper, Kv, Lessor};
+use crate::{events, metrics};
 
 /// Largest answer read, in bytes: a page is about 1 MB, and base64 and JSON
 /// make it no more than twice that.
@@ -252,9 +252,7 @@
             // repeats what changed while the others were read.
             let rev = *first.get_or_insert(page.as_of);
             let last = page.items.last().map(|i| i.key.clone());
-            for item in page.items {
-                kvs.push(kv(item).with_context(|| step.clone())?);
-            }
+            kvs.extend(page.items.into_iter().filter_map(readable));
             match last {
                 Some(key) if page.truncated => after = key,
                 _ => return Ok((rev, kvs)),
@@ -277,11 +275,11 @@
         let events: Events = self.read(&step, res).await?;
         let mut changes = Vec::with_capacity(events.events.len());
         for e in events.events {
-            changes.push(if e.tombstone {
-                Change::Delete { key: e.key.into(), rev: e.revision }
+            if e.tombstone {
+                changes.push(Change::Delete { key: e.key.into(), rev: e.revision });
             } else {
-                Change::Put(kv(e).with_context(|| step.clone())?)
-            });
+                changes.extend(readable(e).map(Change::Put));
+            }
         }
         Ok(Batch { rev: events.as_of, compacted: false, changes })
     }
@@ -326,3 +324,14 @@
     let value = B64.decode(&item.value).with_context(|| format!("value of {}", item.key))?;
     Ok(Kv { key: item.key.into(), value, rev: item.revision, lease: item.lease })
 }
+
+/// An item of a list, unless its value cannot be read: one such item must not
+/// hide the others.
+fn readable(item: Item) -> Option<Kv> {
+    kv(item)
+        .inspect_err(|e| {
+            metrics::dropped("item_unreadable");
+            log::error!(event = events::EDGE_STORE, error:% = format!("{e:#}"); "item left out");
+        })
+        .ok()
+}
--- a/src/platform/report.rs
+++ b/src/platform/report.rs
@@ -3,10 +3,11 @@
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
-use anyhow::Context;
+use anyhow::{Context, bail};
 use serde::Deserialize;
+use serde::de::DeserializeOwned;
 
-use crate::hold::{Report, State};
+use crate::hold::{Report, Start, State};
 
 /// Path of a target's heartbeat, before its id.
 pub const HEARTBEAT: &str = "/v1/Instances.Heartbeat/";
@@ -22,20 +23,35 @@
 pub enum Call {
     /// A heartbeat.
     Heartbeat(Report),
-    /// The target of this id ends now.
-    Gone(String),
+    /// This start of the target ends now.
+    Gone(Start),
 }
 
 #[derive(Debug, Deserialize)]
 struct Body {
     service: String,
+    /// Where the target takes packets.
+    address: SocketAddrV4,
+    #[serde(rename = "zone")]
+    _zone: String,
+    #[serde(rename = "version")]
+    _version: String,
     capacity: u32,
     state: Word,
     /// Milliseconds for which the target is still slow after its start.
-    #[serde(default)]
     warmup_left_ms: u64,
-    /// Counts the target's calls, so that a late one can be told.
+    /// Counts the calls of one start, so that a late one can be told.
     seq: u64,
+    /// Unix milliseconds of the target's start; not every platform has it.
+    #[serde(default)]
+    born: Option<u64>,
+}
+
+/// What a target says as it ends, if it says anything.
+#[derive(Debug, Default, Deserialize)]
+struct GoneBody {
+    #[serde(default)]
+    born: Option<u64>,
 }
 
 #[derive(Clone, Copy, Debug, Deserialize)]
@@ -54,22 +70,24 @@
     })
 }
 
-/// Reads a call of a target; `None` when the path is not one.
+/// Reads a call of the target at `target`; `None` when the path is not one.
 ///
 /// # Errors
 ///
-/// Fails when the body is not of the platform's form; the error names the
-/// field.
-pub fn decode(path: &str, body: &[u8]) -> anyhow::Result<Option<Call>> {
+/// Fails when the body is not of the platform's form, or of a target at another
+/// address; the error names the field.
+pub fn decode(path: &str, body: &[u8], target: SocketAddrV4) -> anyhow::Result<Option<Call>> {
     if let Some(id) = path.strip_prefix(GONE) {
-        return Ok(Some(Call::Gone(id.to_string())));
+        let b = if body.is_empty() { GoneBody::default() } else { read("end", id, body)? };
+        return Ok(Some(Call::Gone(Start { id: id.into(), born: b.born })));
     }
     let Some(id) = path.strip_prefix(HEARTBEAT) else { return Ok(None) };
-    let mut de = serde_json::Deserializer::from_slice(body);
-    let b: Body = serde_path_to_error::deserialize(&mut de)
-        .with_context(|| format!("heartbeat of target {id}"))?;
+    let b: Body = read("heartbeat", id, body)?;
+    if b.address != target {
+        bail!("heartbeat of target {id}: address: {} is not {target}", b.address);
+    }
     Ok(Some(Call::Heartbeat(Report {
-        id: id.to_string(),
+        start: Start { id: id.into(), born: b.born },
         service: b.service,
         slots: b.capacity,
         state: match b.state {
@@ -80,3 +98,8 @@
         seq: b.seq,
     })))
 }
+
+fn read<B: DeserializeOwned>(step: &str, id: &str, body: &[u8]) -> anyhow::Result<B> {
+    let mut de = serde_json::Deserializer::from_slice(body);
+    serde_path_to_error::deserialize(&mut de).with_context(|| format!("{step} of target {id}"))
+}
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -152,6 +152,7 @@
 pub fn index(copy: &Snapshot) -> Option<(Index, i64)> {
     let kv = copy.keys.get(INDEX)?;
     let read = serde_json::from_slice(&kv.value).inspect_err(|e| {
+        crate::metrics::dropped("index_unreadable");
         log::error!(event = crate::events::EDGE_CONFIG, key = INDEX, error:% = e; "index refused");
     });
     read.ok().map(|index| (index, kv.rev))
--- a/src/steer/roster.rs
+++ b/src/steer/roster.rs
@@ -17,6 +17,7 @@
 use crate::agent::place::UNABLE;
 use crate::bus::Message;
 use crate::flow::Flow;
+use crate::hold::Start;
 
 /// Pause between two questions to an agent that is not listed or did not
 /// answer. At 100 such agents a balancer sends 300 small datagrams a second.
@@ -47,7 +48,7 @@
     pub service: Arc<str>,
     /// The start of its target for which it has taken flows.
     #[serde(default)]
-    pub target: Option<String>,
+    pub target: Option<Start>,
 }
 
 #[derive(Clone, Debug)]
