--- /dev/null
+++ b/examples/patterns.rs
@@ -0,0 +1,36 @@
+//! Plays every pattern of the model, or those named, and prints what became of
+//! the callers' requests.
+//!
+//! `cargo run --release --example patterns -- power join_grown`
+
+use std::time::Instant;
+
+use jujubepost::model::{pattern, play};
+
+fn main() {
+    let names: Vec<String> = std::env::args().skip(1).collect();
+    for p in pattern::all() {
+        if !names.is_empty() && !names.iter().any(|n| n == p.name) {
+            continue;
+        }
+        let began = Instant::now();
+        let t = play(&p, 1);
+        println!(
+            "{:14} owed {:6} served {:.3} late {:5} refused {:4} lost {:4} p50 {:4} p99 {:5} \
+             msgs/flow {:6.1} broken {} misrouted {} doubled {}, {:.2} s",
+            p.name,
+            t.owed(),
+            t.part(),
+            t.late,
+            t.refused,
+            t.lost,
+            t.quantile_ms(0.5),
+            t.quantile_ms(0.99),
+            t.per_flow(),
+            t.broken,
+            t.misrouted,
+            t.doubled,
+            began.elapsed().as_secs_f64(),
+        );
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -18,6 +18,7 @@
 //! - [`mod@bench`]: the load tool that prints broken flows and imbalance.
 //! - [`relay`]: a large configuration handed on between balancers in parts.
 //! - [`script`]: scripted changes and faults for trials and tests.
+//! - [`model`]: a site on a virtual clock, for decisions under load and trouble.
 //! - [`trial`]: the platform's form on loopback, with stand-ins for its ends.
 //! - [`up`]: runs a whole deployment on one machine.
 
@@ -35,6 +36,7 @@
 pub mod listen;
 pub mod logs;
 pub mod metrics;
+pub mod model;
 pub mod platform;
 pub mod record;
 pub mod refusal;
--- /dev/null
+++ b/src/model/calendar.rs
@@ -0,0 +1,65 @@
+//! Events in the order of their time; those of one time in the order in which
+//! they were put in, so that one seed gives one run.
+
+use std::cmp::{Ordering, Reverse};
+use std::collections::BinaryHeap;
+use std::time::Instant;
+
+#[derive(Debug)]
+struct Entry<E> {
+    at: Instant,
+    seq: u64,
+    event: E,
+}
+
+impl<E> Entry<E> {
+    const fn key(&self) -> (Instant, u64) {
+        (self.at, self.seq)
+    }
+}
+
+impl<E> PartialEq for Entry<E> {
+    fn eq(&self, other: &Self) -> bool {
+        self.key() == other.key()
+    }
+}
+
+impl<E> Eq for Entry<E> {}
+
+impl<E> PartialOrd for Entry<E> {
+    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl<E> Ord for Entry<E> {
+    fn cmp(&self, other: &Self) -> Ordering {
+        self.key().cmp(&other.key())
+    }
+}
+
+/// Events to come.
+#[derive(Debug)]
+pub struct Calendar<E> {
+    heap: BinaryHeap<Reverse<Entry<E>>>,
+    seq: u64,
+}
+
+impl<E> Default for Calendar<E> {
+    fn default() -> Self {
+        Self { heap: BinaryHeap::new(), seq: 0 }
+    }
+}
+
+impl<E> Calendar<E> {
+    /// Puts `event` in at its time.
+    pub fn put(&mut self, at: Instant, event: E) {
+        self.seq += 1;
+        self.heap.push(Reverse(Entry { at, seq: self.seq, event }));
+    }
+
+    /// Takes the next event out.
+    pub fn next(&mut self) -> Option<(Instant, E)> {
+        self.heap.pop().map(|Reverse(e)| (e.at, e.event))
+    }
+}
--- /dev/null
+++ b/src/model/host.rs
@@ -0,0 +1,117 @@
+//! A modelled process on its VM's share of a core: what comes waits in queues
+//! as long as those of a socket, and each datagram in or out costs time.
+
+use std::collections::VecDeque;
+use std::net::SocketAddrV4;
+use std::time::{Duration, Instant};
+
+use super::link::Link;
+
+/// Processor time of one datagram, in or out, on a whole core: a request of 20
+/// datagrams took 0.3 ms of both processes on its way, measured.
+const DATAGRAM: Duration = Duration::from_micros(15);
+
+/// Datagrams that a socket keeps for a process that does not read: 212 KB, of
+/// which each takes some 800 bytes.
+const QUEUE: usize = 256;
+
+/// Datagrams read at one wake-up from each socket, as the product does.
+const BATCH: usize = 64;
+
+/// A process's VM: its core, its link and its two sockets.
+#[derive(Debug)]
+pub struct Host {
+    /// Its share of a core.
+    cpu: f64,
+    /// Whether the process runs.
+    pub up: bool,
+    /// Counts its starts, so that events of earlier ones are told.
+    pub boot: u64,
+    /// Datagrams of callers (balancers) or of the target (agents).
+    packets: VecDeque<Vec<u8>>,
+    /// Messages of other processes.
+    messages: VecDeque<(SocketAddrV4, Vec<u8>)>,
+    /// When it next runs.
+    pub next: Option<Instant>,
+    free_at: Instant,
+    /// From the network.
+    pub inward: Link,
+    /// To the network.
+    pub outward: Link,
+}
+
+impl Host {
+    /// A running process with `cpu` of a core and links of `mbps`.
+    #[must_use]
+    pub fn new(cpu: f64, mbps: f64, now: Instant) -> Self {
+        let link = Link::new(mbps, now);
+        Self {
+            cpu,
+            up: true,
+            boot: 1,
+            packets: VecDeque::new(),
+            messages: VecDeque::new(),
+            next: None,
+            free_at: now,
+            inward: link.clone(),
+            outward: link,
+        }
+    }
+
+    /// The process ends; what it had not read is gone.
+    pub fn stop(&mut self) {
+        self.up = false;
+        self.boot += 1;
+        self.next = None;
+        self.packets.clear();
+        self.messages.clear();
+    }
+
+    /// The process starts again.
+    pub const fn start(&mut self, now: Instant) {
+        self.up = true;
+        self.free_at = now;
+    }
+
+    /// A packet has come; one too many is lost.
+    pub fn packet(&mut self, packet: Vec<u8>) {
+        if self.up && self.packets.len() < QUEUE {
+            self.packets.push_back(packet);
+        }
+    }
+
+    /// A message has come; one too many is lost.
+    pub fn message(&mut self, from: SocketAddrV4, message: Vec<u8>) {
+        if self.up && self.messages.len() < QUEUE {
+            self.messages.push_back((from, message));
+        }
+    }
+
+    /// What it reads at one wake-up: packets and messages, and whether that is
+    /// all there is.
+    pub fn read(&mut self) -> (Vec<Vec<u8>>, Vec<(SocketAddrV4, Vec<u8>)>) {
+        let packets = self.packets.drain(..self.packets.len().min(BATCH)).collect();
+        let messages = self.messages.drain(..self.messages.len().min(BATCH)).collect();
+        (packets, messages)
+    }
+
+    /// Whether something waits to be read.
+    #[must_use]
+    pub fn waits(&self) -> bool {
+        !self.packets.is_empty() || !self.messages.is_empty()
+    }
+
+    /// Works on so many datagrams from `now` on; says when it is done.
+    pub fn work(&mut self, datagrams: usize, now: Instant) -> Instant {
+        // At most a few thousand.
+        let n = u32::try_from(datagrams).unwrap_or(u32::MAX);
+        self.free_at = now + DATAGRAM.mul_f64(f64::from(n) / self.cpu);
+        self.free_at
+    }
+
+    /// When it can run for something that is due at `at`.
+    #[must_use]
+    pub fn at(&self, at: Instant) -> Instant {
+        at.max(self.free_at)
+    }
+}
--- /dev/null
+++ b/src/model/mod.rs
@@ -0,0 +1,28 @@
+//! A site without a network: the product's own decisions ([`crate::steer`],
+//! [`crate::hold`]) between modelled callers, routers, targets, links and
+//! processors, on a virtual clock.
+//!
+//! One seed gives one run. [`pattern`] names the loads and troubles, and
+//! [`play`] plays one of them. `docs/MODEL.md` says what the model holds and
+//! what it leaves out.
+
+mod ask;
+pub mod calendar;
+pub mod caller;
+pub mod host;
+pub mod link;
+mod net;
+pub mod pattern;
+mod serve;
+pub mod site;
+pub mod stream;
+pub mod tally;
+pub mod target;
+mod trouble;
+mod wires;
+mod world;
+
+pub use pattern::{Change, Pattern};
+pub use site::{Class, Habit, Service, Site, Spread};
+pub use tally::{End, Tally, Window};
+pub use world::play;
--- /dev/null
+++ b/src/model/net.rs
@@ -0,0 +1,139 @@
+//! What the processes send, on its way through links and routers.
+
+use std::net::SocketAddrV4;
+use std::time::{Duration, Instant};
+
+use super::site::Spread;
+use super::wires::Sent;
+use super::world::{Agent, Balancer, Event, LOCAL, World, agent_addr, balancer_addr, number};
+use crate::flow::{Flow, Segment};
+use crate::platform::packet;
+
+/// Delay between a caller and a VM of its data centre.
+const CLIENT: Duration = Duration::from_millis(1);
+
+/// Delay between two VMs of one data centre, and of two.
+const NEAR: Duration = Duration::from_micros(100);
+const FAR: Duration = Duration::from_micros(1_400);
+
+impl World {
+    fn delay(a: u8, b: u8) -> Duration {
+        if a == b { NEAR } else { FAR }
+    }
+
+    fn zone(&self, addr: SocketAddrV4) -> u8 {
+        match number(addr) {
+            (true, n) => self.balancers[n].zone,
+            (false, n) => self.agents[n].zone,
+        }
+    }
+
+    fn count(&mut self, carries: bool, bytes: usize) {
+        if !carries {
+            self.tally.messages += 1;
+            self.tally.message_bytes += bytes as u64;
+        }
+    }
+
+    pub(super) fn from_balancer(&mut self, n: usize, zone: u8, sent: Sent, at: Instant) {
+        match sent {
+            Sent::Peer { to, bytes, carries } => {
+                self.count(carries, bytes.len());
+                let link = &mut self.balancers[n].host.outward;
+                if let Some(left) = link.send(bytes.len(), self.loss, at, &mut self.rng) {
+                    let arrives = left + Self::delay(zone, self.zone(to));
+                    self.calendar.put(arrives, Event::ToPeer(to, balancer_addr(n), bytes));
+                }
+            }
+            Sent::Reset(flow, bytes) => {
+                self.check_reset(flow);
+                let link = &mut self.balancers[n].host.outward;
+                if let Some(left) = link.send(bytes.len(), self.loss, at, &mut self.rng) {
+                    self.calendar.put(left + CLIENT, Event::ToCaller(bytes));
+                }
+            }
+            Sent::Target(_) | Sent::Caller(_) => {}
+        }
+    }
+
+    pub(super) fn from_agent(&mut self, n: usize, sent: Sent, at: Instant) {
+        let zone = self.agents[n].zone;
+        match sent {
+            Sent::Peer { to, bytes, carries } => {
+                self.count(carries, bytes.len());
+                let link = &mut self.agents[n].host.outward;
+                if let Some(left) = link.send(bytes.len(), self.loss, at, &mut self.rng) {
+                    let arrives = left + Self::delay(zone, self.zone(to));
+                    self.calendar.put(arrives, Event::ToPeer(to, agent_addr(n), bytes));
+                }
+            }
+            Sent::Target(packet) => self.calendar.put(at + LOCAL, Event::ToTarget(n, packet)),
+            Sent::Caller(packet) => self.leave(n, packet, at),
+            Sent::Reset(flow, packet) => {
+                self.check_reset(flow);
+                self.leave(n, packet, at);
+            }
+        }
+    }
+
+    fn leave(&mut self, n: usize, packet: Vec<u8>, at: Instant) {
+        let link = &mut self.agents[n].host.outward;
+        if let Some(left) = link.send(packet.len(), self.loss, at, &mut self.rng) {
+            self.calendar.put(left + CLIENT, Event::ToCaller(packet));
+        }
+    }
+
+    /// A reset of an open flow is wrong while its target holds it.
+    fn check_reset(&mut self, flow: Flow) {
+        let held = |a: &Agent| a.target.flows.get(&flow).is_some_and(|s| s.open);
+        if self.agents.iter().any(held) {
+            self.tally.broken += 1;
+        }
+    }
+
+    pub(super) fn to_peer(&mut self, to: SocketAddrV4, from: SocketAddrV4, bytes: Vec<u8>) {
+        match number(to) {
+            (true, n) => {
+                let link = &mut self.balancers[n].host.inward;
+                // Comes through the queue of the VM's link before it is read.
+                if let Some(at) = link.send(bytes.len(), 0.0, self.now, &mut self.rng) {
+                    self.balancers[n].host.message(from, bytes);
+                    self.wake_balancer(n, at);
+                }
+            }
+            (false, n) => {
+                self.agents[n].host.message(from, bytes);
+                self.wake_agent(n, self.now);
+            }
+        }
+    }
+
+    /// Hands a caller's packet to a balancer of its data centre.
+    pub(super) fn send(&mut self, zone: u8, seg: &Segment, len: u32) {
+        let Some(n) = self.route(zone, seg.by_caller()) else { return };
+        let data = vec![0; len as usize];
+        let bytes = packet::encode(&Segment { len: 0, ..*seg }, &data);
+        let link = &mut self.balancers[n].host.inward;
+        let at = self.now + CLIENT;
+        if let Some(at) = link.send(bytes.len(), self.loss, at, &mut self.rng) {
+            self.calendar.put(at, Event::ToBalancer(n, bytes));
+        }
+    }
+
+    fn route(&self, zone: u8, flow: Flow) -> Option<usize> {
+        let near = |b: &Balancer| b.zone == zone && b.rotation;
+        let mut of: Vec<usize> =
+            (0..self.balancers.len()).filter(|n| near(&self.balancers[*n])).collect();
+        if of.is_empty() {
+            of = (0..self.balancers.len()).filter(|n| self.balancers[*n].rotation).collect();
+        }
+        if of.is_empty() {
+            return None;
+        }
+        match self.site.spread {
+            // Below the number of balancers.
+            Spread::Remainder => Some(of[(flow.hash64() % of.len() as u64) as usize]),
+            Spread::Steady => of.into_iter().max_by_key(|n| flow.preference(balancer_addr(*n))),
+        }
+    }
+}
--- /dev/null
+++ b/src/model/pattern.rs
@@ -0,0 +1,199 @@
+//! Patterns of load and trouble, as named data.
+
+use std::time::Duration;
+
+use super::site::{Site, Spread};
+
+/// A change of the site during a run.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Change {
+    /// Every VM loses power, for as long.
+    PowerOff(Duration),
+    /// A part of the balancers is killed; they are back after as long.
+    KillBalancers(f64, Duration),
+    /// A part of the agents is killed; they are back after as long.
+    KillAgents(f64, Duration),
+    /// Balancers are stopped as planned and started again, one after the other
+    /// with this pause.
+    RollBalancers(Duration),
+    /// A balancer joins each data centre.
+    JoinBalancers,
+    /// A part of the targets crashes; they start again after as long.
+    Crash(f64, Duration),
+    /// A part of the targets works this many times slower, for as long.
+    Slow(f64, f64, Duration),
+    /// The store does not answer for as long.
+    StoreDown(Duration),
+    /// This many times the callers' usual fresh requests, for as long.
+    Burst(f64, Duration),
+    /// A part of all datagrams is lost, for as long.
+    Loss(f64, Duration),
+}
+
+impl Change {
+    /// How long its cause lasts.
+    #[must_use]
+    pub const fn lasts(&self) -> Duration {
+        match self {
+            Self::PowerOff(d)
+            | Self::KillBalancers(_, d)
+            | Self::KillAgents(_, d)
+            | Self::Crash(_, d)
+            | Self::Slow(_, _, d)
+            | Self::StoreDown(d)
+            | Self::Burst(_, d)
+            | Self::Loss(_, d) => *d,
+            Self::RollBalancers(_) | Self::JoinBalancers => Duration::ZERO,
+        }
+    }
+}
+
+/// A named pattern.
+#[derive(Clone, Debug)]
+pub struct Pattern {
+    /// Its name.
+    pub name: &'static str,
+    /// What it stands for, and the grounds for its figures.
+    pub about: &'static str,
+    /// The site.
+    pub site: Site,
+    /// What changes, and when.
+    pub changes: Vec<(Duration, Change)>,
+}
+
+impl Pattern {
+    /// When the last cause has ended.
+    #[must_use]
+    pub fn over(&self) -> Duration {
+        let ends = self.changes.iter().map(|(at, change)| *at + change.lasts());
+        ends.max().unwrap_or_default()
+    }
+
+    /// The pattern of this name.
+    #[must_use]
+    pub fn named(name: &str) -> Option<Self> {
+        all().into_iter().find(|p| p.name == name)
+    }
+}
+
+const fn s(secs: u64) -> Duration {
+    Duration::from_secs(secs)
+}
+
+const fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+/// Every pattern.
+#[must_use]
+pub fn all() -> Vec<Pattern> {
+    let at = |at, change| vec![(at, change)];
+    vec![
+        Pattern {
+            name: "calm",
+            about: "Nothing happens: what a quiet hour costs.",
+            site: Site::small(),
+            changes: Vec::new(),
+        },
+        Pattern {
+            name: "calm_grown",
+            about: "The same on 62 VMs.",
+            site: Site::grown(),
+            changes: Vec::new(),
+        },
+        Pattern {
+            name: "power",
+            about: "All VMs lose power for 0.9 s, the middle of what operators ask to bear: \
+                    every caller comes again at once and no process remembers a flow.",
+            site: Site::small(),
+            changes: at(s(4), Change::PowerOff(ms(900))),
+        },
+        Pattern {
+            name: "power_grown",
+            about: "The same on 62 VMs with links of 30 Mbit/s and 0.12 of a core.",
+            site: Site::grown(),
+            changes: at(s(4), Change::PowerOff(ms(900))),
+        },
+        Pattern {
+            name: "power_narrow",
+            about: "The same on 15 VMs whose entry links carry 4 Mbit/s, twice what their \
+                    callers need.",
+            site: Site::small().link(4.0),
+            changes: at(s(4), Change::PowerOff(ms(900))),
+        },
+        Pattern {
+            name: "join_grown",
+            about: "A balancer joins each data centre: routers move nearly all flows to \
+                    balancers that have never seen them.",
+            site: Site::grown(),
+            changes: at(s(4), Change::JoinBalancers),
+        },
+        Pattern {
+            name: "roll_grown",
+            about: "All balancers are stopped and started in turn, 0.5 s apart, as in a \
+                    release: each stop and each start moves a data centre's flows.",
+            site: Site::grown(),
+            changes: at(s(3), Change::RollBalancers(ms(500))),
+        },
+        Pattern {
+            name: "roll_steady",
+            about: "The same with routers that move only the flows of one balancer.",
+            site: Site { spread: Spread::Steady, ..Site::grown() },
+            changes: at(s(3), Change::RollBalancers(ms(500))),
+        },
+        Pattern {
+            name: "kill",
+            about: "Half of the balancers are killed and back within 1 s.",
+            site: Site::grown(),
+            changes: at(s(4), Change::KillBalancers(0.5, s(1))),
+        },
+        Pattern {
+            name: "agents",
+            about: "Half of the agents are killed and back within 0.5 s: they no longer know \
+                    which flows their targets hold.",
+            site: Site::grown(),
+            changes: at(s(4), Change::KillAgents(0.5, ms(500))),
+        },
+        Pattern {
+            name: "crash",
+            about: "A third of the targets crashes for 3 s: their flows are gone.",
+            site: Site::small(),
+            changes: at(s(4), Change::Crash(0.3, s(3))),
+        },
+        Pattern {
+            name: "slow",
+            about: "A tenth of the targets works five times slower for 5 s, as operators say \
+                    of VMs that turn slow.",
+            site: Site::small(),
+            changes: at(s(3), Change::Slow(0.15, 5.0, s(5))),
+        },
+        Pattern {
+            name: "burst",
+            about: "Three times the fresh requests for 3 s: targets are full.",
+            site: Site::small(),
+            changes: at(s(4), Change::Burst(3.0, s(3))),
+        },
+        Pattern {
+            name: "burst_grown",
+            about: "The same on 62 VMs.",
+            site: Site::grown(),
+            changes: at(s(4), Change::Burst(3.0, s(3))),
+        },
+        Pattern {
+            name: "store",
+            about: "The store is away for 4 s while half of the balancers are killed: they \
+                    come back without a configuration.",
+            site: Site::small(),
+            changes: vec![
+                (s(3), Change::StoreDown(s(4))),
+                (s(4), Change::KillBalancers(0.5, ms(500))),
+            ],
+        },
+        Pattern {
+            name: "lossy",
+            about: "Five of a hundred datagrams are lost for 5 s.",
+            site: Site::grown(),
+            changes: at(s(3), Change::Loss(0.05, s(5))),
+        },
+    ]
+}
--- /dev/null
+++ b/src/model/site.rs
@@ -0,0 +1,186 @@
+//! The size of a modelled site: VMs, targets, callers and what they ask.
+
+use std::time::Duration;
+
+/// How routers spread flows over the balancers in rotation.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Spread {
+    /// By the remainder of a hash: a balancer that joins or leaves moves nearly
+    /// all flows of its data centre.
+    #[default]
+    Remainder,
+    /// By rendezvous hashing: only flows of that balancer move.
+    Steady,
+}
+
+/// One service and its targets.
+#[derive(Clone, Debug)]
+pub struct Service {
+    /// Its name.
+    pub name: &'static str,
+    /// Its targets, spread over the data centres in turn.
+    pub targets: u16,
+    /// Requests that a target works on at once.
+    pub slots: u32,
+    /// Requests that wait for a slot at most; more are refused as not run.
+    pub queue: usize,
+}
+
+/// How callers of one class come.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Habit {
+    /// Users who hold a flow open and ask again after a pause.
+    Feed {
+        /// Number of users in all.
+        users: u32,
+        /// Mean pause between an answer and the next request.
+        pause: Duration,
+    },
+    /// A flow for each request, that many a second in all.
+    Fresh {
+        /// Requests a second.
+        rate: f64,
+    },
+}
+
+/// One class of requests.
+#[derive(Clone, Debug)]
+pub struct Class {
+    /// Which of the site's services it asks.
+    pub service: usize,
+    /// How its callers come.
+    pub habit: Habit,
+    /// Mean work of a target; between half and one and a half of it.
+    pub work: Duration,
+    /// Bytes of a request.
+    pub request: u32,
+    /// Bytes of an answer.
+    pub answer: u32,
+    /// An answer after this is late.
+    pub aim: Duration,
+    /// When the caller gives the request up.
+    pub limit: Duration,
+    /// Whether a request may run twice.
+    pub idempotent: bool,
+}
+
+/// A modelled site.
+#[derive(Clone, Debug)]
+pub struct Site {
+    /// Data centres.
+    pub zones: u8,
+    /// Balancers in each.
+    pub balancers: u8,
+    /// The services.
+    pub services: Vec<Service>,
+    /// What callers ask.
+    pub classes: Vec<Class>,
+    /// How routers spread flows.
+    pub spread: Spread,
+    /// Link of a balancer, in Mbit/s.
+    pub link_mbps: f64,
+    /// A balancer's share of a core.
+    pub balancer_cpu: f64,
+    /// An agent's share of a core.
+    pub agent_cpu: f64,
+    /// How long the load lasts.
+    pub length: Duration,
+}
+
+const MS: Duration = Duration::from_millis(1);
+
+impl Site {
+    /// Fifteen VMs with 400 requests a second: 4 balancers in 4 data centres, 7
+    /// targets for feeds and filings, 4 for downloads. Figures of a site whose
+    /// operators gave them: feeds of 55 ms work, filings of 72 ms, downloads of
+    /// 80 KB, targets of 7 slots that are half to two thirds busy.
+    #[must_use]
+    pub fn small() -> Self {
+        Self {
+            zones: 4,
+            balancers: 1,
+            services: vec![
+                Service { name: "desk", targets: 7, slots: 7, queue: 28 },
+                Service { name: "maps", targets: 4, slots: 7, queue: 28 },
+            ],
+            classes: Self::classes(290, 83.0, 25.0),
+            spread: Spread::Remainder,
+            link_mbps: 1_000.0,
+            balancer_cpu: 0.25,
+            agent_cpu: 0.15,
+            length: Duration::from_secs(12),
+        }
+    }
+
+    /// The same workload grown to 62 VMs: 16 balancers with narrow links, 37
+    /// targets of 4 slots for feeds and filings and 9 for downloads.
+    #[must_use]
+    pub fn grown() -> Self {
+        Self {
+            balancers: 4,
+            services: vec![
+                Service { name: "desk", targets: 37, slots: 4, queue: 16 },
+                Service { name: "maps", targets: 9, slots: 4, queue: 16 },
+            ],
+            classes: Self::classes(1_300, 375.0, 112.0),
+            link_mbps: 30.0,
+            balancer_cpu: 0.12,
+            ..Self::small()
+        }
+    }
+
+    fn classes(users: u32, filings: f64, downloads: f64) -> Vec<Class> {
+        let feed = Class {
+            service: 0,
+            habit: Habit::Feed { users, pause: 900 * MS },
+            work: 55 * MS,
+            request: 120,
+            answer: 4_000,
+            aim: 250 * MS,
+            limit: 4_000 * MS,
+            idempotent: true,
+        };
+        let filing = Class {
+            habit: Habit::Fresh { rate: filings },
+            work: 72 * MS,
+            request: 900,
+            answer: 600,
+            aim: 300 * MS,
+            limit: 5_000 * MS,
+            idempotent: false,
+            ..feed.clone()
+        };
+        let download = Class {
+            service: 1,
+            habit: Habit::Fresh { rate: downloads },
+            work: 5 * MS,
+            answer: 80_000,
+            aim: 500 * MS,
+            limit: 8_000 * MS,
+            ..feed.clone()
+        };
+        vec![feed, filing, download]
+    }
+
+    /// The site with balancers whose links carry `mbps` megabits a second.
+    #[must_use]
+    pub const fn link(mut self, mbps: f64) -> Self {
+        self.link_mbps = mbps;
+        self
+    }
+
+    /// The site with `x` times as many callers.
+    #[must_use]
+    pub fn load(mut self, x: f64) -> Self {
+        for class in &mut self.classes {
+            class.habit = match class.habit {
+                // Positive and far below the type's limit.
+                Habit::Feed { users, pause } => {
+                    Habit::Feed { users: (f64::from(users) * x).round() as u32, pause }
+                }
+                Habit::Fresh { rate } => Habit::Fresh { rate: rate * x },
+            };
+        }
+        self
+    }
+}
--- /dev/null
+++ b/src/model/trouble.rs
@@ -0,0 +1,218 @@
+//! What changes during a run: processes that end and start, routers that ask,
+//! targets that report, the store and the pattern's changes.
+
+use std::time::{Duration, Instant};
+
+use rand::Rng;
+
+use super::pattern::Change;
+use super::world::{BOOT, Event, LISTED, PROBE, REPORT, REPORT_AGAIN, World};
+
+/// How long a balancer that stops as planned forwards on, as the product does.
+const LINGER: Duration = Duration::from_millis(1_500);
+
+/// From the end of a planned stop to the next start.
+const RESTART: Duration = Duration::from_millis(300);
+
+/// Processes that get power back start within this of each other.
+const SCATTER: Duration = Duration::from_millis(300);
+
+impl World {
+    pub(super) fn trouble(&mut self, event: Event) {
+        match event {
+            Event::Report(n, boot) => self.reported(n, boot),
+            Event::Probe => self.probe(),
+            Event::Read(n, boot) => self.read(n, boot),
+            Event::Stopped(n, boot) => self.stopped(n, boot),
+            Event::StartBalancer(n) => self.start_balancer(n),
+            Event::StartAgent(n) => self.start_agent(n),
+            Event::StartTarget(n) => self.start_target(n),
+            Event::Change(change) => self.change(change),
+            Event::Ended(change) => self.ended(change),
+            _ => {}
+        }
+    }
+
+    /// A target reports itself to its agent, if that runs.
+    fn reported(&mut self, n: usize, boot: u64) {
+        let a = &mut self.agents[n];
+        if !a.target.up || a.target.boot != boot {
+            return;
+        }
+        a.target.reports += 1;
+        let (service, seq) = (a.service, a.target.reports);
+        let pause = if a.host.up { REPORT } else { REPORT_AGAIN };
+        if a.host.up {
+            let report = self.report(service, boot, seq);
+            self.agents[n].holder.report(report, self.now);
+            self.wake_agent(n, self.now);
+        }
+        self.calendar.put(self.now + pause, Event::Report(n, boot));
+    }
+
+    fn probe(&mut self) {
+        for b in &mut self.balancers {
+            if b.host.up && b.steer.ready() {
+                b.missed = 0;
+                b.rotation = true;
+            } else {
+                b.missed = b.missed.saturating_add(1);
+                b.rotation &= b.missed < 2;
+            }
+        }
+        self.calendar.put(self.now + PROBE, Event::Probe);
+    }
+
+    /// A balancer that has started reads the store, or tries again.
+    fn read(&mut self, n: usize, boot: u64) {
+        if self.balancers[n].host.boot != boot {
+            return;
+        }
+        if self.store {
+            self.read_store(n);
+        } else {
+            self.calendar.put(self.now + LISTED, Event::Read(n, boot));
+        }
+    }
+
+    fn start_balancer(&mut self, n: usize) {
+        let zone = self.balancers[n].zone;
+        self.balancers[n].steer = self.steer(n, zone);
+        let host = &mut self.balancers[n].host;
+        host.start(self.now);
+        let boot = host.boot;
+        self.calendar.put(self.now + BOOT, Event::Read(n, boot));
+    }
+
+    fn start_agent(&mut self, n: usize) {
+        let service = self.agents[n].service;
+        // The store tells for which start of the target the last process took
+        // flows; where both have started since, the agent's first report of
+        // the new start shows that it knows them all.
+        let before = self.report(service, self.agents[n].target.boot, 1).start;
+        let known = self.agents[n].target.up && self.agents[n].target.reports > 0;
+        let mut holder = self.holder(service);
+        if known {
+            holder.follows(Some(before), self.now);
+        }
+        let a = &mut self.agents[n];
+        a.holder = holder;
+        a.probing = false;
+        a.host.start(self.now);
+        self.wake_agent(n, self.now);
+    }
+
+    fn start_target(&mut self, n: usize) {
+        let target = &mut self.agents[n].target;
+        target.start();
+        let boot = target.boot;
+        self.calendar.put(self.now + REPORT_AGAIN, Event::Report(n, boot));
+    }
+
+    /// The first `part` of `all`, at least one.
+    fn some(part: f64, all: usize) -> usize {
+        // Between 1 and the number of processes.
+        ((part * all as f64).round() as usize).clamp(1, all)
+    }
+
+    fn change(&mut self, change: Change) {
+        let ends = self.now + change.lasts();
+        match change {
+            Change::PowerOff(_) => self.power_off(ends),
+            Change::KillBalancers(part, _) => {
+                for n in 0..Self::some(part, self.balancers.len()) {
+                    self.balancers[n].host.stop();
+                    self.calendar.put(ends, Event::StartBalancer(n));
+                }
+            }
+            Change::KillAgents(part, _) => {
+                for n in 0..Self::some(part, self.agents.len()) {
+                    self.agents[n].host.stop();
+                    self.calendar.put(ends, Event::StartAgent(n));
+                }
+            }
+            Change::RollBalancers(gap) => {
+                for n in 0..self.balancers.len() {
+                    // A handful of balancers.
+                    let at = self.now + gap * n as u32;
+                    let boot = self.balancers[n].host.boot;
+                    self.calendar.put(at, Event::Stopped(n, boot));
+                }
+            }
+            Change::JoinBalancers => {
+                for zone in 0..self.site.zones {
+                    let n = self.add_balancer(zone);
+                    self.calendar.put(self.now + BOOT, Event::Read(n, 1));
+                }
+            }
+            Change::Crash(part, _) => {
+                for n in 0..Self::some(part, self.agents.len()) {
+                    self.agents[n].target.crash();
+                    self.calendar.put(ends, Event::StartTarget(n));
+                }
+            }
+            Change::Slow(part, x, _) => self.slow(part, x),
+            Change::StoreDown(_) => self.see(false, self.now),
+            Change::Burst(x, _) => self.burst = x,
+            Change::Loss(part, _) => self.loss = part,
+        }
+        if change.lasts() > Duration::ZERO {
+            self.calendar.put(ends, Event::Ended(change));
+        }
+    }
+
+    fn ended(&mut self, change: Change) {
+        match change {
+            Change::Slow(part, _, _) => self.slow(part, 1.0),
+            Change::StoreDown(_) => self.see(true, self.now),
+            Change::Burst(..) => self.burst = 1.0,
+            Change::Loss(..) => self.loss = 0.0,
+            _ => {}
+        }
+    }
+
+    fn slow(&mut self, part: f64, x: f64) {
+        for n in 0..Self::some(part, self.agents.len()) {
+            self.agents[n].target.slow = x;
+        }
+    }
+
+    fn see(&mut self, answers: bool, now: Instant) {
+        self.store = answers;
+        for b in &mut self.balancers {
+            b.steer.see(answers, now);
+        }
+    }
+
+    fn power_off(&mut self, back: Instant) {
+        for n in 0..self.balancers.len() {
+            self.balancers[n].host.stop();
+            let at = back + SCATTER.mul_f64(self.rng.random());
+            self.calendar.put(at, Event::StartBalancer(n));
+        }
+        for n in 0..self.agents.len() {
+            self.agents[n].host.stop();
+            self.agents[n].target.crash();
+            let at = back + SCATTER.mul_f64(self.rng.random());
+            self.calendar.put(at, Event::StartTarget(n));
+            let at = back + SCATTER.mul_f64(self.rng.random());
+            self.calendar.put(at, Event::StartAgent(n));
+        }
+    }
+
+    /// A planned stop: the balancer says that it is not ready and lingers; the
+    /// second time its process ends.
+    fn stopped(&mut self, n: usize, boot: u64) {
+        let b = &mut self.balancers[n];
+        if b.host.boot != boot {
+            return;
+        }
+        if b.steer.ready() {
+            b.steer.stop();
+            self.calendar.put(self.now + LINGER, Event::Stopped(n, boot));
+        } else {
+            b.host.stop();
+            self.calendar.put(self.now + RESTART, Event::StartBalancer(n));
+        }
+    }
+}
--- /dev/null
+++ b/src/model/wires.rs
@@ -0,0 +1,72 @@
+//! What the product's decisions send, kept until the process that decided has
+//! done its work.
+
+use std::net::SocketAddrV4;
+
+use crate::bus::{self, Message, Mode};
+use crate::flow::Flow;
+use crate::platform::packet;
+use crate::{hold, steer};
+
+/// One thing sent.
+#[derive(Clone, Debug)]
+pub enum Sent {
+    /// A message to a balancer or agent.
+    Peer {
+        /// To whom.
+        to: SocketAddrV4,
+        /// The message, encoded, with the packet after it.
+        bytes: Vec<u8>,
+        /// It hands a packet to the agent that holds its flow.
+        carries: bool,
+    },
+    /// A packet to the target.
+    Target(Vec<u8>),
+    /// A packet to a caller.
+    Caller(Vec<u8>),
+    /// A reset to a caller.
+    Reset(Flow, Vec<u8>),
+}
+
+/// Everything sent at one wake-up.
+#[derive(Clone, Debug, Default)]
+pub struct Wires(pub Vec<Sent>);
+
+impl Wires {
+    fn message(&mut self, to: SocketAddrV4, message: &Message<'_>, packet: &[u8]) {
+        let mut bytes = Vec::new();
+        let carries = matches!(message, Message::Carry { mode: Mode::Owner, .. });
+        match bus::encode(message, packet, &mut bytes) {
+            Ok(()) => self.0.push(Sent::Peer { to, bytes, carries }),
+            Err(e) => log::error!(to:% = to, error:% = e; "message not encoded"),
+        }
+    }
+}
+
+impl steer::Out for Wires {
+    fn agent(&mut self, to: SocketAddrV4, message: &Message<'_>, packet: &[u8]) {
+        self.message(to, message, packet);
+    }
+
+    fn reset(&mut self, flow: Flow, seq: u32) {
+        self.0.push(Sent::Reset(flow, packet::reset(flow, seq)));
+    }
+}
+
+impl hold::Out for Wires {
+    fn target(&mut self, packet: &[u8]) {
+        self.0.push(Sent::Target(packet.to_vec()));
+    }
+
+    fn caller(&mut self, _: SocketAddrV4, packet: &[u8]) {
+        self.0.push(Sent::Caller(packet.to_vec()));
+    }
+
+    fn reset(&mut self, flow: Flow, seq: u32) {
+        self.0.push(Sent::Reset(flow, packet::reset(flow, seq)));
+    }
+
+    fn peer(&mut self, to: SocketAddrV4, message: &Message<'_>, packet: &[u8]) {
+        self.message(to, message, packet);
+    }
+}
--- /dev/null
+++ b/src/model/world.rs
@@ -0,0 +1,471 @@
+//! The run: events of the network, the processes, the targets and the callers
+//! in the order of their time.
+
+use std::collections::{BTreeMap, HashMap};
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+
+use super::calendar::Calendar;
+use super::caller::Caller;
+use super::host::Host;
+use super::pattern::{Change, Pattern};
+use super::site::{Class, Habit, Site};
+use super::tally::Tally;
+use super::target::{Target, Timer};
+use super::wires::Wires;
+use crate::bus::{self, Message};
+use crate::flow::Flow;
+use crate::hold::{Holder, Report, Start, State};
+use crate::platform::packet;
+use crate::steer::{Announced, Route, Routes, Share, Steer};
+
+/// Delay between an agent and the target on its VM.
+pub(super) const LOCAL: Duration = Duration::from_micros(50);
+
+/// How often routers ask a balancer whether it is ready; two misses take it out.
+pub(super) const PROBE: Duration = Duration::from_millis(500);
+
+/// How often a target reports itself, and tries again where nobody answers.
+pub(super) const REPORT: Duration = Duration::from_millis(770);
+pub(super) const REPORT_AGAIN: Duration = Duration::from_millis(100);
+
+/// From a change in the store to the balancers' knowing it: the product gathers
+/// changes for 0.3 s, and an answer takes 4 ms.
+pub(super) const LISTED: Duration = Duration::from_millis(320);
+
+/// From a process's start to its knowing what the store says.
+pub(super) const BOOT: Duration = Duration::from_millis(60);
+
+/// Link of an agent's VM, in Mbit/s.
+const AGENT_MBPS: f64 = 1_000.0;
+
+/// How long after the load a run goes on, so that the last requests end.
+const TAIL: Duration = Duration::from_secs(8);
+
+/// What happens at a time.
+#[derive(Debug)]
+pub(super) enum Event {
+    /// A caller's packet comes to a balancer.
+    ToBalancer(usize, Vec<u8>),
+    /// A message comes to the process at an address.
+    ToPeer(SocketAddrV4, SocketAddrV4, Vec<u8>),
+    /// A packet comes to a target.
+    ToTarget(usize, Vec<u8>),
+    /// A packet of a target comes to its agent.
+    FromTarget(usize, Vec<u8>),
+    /// A packet comes to its caller.
+    ToCaller(Vec<u8>),
+    /// A balancer wakes up.
+    Balancer(usize),
+    /// An agent wakes up.
+    Agent(usize),
+    /// An agent learns whether its target's port is open.
+    Port(usize, u64),
+    /// A target has done the work on a request.
+    Done(usize, Timer),
+    /// A target has heard nothing since it sent its answer.
+    Resend(usize, Timer),
+    /// A caller's next step.
+    Caller(SocketAddrV4, u32, Step),
+    /// A request of a class begins on a flow of its own.
+    Fresh(usize),
+    /// A target's report is due.
+    Report(usize, u64),
+    /// Routers ask the balancers.
+    Probe,
+    /// A balancer reads the store.
+    Read(usize, u64),
+    /// A balancer that stops as planned has lingered.
+    Stopped(usize, u64),
+    /// A process starts again.
+    StartBalancer(usize),
+    StartAgent(usize),
+    StartTarget(usize),
+    /// A change of the pattern, and its end.
+    Change(Change),
+    Ended(Change),
+}
+
+/// What a caller does after a pause.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Step {
+    /// Sends a copy of its open.
+    Copy(u8),
+    /// Gives its open up.
+    GiveUp,
+    /// Sends its request's packets again.
+    Resend,
+    /// Reaches its time limit.
+    Limit,
+    /// Asks again on its open flow.
+    Ask,
+    /// Tries again on a new flow.
+    Again,
+}
+
+/// A balancer with its VM.
+pub(super) struct Balancer {
+    pub(super) host: Host,
+    pub(super) steer: Steer,
+    pub(super) zone: u8,
+    /// Whether routers hand it flows, and how often it was not ready since.
+    pub(super) rotation: bool,
+    pub(super) missed: u8,
+}
+
+/// An agent with its VM and target.
+pub(super) struct Agent {
+    pub(super) host: Host,
+    pub(super) holder: Holder,
+    pub(super) service: usize,
+    pub(super) zone: u8,
+    pub(super) target: Target,
+    pub(super) probing: bool,
+}
+
+/// Everything in a run.
+pub(super) struct World {
+    pub(super) site: Site,
+    pub(super) now: Instant,
+    pub(super) start: Instant,
+    pub(super) calendar: Calendar<Event>,
+    pub(super) rng: StdRng,
+    pub(super) balancers: Vec<Balancer>,
+    pub(super) agents: Vec<Agent>,
+    pub(super) callers: BTreeMap<SocketAddrV4, Caller>,
+    pub(super) next_port: u32,
+    /// Packets of a flow at targets that do not hold it, since it was last at
+    /// its own.
+    pub(super) strays: HashMap<Flow, u32>,
+    pub(super) runs: HashMap<SocketAddrV4, u32>,
+    pub(super) loss: f64,
+    pub(super) burst: f64,
+    pub(super) store: bool,
+    pub(super) tally: Tally,
+}
+
+/// Plays a pattern.
+#[must_use]
+pub fn play(pattern: &Pattern, seed: u64) -> Tally {
+    let mut world = World::new(&pattern.site, seed);
+    for (at, change) in &pattern.changes {
+        world.calendar.put(world.start + *at, Event::Change(*change));
+    }
+    let until = world.start + pattern.site.length + TAIL;
+    while let Some((at, event)) = world.calendar.next() {
+        if at > until {
+            break;
+        }
+        world.now = at;
+        world.take(event);
+    }
+    world.tally
+}
+
+fn ip(a: u8, b: u8, n: usize) -> Ipv4Addr {
+    // Sites have far fewer than 65,536 VMs of a kind.
+    Ipv4Addr::new(10, a, b + (n >> 8) as u8, (n & 0xff) as u8)
+}
+
+pub(super) fn balancer_addr(n: usize) -> SocketAddrV4 {
+    SocketAddrV4::new(ip(9, 0, n), 7_720)
+}
+
+pub(super) fn agent_addr(n: usize) -> SocketAddrV4 {
+    SocketAddrV4::new(ip(1, 0, n), 7_720)
+}
+
+pub(super) fn number(addr: SocketAddrV4) -> (bool, usize) {
+    let [_, kind, high, low] = addr.ip().octets();
+    (kind == 9, usize::from(high) << 8 | usize::from(low))
+}
+
+/// The address that callers of a class call.
+pub(super) fn vip(class: usize) -> SocketAddrV4 {
+    // Sites have a handful of classes.
+    SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, class as u8 + 1), 443)
+}
+
+pub(super) fn class_of(flow: Flow) -> usize {
+    usize::from(flow.service.ip().octets()[3]) - 1
+}
+
+pub(super) fn zone_name(zone: u8) -> Arc<str> {
+    format!("zone-{zone}").into()
+}
+
+impl World {
+    fn new(site: &Site, seed: u64) -> Self {
+        let now = Instant::now();
+        let mut world = Self {
+            site: site.clone(),
+            now,
+            start: now,
+            calendar: Calendar::default(),
+            rng: StdRng::seed_from_u64(seed),
+            balancers: Vec::new(),
+            agents: Vec::new(),
+            callers: BTreeMap::new(),
+            next_port: 0,
+            strays: HashMap::new(),
+            runs: HashMap::new(),
+            loss: 0.0,
+            burst: 1.0,
+            store: true,
+            tally: Tally::default(),
+        };
+        world.build();
+        world
+    }
+
+    fn build(&mut self) {
+        let site = self.site.clone();
+        for (service, s) in site.services.iter().enumerate() {
+            for i in 0..s.targets {
+                // Below the number of data centres.
+                let zone = (i % u16::from(site.zones)) as u8;
+                let mut agent = Agent {
+                    host: Host::new(site.agent_cpu, AGENT_MBPS, self.now),
+                    holder: self.holder(service),
+                    service,
+                    zone,
+                    target: Target::new(s.slots, s.queue, self.rng.random()),
+                    probing: false,
+                };
+                agent.target.reports = 1;
+                let report = self.report(service, 1, 1);
+                agent.holder.report(report, self.now);
+                self.agents.push(agent);
+                let n = self.agents.len() - 1;
+                let first = REPORT.mul_f64(self.rng.random());
+                self.calendar.put(self.now + first, Event::Report(n, 1));
+            }
+        }
+        for zone in 0..site.zones {
+            for _ in 0..site.balancers {
+                self.add_balancer(zone);
+            }
+        }
+        for n in 0..self.balancers.len() {
+            self.read_store(n);
+            let sees = self.now;
+            self.balancers[n].steer.see(true, sees);
+            self.balancers[n].rotation = true;
+        }
+        for (class, c) in site.classes.iter().enumerate() {
+            self.begin(class, c);
+        }
+        self.calendar.put(self.now + PROBE, Event::Probe);
+    }
+
+    fn begin(&mut self, class: usize, c: &Class) {
+        match c.habit {
+            Habit::Feed { users, pause } => {
+                for user in 0..users {
+                    let zone = (user % u32::from(self.site.zones)) as u8;
+                    let at = self.now + pause.mul_f64(self.rng.random());
+                    let caller = self.caller(class, zone, at);
+                    let addr = caller.flow.caller;
+                    self.callers.insert(addr, caller);
+                    self.calendar.put(at, Event::Caller(addr, 0, Step::Again));
+                }
+            }
+            Habit::Fresh { .. } => self.calendar.put(self.now, Event::Fresh(class)),
+        }
+    }
+
+    pub(super) fn add_balancer(&mut self, zone: u8) -> usize {
+        let n = self.balancers.len();
+        let host = Host::new(self.site.balancer_cpu, self.site.link_mbps, self.now);
+        let steer = self.steer(n, zone);
+        self.balancers.push(Balancer { host, steer, zone, rotation: false, missed: 0 });
+        n
+    }
+
+    pub(super) fn steer(&self, n: usize, zone: u8) -> Steer {
+        Steer::new(balancer_addr(n), zone_name(zone), Duration::from_secs(60))
+    }
+
+    pub(super) fn holder(&self, service: usize) -> Holder {
+        Holder::new(self.site.services[service].name.into(), Duration::from_secs(60))
+    }
+
+    pub(super) fn report(&self, service: usize, boot: u64, seq: u64) -> Report {
+        let s = &self.site.services[service];
+        Report {
+            start: Start { id: "target".into(), born: Some(boot * 1_000) },
+            service: s.name.into(),
+            slots: s.slots,
+            state: State::Ready,
+            cold: Duration::ZERO,
+            seq,
+        }
+    }
+
+    fn routes(&self) -> Routes {
+        let routes = self.site.classes.iter().enumerate().map(|(n, class)| {
+            let service = self.site.services[class.service].name.into();
+            let share = Share { service, weight: 1, max_flows: 2_000 };
+            let route = Route { name: "r".into(), services: vec![share], limit: class.limit };
+            (vip(n), route)
+        });
+        Routes { version: 1, routes: routes.collect(), idle: Duration::from_secs(15) }
+    }
+
+    /// A balancer learns what the store says now.
+    pub(super) fn read_store(&mut self, n: usize) {
+        let listed: Vec<Announced> = self
+            .agents
+            .iter()
+            .enumerate()
+            .map(|(i, a)| Announced {
+                addr: agent_addr(i),
+                zone: zone_name(a.zone),
+                service: self.site.services[a.service].name.into(),
+                target: None,
+            })
+            .collect();
+        let routes = self.routes();
+        let steer = &mut self.balancers[n].steer;
+        steer.obey(routes);
+        steer.roster.update(&listed, self.now);
+        steer.see(true, self.now);
+        self.wake_balancer(n, self.now);
+    }
+
+    fn take(&mut self, event: Event) {
+        match event {
+            Event::ToBalancer(n, packet) => {
+                self.balancers[n].host.packet(packet);
+                self.wake_balancer(n, self.now);
+            }
+            Event::ToPeer(to, from, bytes) => self.to_peer(to, from, bytes),
+            Event::ToTarget(n, packet) => self.to_target(n, &packet),
+            Event::FromTarget(n, packet) => {
+                self.agents[n].host.packet(packet);
+                self.wake_agent(n, self.now);
+            }
+            Event::ToCaller(packet) => self.to_caller(&packet),
+            Event::Balancer(n) => self.run_balancer(n),
+            Event::Agent(n) => self.run_agent(n),
+            Event::Port(n, boot) => self.port(n, boot),
+            Event::Done(n, timer) => self.done(n, timer),
+            Event::Resend(n, timer) => self.resend(n, timer),
+            Event::Caller(addr, turn, step) => self.step(addr, turn, step),
+            Event::Fresh(class) => self.fresh(class),
+            other => self.trouble(other),
+        }
+    }
+
+    // Processes.
+
+    pub(super) fn wake_balancer(&mut self, n: usize, at: Instant) {
+        let host = &mut self.balancers[n].host;
+        let at = host.at(at);
+        if host.up && host.next.is_none_or(|next| at < next) {
+            host.next = Some(at);
+            self.calendar.put(at, Event::Balancer(n));
+        }
+    }
+
+    pub(super) fn wake_agent(&mut self, n: usize, at: Instant) {
+        let host = &mut self.agents[n].host;
+        let at = host.at(at);
+        if host.up && host.next.is_none_or(|next| at < next) {
+            host.next = Some(at);
+            self.calendar.put(at, Event::Agent(n));
+        }
+    }
+
+    fn run_balancer(&mut self, n: usize) {
+        let b = &mut self.balancers[n];
+        if b.host.next != Some(self.now) {
+            return;
+        }
+        b.host.next = None;
+        let (packets, messages) = b.host.read();
+        let mut out = Wires::default();
+        for bytes in &packets {
+            if let Ok(seg) = packet::decode(bytes) {
+                b.steer.packet(&seg, bytes, self.now, &mut out);
+            }
+        }
+        for (from, bytes) in &messages {
+            match bus::decode(bytes) {
+                Ok((Message::Note(note), _)) => b.steer.note(*from, note, self.now, &mut out),
+                Ok((Message::Pong { service, load }, _)) => {
+                    b.steer.roster.pong(*from, service, load, self.now);
+                }
+                _ => {}
+            }
+        }
+        b.steer.tick(self.now, &mut out);
+        let done = b.host.work(packets.len() + messages.len() + out.0.len(), self.now);
+        let due = if b.host.waits() { Some(done) } else { b.steer.next_due() };
+        let zone = b.zone;
+        for sent in out.0 {
+            self.from_balancer(n, zone, sent, done);
+        }
+        if let Some(at) = due {
+            self.wake_balancer(n, at.max(done));
+        }
+    }
+
+    fn run_agent(&mut self, n: usize) {
+        let a = &mut self.agents[n];
+        if a.host.next != Some(self.now) {
+            return;
+        }
+        a.host.next = None;
+        if !a.probing && a.holder.doubtful(self.now) {
+            a.probing = true;
+            let at = self.now + Duration::from_millis(1);
+            self.calendar.put(at, Event::Port(n, a.host.boot));
+        }
+        let (mut packets, messages) = a.host.read();
+        let mut out = Wires::default();
+        for (from, bytes) in &messages {
+            let Ok((message, rest)) = bus::decode(bytes) else { continue };
+            let seg = packet::decode(rest).ok();
+            a.holder.message(*from, &message, seg.as_ref(), rest, self.now, &mut out);
+        }
+        for bytes in &mut packets {
+            if let Ok(seg) = packet::decode(bytes) {
+                let clear = packet::clear_bounced;
+                a.holder.target_packet(&seg, bytes, self.now, &mut out, clear);
+            }
+        }
+        a.holder.tick(self.now, &mut out);
+        let done = a.host.work(packets.len() + messages.len() + out.0.len(), self.now);
+        let due =
+            if a.host.waits() { Some(done) } else { a.holder.next_due().filter(|_| !a.probing) };
+        for sent in out.0 {
+            self.from_agent(n, sent, done);
+        }
+        if let Some(at) = due {
+            self.wake_agent(n, at.max(done));
+        }
+    }
+
+    fn port(&mut self, n: usize, boot: u64) {
+        let a = &mut self.agents[n];
+        if a.host.boot != boot {
+            return;
+        }
+        a.probing = false;
+        let mut out = Wires::default();
+        if a.target.up {
+            a.holder.slow(self.now);
+        } else {
+            a.holder.crashed(&mut out);
+        }
+        for sent in out.0 {
+            self.from_agent(n, sent, self.now);
+        }
+        self.wake_agent(n, self.now);
+    }
+}
--- a/tests/matrix.rs
+++ b/tests/matrix.rs
@@ -5,12 +5,18 @@
 //! The steps: the fault strikes as flows open, when they are established, or
 //! right after a change of the configuration (a drain and a new limit) was
 //! accepted. It ends while the load goes on.
+//!
+//! `JUJUBEPOST_MATRIX_ONLY` names cases (divided by `;`) and
+//! `JUJUBEPOST_MATRIX_TIMES` how often each is played, to trace one that fails
+//! now and then. The logs of a step that fails are kept in the folder that its
+//! message names.
 
 mod common;
 
 use std::cell::RefCell;
 use std::collections::VecDeque;
 use std::fmt::Write as _;
+use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -143,6 +149,14 @@
     case: &'static str,
     when: When,
     cells: [Cell; 8],
+    /// Where the logs of its processes lie.
+    logs: PathBuf,
+}
+
+impl Line {
+    fn failed(&self) -> bool {
+        self.cells.iter().flatten().any(Result::is_err)
+    }
 }
 
 fn check(ok: bool, say: impl FnOnce() -> String) -> Cell {
@@ -198,7 +212,8 @@
     }
     let broken = common::violations(site).await;
     let cells = judge(case, &rows, broken, leaves, raced, in_force.map(drop));
-    Line { case: case.name, when, cells }
+    let logs = site.path.parent().unwrap().to_path_buf();
+    Line { case: case.name, when, cells, logs }
 }
 
 /// Requests that a target gets now, past its grace.
@@ -240,19 +255,21 @@
 }
 
 async fn work(worker: u16, cases: Rc<RefCell<VecDeque<Case>>>, lines: Rc<RefCell<Vec<Line>>>) {
+    let mut step = 0;
     loop {
         let Some(case) = cases.borrow_mut().pop_front() else { return };
         for when in [When::Opening, When::Established, When::Change] {
-            let name = format!("matrix{worker}");
-            let _ = std::fs::remove_dir_all(
-                std::env::temp_dir().join(format!("jujubepost-{name}-{}", std::process::id())),
-            );
+            step += 1;
+            let name = format!("matrix{worker}-{step}");
             let mut site = common::start(&name, 29_500 + 500 * worker, 3, 3, 2).await;
             let line = strike(&case, when, &mut site).await;
             let killed = site.down().await;
             if !killed.is_empty() {
                 println!("{} {when:?}: {killed:?} did not stop in time", case.name);
             }
+            if !line.failed() {
+                let _ = std::fs::remove_dir_all(&line.logs);
+            }
             lines.borrow_mut().push(line);
         }
     }
@@ -278,10 +295,19 @@
     out
 }
 
+/// The cases to play: all once, or those that the environment names, as often
+/// as it says.
+fn chosen() -> VecDeque<Case> {
+    let only = std::env::var("JUJUBEPOST_MATRIX_ONLY").unwrap_or_default();
+    let times = std::env::var("JUJUBEPOST_MATRIX_TIMES").map_or(1, |n| n.parse().unwrap());
+    let named = |c: &Case| only.is_empty() || only.split(';').any(|n| n == c.name);
+    (0..times).flat_map(|_| cases()).filter(named).collect()
+}
+
 #[ntex::test]
 async fn every_fault_every_step() {
     let order: Vec<&str> = cases().iter().map(|c| c.name).collect();
-    let queue: Rc<RefCell<VecDeque<Case>>> = Rc::new(RefCell::new(cases().into()));
+    let queue: Rc<RefCell<VecDeque<Case>>> = Rc::new(RefCell::new(chosen()));
     let lines = Rc::new(RefCell::new(Vec::new()));
     let workers =
         (0..WORKERS).map(|w| tokio::task::spawn_local(work(w, queue.clone(), lines.clone())));
@@ -300,7 +326,8 @@
         .flat_map(|l| l.cells.iter().enumerate().map(move |(i, c)| (l, i, c)))
         .filter_map(|(l, i, c)| {
             let why = c.as_ref()?.as_ref().err()?;
-            Some(format!("{} {:?} P{}: {why}", l.case, l.when, i + 1))
+            let logs = l.logs.display();
+            Some(format!("{} {:?} P{}: {why}; logs: {logs}", l.case, l.when, i + 1))
         })
         .collect();
     assert!(failed.is_empty(), "{}", failed.join("\n"));
