Balancers read agents' answers before callers' packets

Hypothesis: on a busy VM the caller's next packet overtakes the note of its open in the balancer's two queues, so that the flow is taken as unknown and every agent of its service is asked with the whole packet; and timeouts of 40 ms run out while the answers lie in the socket.

Change: the bus is read first, and timers run only once it was read empty. Ruled out: narrow links (30 Mbit/s carry 8 times what callers need) and the agents' processors (below 15 %); the model's messages a flow show it.

--- a/src/edge/entry.rs
+++ b/src/edge/entry.rs
@@ -201,11 +201,11 @@
         let mut steer = steer.borrow_mut();
         let mut out = Sender { wires, port, buf: &mut scratch };
         let now = Instant::now();
-        wires.packets.drain(&mut buf, |datagram, _| match packet::decode(datagram) {
-            Ok(seg) => steer.packet(&seg, datagram, now, &mut out),
-            Err(e) => metrics::dropped(e),
-        });
-        wires.bus.drain(&mut buf, |datagram, from| match bus::decode(datagram) {
+        // Agents' answers before callers' packets, and no timeout before every
+        // answer that has come was read: on a busy VM a caller's next packet
+        // would overtake the note of its open, and answers in the queue would
+        // count as missing.
+        let caught_up = wires.bus.drain(&mut buf, |datagram, from| match bus::decode(datagram) {
             Ok((Message::Note(note), _)) => steer.note(from, note, now, &mut out),
             Ok((Message::Pong { service, load }, _)) => {
                 steer.roster.pong(from, service, load, now);
@@ -213,7 +213,13 @@
             Ok(_) => {}
             Err(e) => metrics::dropped(e),
         });
-        steer.tick(now, &mut out);
+        wires.packets.drain(&mut buf, |datagram, _| match packet::decode(datagram) {
+            Ok(seg) => steer.packet(&seg, datagram, now, &mut out),
+            Err(e) => metrics::dropped(e),
+        });
+        if caught_up {
+            steer.tick(now, &mut out);
+        }
         board.set_ready(steer.ready());
     }
 }
--- a/src/edge/socket.rs
+++ b/src/edge/socket.rs
@@ -34,19 +34,21 @@
         }
     }
 
-    /// Hands the datagrams that are there to `take`, a batch at most.
-    pub fn drain(&self, buf: &mut [u8], mut take: impl FnMut(&mut [u8], SocketAddrV4)) {
+    /// Hands the datagrams that are there to `take`, a batch at most; says
+    /// whether that was all of them.
+    pub fn drain(&self, buf: &mut [u8], mut take: impl FnMut(&mut [u8], SocketAddrV4)) -> bool {
         for _ in 0..BATCH {
             match self.sock.try_recv_from(buf) {
                 Ok((n, SocketAddr::V4(from))) => take(&mut buf[..n], from),
                 Ok(_) => {}
-                Err(e) if e.kind() == std::io::ErrorKind::WouldBlock => return,
+                Err(e) if e.kind() == std::io::ErrorKind::WouldBlock => return true,
                 Err(e) => {
                     // A peer's closed port is reported on the next call.
                     log::debug!(event = events::DATAGRAM_FAILED, error:% = e; "receiving failed");
                 }
             }
         }
+        false
     }
 
     /// Sends one datagram; one that the socket cannot take now is lost, as
--- a/src/model/host.rs
+++ b/src/model/host.rs
@@ -95,6 +95,12 @@
         (packets, messages)
     }
 
+    /// Whether every message that has come was read.
+    #[must_use]
+    pub fn caught_up(&self) -> bool {
+        self.messages.is_empty()
+    }
+
     /// Whether something waits to be read.
     #[must_use]
     pub fn waits(&self) -> bool {
--- a/src/model/world.rs
+++ b/src/model/world.rs
@@ -389,11 +389,6 @@
         b.host.next = None;
         let (packets, messages) = b.host.read();
         let mut out = Wires::default();
-        for bytes in &packets {
-            if let Ok(seg) = packet::decode(bytes) {
-                b.steer.packet(&seg, bytes, self.now, &mut out);
-            }
-        }
         for (from, bytes) in &messages {
             match bus::decode(bytes) {
                 Ok((Message::Note(note), _)) => b.steer.note(*from, note, self.now, &mut out),
@@ -403,7 +398,14 @@
                 _ => {}
             }
         }
-        b.steer.tick(self.now, &mut out);
+        for bytes in &packets {
+            if let Ok(seg) = packet::decode(bytes) {
+                b.steer.packet(&seg, bytes, self.now, &mut out);
+            }
+        }
+        if b.host.caught_up() {
+            b.steer.tick(self.now, &mut out);
+        }
         let done = b.host.work(packets.len() + messages.len() + out.0.len(), self.now);
         let due = if b.host.waits() { Some(done) } else { b.steer.next_due() };
         let zone = b.zone;
