--- a/src/lib.rs
+++ b/src/lib.rs
@@ -21,6 +21,7 @@
 //! - [`relay`]: a large configuration handed on between balancers in parts.
 //! - [`script`]: scripted changes and faults for trials and tests.
 //! - [`model`]: a site on a virtual clock, for decisions under load and trouble.
+//! - [`experiment`]: policies compared on the model.
 //! - [`trial`]: the platform's form on loopback, with stand-ins for its ends.
 //! - [`up`]: runs a whole deployment on one machine.
 
@@ -33,6 +34,7 @@
 pub mod ctl;
 pub mod edge;
 pub mod events;
+pub mod experiment;
 pub mod fabric;
 pub mod flow;
 pub mod hold;
--- a/src/main.rs
+++ b/src/main.rs
@@ -4,7 +4,7 @@
 
 use clap::{Parser, Subcommand};
 use jujubepost::settings::Settings;
-use jujubepost::{agent, balancer, bench, ctl, edge, fabric, store, target, trial, up};
+use jujubepost::{agent, balancer, bench, ctl, edge, experiment, fabric, store, target, trial, up};
 
 /// A layer-4 load balancer whose balancers keep no per-flow state.
 #[derive(Debug, Parser)]
@@ -37,6 +37,8 @@
     /// Runs the platform's form on this machine, with stand-ins for routers,
     /// callers and targets, and prints what was served.
     Trial(trial::Plan),
+    /// Compares policies under load and trouble on the model: table, CSV, plots.
+    Experiment(experiment::Args),
     /// Runs whole sites on this machine, drives load and prints what was served.
     Up(up::Args),
 }
@@ -84,6 +86,7 @@
         Role::Ctl(a) => ctl::run(a).await,
         Role::Bench(a) => bench::run(a).await,
         Role::Trial(p) => trial::run(p).await,
+        Role::Experiment(a) => experiment::run(&a),
         Role::Up(a) => up::run(a).await,
     }
 }
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -5,10 +5,12 @@
 //! varied alone, which is how `jujubepost experiment` measures its worth.
 
 mod holding;
+mod mechanism;
 mod millis;
 mod steering;
 
 pub use holding::Holding;
+pub use mechanism::Mechanism;
 use serde::{Deserialize, Serialize};
 pub use steering::{Doubt, Steering};
 
