Model: resets and cold targets as the platform has them; sidecar parted

Targets are 1.6 times slower for 2 s after a start, and the entry in the store names the start that the last process served.

edge::announce holds the agent's entry; sidecar's loop is cut into its steps.

--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -3,6 +3,7 @@
 //! clocks and the store; what to do with a packet is decided by
 //! [`crate::steer`] and [`crate::hold`].
 
+mod announce;
 pub mod entry;
 mod inspect;
 mod listing;
--- a/src/edge/sidecar.rs
+++ b/src/edge/sidecar.rs
@@ -13,16 +13,16 @@
 use tokio::sync::{Notify, watch};
 use tokio::task::JoinSet;
 
+use super::announce::{Earlier, Entry, announce, earlier, withdraw};
 use super::inspect::{self, Inspect};
 use super::socket::Socket;
-use super::{AGENTS, LEASE_MS, Settings, store};
+use super::{AGENTS, Settings, store};
 use crate::bus::{self, Message};
 use crate::flow::Flow;
-use crate::hold::{self, Holder, Start};
+use crate::hold::{self, Holder};
 use crate::listen::{Answer, Asked, Server};
-use crate::platform::{self, packet, report};
+use crate::platform::{packet, report};
 use crate::steer::Announced;
-use crate::store::{Lessor, lease};
 use crate::{events, metrics};
 
 /// Largest packet, in bytes.
@@ -35,22 +35,10 @@
 /// How often a stopping agent looks whether its target is done.
 const STOP_POLL: Duration = Duration::from_millis(50);
 
-/// Pause before a stopping agent tries again to remove its entry: some ten
-/// tries within the grace of a planned stop.
-const WITHDRAW: Duration = Duration::from_millis(400);
-
 /// Least pause between two writes of the agent's entry that balancers ask
 /// for: their views lag the store by some milliseconds.
 const RELIST: Duration = Duration::from_millis(1_000);
 
-/// How long an agent waits for its target's first report before it lists
-/// itself: a target reports about once a second.
-const UNREPORTED: Duration = Duration::from_millis(2_500);
-
-/// How long an agent waits at its start for what the store knows of it: the
-/// store answers in 4 ms, and the target's callers wait meanwhile.
-const READ: Duration = Duration::from_millis(100);
-
 /// How long the target's port may take to answer; it is on the same VM.
 const PROBE: Duration = Duration::from_millis(300);
 
@@ -167,35 +155,6 @@
     move || format!("settings: field `{field}`: an agent needs it")
 }
 
-/// Holds the agent's entry, forever.
-async fn announce(
-    store: platform::kv::Client,
-    key: String,
-    mut values: watch::Receiver<Vec<u8>>,
-    check: Rc<Notify>,
-) {
-    // One write with the target's start instead of two: each is an event at
-    // every balancer.
-    let _ = tokio::time::timeout(UNREPORTED, values.changed()).await;
-    lease::hold(&store, &key, values, LEASE_MS, &check).await;
-}
-
-/// Removes the entry of an agent whose target is over, and tries for as long as
-/// `most` where the store does not answer. An entry that is left names the agent
-/// until its lease lapses; balancers that start meanwhile wait 4 s for its word
-/// before they take any flow of the service as lost.
-async fn withdraw(store: &platform::kv::Client, key: &str, most: Duration) {
-    let removed = tokio::time::timeout(most, async {
-        while let Err(e) = store.delete(key).await {
-            log::warn!(event = events::EDGE_STORE, error:% = format!("{e:#}"); "entry not removed");
-            tokio::time::sleep(WITHDRAW).await;
-        }
-    });
-    if removed.await.is_err() {
-        log::error!(event = events::EDGE_STORE, key = key; "entry left to its lease");
-    }
-}
-
 /// Waits until the target of a stopping agent has no work in progress.
 async fn idle(holder: &RefCell<Holder>) {
     while !holder.borrow().idle() {
@@ -214,71 +173,6 @@
     }
 }
 
-/// The agent's entry in the store.
-struct Entry {
-    me: Announced,
-    /// Where the target takes packets.
-    target: SocketAddrV4,
-    value: watch::Sender<Vec<u8>>,
-    /// Has the entry's lease looked at.
-    check: Rc<Notify>,
-}
-
-impl Entry {
-    /// Writes down the target's start, so that the next process here knows for
-    /// which one this process took flows.
-    fn serves(&self, start: Start) {
-        let me = Announced { target: Some(start), ..self.me.clone() };
-        match serde_json::to_vec(&me) {
-            Ok(value) => {
-                self.value.send_if_modified(|old| {
-                    *old != value && {
-                        *old = value;
-                        true
-                    }
-                });
-            }
-            Err(e) => log::error!(event = events::EDGE_STORE, error:% = e; "entry not encoded"),
-        }
-    }
-}
-
-/// What the store says of the agent at its start, if it answers at once.
-async fn earlier(store: &platform::kv::Client, key: &str) -> Earlier {
-    let read = tokio::time::timeout(READ, store.get(key)).await;
-    let kv = match read {
-        Ok(Ok(Some(kv))) => kv,
-        Ok(Ok(None)) => return Earlier::None,
-        Ok(Err(e)) => {
-            log::warn!(event = events::EDGE_STORE, error:% = format!("{e:#}"); "entry not read");
-            return Earlier::Unknown;
-        }
-        Err(_) => {
-            log::warn!(event = events::EDGE_STORE, key = key; "entry not read in time");
-            return Earlier::Unknown;
-        }
-    };
-    match serde_json::from_slice::<Announced>(&kv.value) {
-        Ok(entry) => Earlier::Listed(entry.target),
-        Err(e) => {
-            metrics::dropped("entry_unreadable");
-            log::error!(event = events::EDGE_STORE, key = key, error:% = e; "entry refused");
-            Earlier::Unknown
-        }
-    }
-}
-
-/// An earlier process of the agent, as the store tells of it.
-#[derive(Clone, Debug, PartialEq, Eq)]
-enum Earlier {
-    /// The store did not answer at once, or not in words.
-    Unknown,
-    /// It lists none.
-    None,
-    /// It lists one, and the target's start for which that took flows.
-    Listed(Option<Start>),
-}
-
 /// Takes the target's reports.
 async fn serve_reports(
     addr: std::net::SocketAddr,
@@ -343,17 +237,93 @@
     }
 }
 
+/// What the port of the target showed is noted.
+fn note_port(
+    holder: &mut Holder,
+    found: Port,
+    target: SocketAddrV4,
+    now: Instant,
+    out: &mut Sender<'_>,
+) {
+    match found {
+        Port::Closed => {
+            log::warn!(
+                event = events::EDGE_TARGET, target:% = target, state = "crashed",
+                flows = holder.flows();
+                "target's port is closed"
+            );
+            holder.crashed(out);
+        }
+        Port::Open | Port::Silent => {
+            log::info!(
+                event = events::EDGE_TARGET, target:% = target, state = "silent",
+                port:? = found, waiting = holder.waiting();
+                "target does not answer"
+            );
+            holder.slow(now);
+        }
+    }
+}
+
+/// What came from balancers and other agents.
+#[derive(Debug, Default)]
+struct Heard {
+    /// Anything came.
+    any: bool,
+    /// A balancer does not see the agent's entry in the store.
+    unlisted: bool,
+}
+
+/// Takes what balancers and other agents say.
+fn read_bus(
+    wires: &Wires,
+    buf: &mut [u8],
+    holder: &mut Holder,
+    now: Instant,
+    out: &mut Sender<'_>,
+) -> Heard {
+    let mut heard = Heard::default();
+    wires.bus.drain(buf, |datagram, from| {
+        heard.any = true;
+        let Ok((message, packet)) = bus::decode(datagram) else {
+            metrics::dropped("not a message");
+            return;
+        };
+        heard.unlisted |= message == Message::Ping { listed: false };
+        match (packet.is_empty(), packet::decode(packet)) {
+            (true, _) => holder.message(from, &message, None, packet, now, out),
+            (false, Ok(seg)) => holder.message(from, &message, Some(&seg), packet, now, out),
+            (false, Err(e)) => metrics::dropped(e),
+        }
+    });
+    heard
+}
+
+/// Takes the target's packets.
+fn read_target(
+    wires: &Wires,
+    buf: &mut [u8],
+    holder: &mut Holder,
+    now: Instant,
+    out: &mut Sender<'_>,
+) {
+    wires.outbound.drain(buf, |datagram, _| match packet::decode(datagram) {
+        Ok(seg) => holder.target_packet(&seg, datagram, now, out, packet::clear_bounced),
+        Err(e) => metrics::dropped(e),
+    });
+}
+
 /// Forwards packets until told otherwise.
 async fn forward(wires: &Wires, holder: &RefCell<Holder>, entry: &Entry) {
     let mut buf = vec![0; PACKET];
     let mut scratch = Vec::with_capacity(bus::DATAGRAM);
     let mut relisted: Option<Instant> = None;
     let mut probes = JoinSet::new();
-    let mut heard = Instant::now();
+    let mut heard_at = Instant::now();
     loop {
         let now = Instant::now();
-        if now.duration_since(heard) >= QUIET {
-            heard = now;
+        if now.duration_since(heard_at) >= QUIET {
+            heard_at = now;
             entry.check.notify_one();
         }
         if probes.is_empty() && holder.borrow().doubtful(now) {
@@ -371,49 +341,16 @@
         let mut holder = holder.borrow_mut();
         let mut out = Sender { wires, buf: &mut scratch };
         let now = Instant::now();
-        match probed {
-            Some(Port::Closed) => {
-                log::warn!(
-                    event = events::EDGE_TARGET, target:% = wires.target, state = "crashed",
-                    flows = holder.flows();
-                    "target's port is closed"
-                );
-                holder.crashed(&mut out);
-            }
-            Some(port @ (Port::Open | Port::Silent)) => {
-                log::info!(
-                    event = events::EDGE_TARGET, target:% = wires.target, state = "silent",
-                    port:? = port, waiting = holder.waiting();
-                    "target does not answer"
-                );
-                holder.slow(now);
-            }
-            None => {}
+        if let Some(found) = probed {
+            note_port(&mut holder, found, wires.target, now, &mut out);
         }
-        let mut missing = false;
-        wires.bus.drain(&mut buf, |datagram, from| {
-            heard = now;
-            let Ok((message, packet)) = bus::decode(datagram) else {
-                metrics::dropped("not a message");
-                return;
-            };
-            missing |= message == Message::Ping { listed: false };
-            match (packet.is_empty(), packet::decode(packet)) {
-                (true, _) => holder.message(from, &message, None, packet, now, &mut out),
-                (false, Ok(seg)) => {
-                    holder.message(from, &message, Some(&seg), packet, now, &mut out);
-                }
-                (false, Err(e)) => metrics::dropped(e),
-            }
-        });
-        wires.outbound.drain(&mut buf, |datagram, _| match packet::decode(datagram) {
-            Ok(seg) => {
-                holder.target_packet(&seg, datagram, now, &mut out, packet::clear_bounced);
-            }
-            Err(e) => metrics::dropped(e),
-        });
+        let heard = read_bus(wires, &mut buf, &mut holder, now, &mut out);
+        read_target(wires, &mut buf, &mut holder, now, &mut out);
         holder.tick(now, &mut out);
-        if missing && relisted.is_none_or(|at| now.duration_since(at) >= RELIST) {
+        if heard.any {
+            heard_at = now;
+        }
+        if heard.unlisted && relisted.is_none_or(|at| now.duration_since(at) >= RELIST) {
             relisted = Some(now);
             log::info!(event = events::EDGE_STORE; "entry missing in the store, written again");
             entry.value.send_modify(|_| {});
--- a/src/model/ask.rs
+++ b/src/model/ask.rs
@@ -125,11 +125,17 @@
         }
         let (addr, zone) = (seg.to, c.zone);
         if seg.flags.rst {
+            if !c.takes_reset(seg.seq) {
+                return;
+            }
             let opening = matches!(c.stage, Stage::Opening(_));
-            match c.stage {
+            let (stage, flow) = (c.stage, c.flow);
+            if !opening && self.agents.iter().any(|a| a.holds(flow)) {
+                self.tally.broken += 1;
+            }
+            match stage {
                 Stage::Resting => {
                     // Opens a new flow for its next request.
-                    c.opened = false;
                     self.renew(addr);
                 }
                 _ => self.failed(addr, opening),
--- a/src/model/mod.rs
+++ b/src/model/mod.rs
@@ -7,6 +7,7 @@
 //! what it leaves out.
 
 mod ask;
+mod build;
 pub mod calendar;
 pub mod caller;
 pub mod host;
--- a/src/model/target.rs
+++ b/src/model/target.rs
@@ -10,6 +10,11 @@
 /// Bytes of the answer by which a full target refuses a request as not run.
 pub const SHED: u32 = 100;
 
+/// How long a target that has started is slow, and how many times: as operators
+/// say of theirs.
+const COLD: Duration = Duration::from_secs(2);
+const COLD_TIMES: f64 = 1.6;
+
 /// How far past its first sequence number the first acknowledgement may lie.
 const FIRST_ACK: u32 = 16 * DATA;
 
@@ -57,6 +62,8 @@
     pub reports: u64,
     /// How many times slower than usual it works.
     pub slow: f64,
+    /// Until when it is slow after its start.
+    pub cold_until: Instant,
     slots: u32,
     room: usize,
     busy: u32,
@@ -70,12 +77,13 @@
     /// A running target with `slots` and a queue of `room` requests, whose first
     /// sequence numbers begin at `isn`.
     #[must_use]
-    pub fn new(slots: u32, room: usize, isn: u32) -> Self {
+    pub fn new(slots: u32, room: usize, isn: u32, now: Instant) -> Self {
         Self {
             up: true,
             boot: 1,
             reports: 0,
             slow: 1.0,
+            cold_until: now,
             slots,
             room,
             busy: 0,
@@ -94,8 +102,9 @@
     }
 
     /// Its process starts again.
-    pub const fn start(&mut self) {
+    pub fn start(&mut self, now: Instant) {
         self.up = true;
+        self.cold_until = now + COLD;
         self.boot += 1;
         self.reports = 0;
     }
@@ -180,10 +189,11 @@
         next
     }
 
-    /// How long work of `mean` takes, `x` being drawn from 0.5 to 1.5.
+    /// How long work of `mean` takes at `now`, `x` being drawn from 0.5 to 1.5.
     #[must_use]
-    pub fn work(&self, mean: Duration, x: f64) -> Duration {
-        mean.mul_f64(x * self.slow)
+    pub fn work(&self, mean: Duration, x: f64, now: Instant) -> Duration {
+        let cold = if now < self.cold_until { COLD_TIMES } else { 1.0 };
+        mean.mul_f64(x * self.slow * cold)
     }
 
     /// The answer of `len` bytes to the present request of `flow` is ready.
--- a/src/model/trouble.rs
+++ b/src/model/trouble.rs
@@ -7,6 +7,7 @@
 
 use super::pattern::Change;
 use super::world::{BOOT, Event, LISTED, PROBE, REPORT, REPORT_AGAIN, World};
+use crate::hold::Report;
 
 /// How long a balancer that stops as planned forwards on, as the product does.
 const LINGER: Duration = Duration::from_millis(1_500);
@@ -43,8 +44,10 @@
         let (service, seq) = (a.service, a.target.reports);
         let pause = if a.host.up { REPORT } else { REPORT_AGAIN };
         if a.host.up {
-            let report = self.report(service, boot, seq);
+            let cold = self.agents[n].target.cold_until.saturating_duration_since(self.now);
+            let report = Report { cold, ..self.report(service, boot, seq) };
             self.agents[n].holder.report(report, self.now);
+            self.agents[n].listed = boot;
             self.wake_agent(n, self.now);
         }
         self.calendar.put(self.now + pause, Event::Report(n, boot));
@@ -87,14 +90,10 @@
     fn start_agent(&mut self, n: usize) {
         let service = self.agents[n].service;
         // The store tells for which start of the target the last process took
-        // flows; where both have started since, the agent's first report of
-        // the new start shows that it knows them all.
-        let before = self.report(service, self.agents[n].target.boot, 1).start;
-        let known = self.agents[n].target.up && self.agents[n].target.reports > 0;
+        // flows.
+        let before = self.report(service, self.agents[n].listed, 1).start;
         let mut holder = self.holder(service);
-        if known {
-            holder.follows(Some(before), self.now);
-        }
+        holder.follows(Some(before), self.now);
         let a = &mut self.agents[n];
         a.holder = holder;
         a.probing = false;
@@ -104,7 +103,7 @@
 
     fn start_target(&mut self, n: usize) {
         let target = &mut self.agents[n].target;
-        target.start();
+        target.start(self.now);
         let boot = target.boot;
         self.calendar.put(self.now + REPORT_AGAIN, Event::Report(n, boot));
     }
--- a/src/model/wires.rs
+++ b/src/model/wires.rs
@@ -25,7 +25,7 @@
     /// A packet to a caller.
     Caller(Vec<u8>),
     /// A reset to a caller.
-    Reset(Flow, Vec<u8>),
+    Reset(Vec<u8>),
 }
 
 /// Everything sent at one wake-up.
@@ -49,7 +49,7 @@
     }
 
     fn reset(&mut self, flow: Flow, seq: u32) {
-        self.0.push(Sent::Reset(flow, packet::reset(flow, seq)));
+        self.0.push(Sent::Reset(packet::reset(flow, seq)));
     }
 }
 
@@ -63,7 +63,7 @@
     }
 
     fn reset(&mut self, flow: Flow, seq: u32) {
-        self.0.push(Sent::Reset(flow, packet::reset(flow, seq)));
+        self.0.push(Sent::Reset(packet::reset(flow, seq)));
     }
 
     fn peer(&mut self, to: SocketAddrV4, message: &Message<'_>, packet: &[u8]) {
