Agents: a packet of a flow from before shows that the earlier process took flows

In the trace all six targets had sent on 1 to 25 flows that the new process had not seen open before that report.

Change: such a packet, before the report or after, takes the presumption back; a start that the agent saw itself stays known. After a loss of power nothing changes: no process runs that could have opened flows. Test: inherited_flows, red before.

--- a/src/hold/life.rs
+++ b/src/hold/life.rs
@@ -28,7 +28,8 @@
         match &mut self.target {
             Some(t) if *t.start() == report.start => t.update(&report, now),
             before => {
-                let next = Target::new(&report, before.as_ref(), self.before.as_ref(), now);
+                let earlier = self.before.as_ref().filter(|_| !self.inherited);
+                let next = Target::new(&report, before.as_ref(), earlier, now);
                 *before = Some(next);
                 self.absent = false;
                 self.ending = None;
@@ -37,6 +38,15 @@
         }
     }
 
+    /// The target sent on a flow that this process did not see open: what spoke
+    /// for the earlier process having missed the target's start was wrong.
+    pub(super) fn inherit(&mut self) {
+        self.inherited = true;
+        if let Some(t) = &mut self.target {
+            t.inherit();
+        }
+    }
+
     /// Why a report says nothing of this agent's target.
     fn ignores(&self, report: &Report, now: Instant) -> Option<Ignored> {
         if *report.service != *self.service {
--- a/src/hold/mod.rs
+++ b/src/hold/mod.rs
@@ -79,6 +79,9 @@
     /// No process of the target runs: its port is closed, or it said goodbye.
     absent: bool,
     stopping: bool,
+    /// The target sent on a flow that this process did not see open, so an
+    /// earlier one took flows for the target's present start.
+    inherited: bool,
     /// The store did not list the agent before this process.
     newcomer: bool,
     /// When its target first reported.
@@ -110,6 +113,7 @@
             ending: None,
             absent: false,
             stopping: false,
+            inherited: false,
             newcomer: false,
             met: None,
             silent_since: None,
--- a/src/hold/packets.rs
+++ b/src/hold/packets.rs
@@ -109,6 +109,7 @@
         let Some(h) = self.flows.get(flow, now) else {
             // The agent started after the flow opened.
             if !seg.flags.rst {
+                self.inherit();
                 let held = Held { ours: true, ..Held::new(Stage::Open, 0) };
                 self.flows.insert(flow, held, now);
             }
--- a/src/hold/target.rs
+++ b/src/hold/target.rs
@@ -124,6 +124,8 @@
     cold_until: Instant,
     seq: u64,
     complete: bool,
+    /// It is complete only because the earlier process missed its start.
+    presumed: bool,
     ended: bool,
 }
 
@@ -143,7 +145,7 @@
         now: Instant,
     ) -> Self {
         let missed = earlier.is_some_and(|e| e.missed(report, now));
-        let seen = before.is_some() || report.seq <= FIRST || missed;
+        let seen = before.is_some() || report.seq <= FIRST;
         let mut starts = before.map(|t| t.before.clone()).unwrap_or_default();
         starts.extend(before.map(|t| t.start.clone()));
         let excess = starts.len().saturating_sub(REMEMBERED);
@@ -156,7 +158,8 @@
             state: report.state,
             cold_until: now + report.cold,
             seq: report.seq,
-            complete: seen,
+            complete: seen || missed,
+            presumed: missed && !seen,
             ended: false,
         }
     }
@@ -233,6 +236,11 @@
         self.complete
     }
 
+    /// It has flows that an earlier process of the agent opened.
+    pub const fn inherit(&mut self) {
+        self.complete &= !self.presumed;
+    }
+
     /// Slots that count as taken while the target is slow after its start.
     #[must_use]
     pub fn cold(&self, now: Instant) -> u32 {
--- a/tests/hold.rs
+++ b/tests/hold.rs
@@ -231,6 +231,32 @@
     }
 }
 
+/// The same with an ordinary report that happens to fall into the agent's first
+/// moments, as one in six does: a packet of the target on a flow that this
+/// process did not see open shows that the earlier one took flows, whether it
+/// comes before the report or after.
+#[test]
+fn inherited_flows() {
+    let now = Instant::now();
+    for before in [true, false] {
+        let mut h = Holder::new(SERVICE.into(), Duration::from_secs(60));
+        h.follows(Some("i-0".into()), now);
+        let send = |h: &mut Holder| {
+            let mut w = Wires::default();
+            h.target_packet(&answer(7, 5_001, 9), &mut b"old".to_vec(), now, &mut w, |_| {});
+        };
+        if before {
+            send(&mut h);
+        }
+        h.report(report("i-1", 3, State::Ready), now + 100 * MS);
+        if !before {
+            assert_eq!(asked(&mut h, 1, 5_001, now + 100 * MS).words(), [Word::Unknown]);
+            send(&mut h);
+        }
+        assert_eq!(asked(&mut h, 1, 5_001, now + 100 * MS).words(), [Word::Unsure], "{before}");
+    }
+}
+
 /// A new agent, of which balancers learn one after the other: a flow that it
 /// took at once would be taken as lost by a balancer that does not know it yet.
 #[test]
