--- a/src/steer/search.rs
+++ b/src/steer/search.rs
@@ -97,8 +97,8 @@
         self.packets.iter().map(Vec::len).sum()
     }
 
-    /// Keeps only the last packet: those before it are sent again by their
-    /// caller, who must not get the owner's whole backlog at once then.
+    /// Keeps only the last packet, which may be tried at targets: the caller
+    /// sends all of them again.
     fn keep_last(&mut self) {
         let excess = self.packets.len().saturating_sub(1);
         self.packets.drain(..excess);
