--- a/src/model/ask.rs
+++ b/src/model/ask.rs
@@ -167,6 +167,11 @@
 
     fn answered(&mut self, addr: SocketAddrV4) {
         let Some(c) = self.callers.get(&addr) else { return };
+        if c.shed {
+            // As good as a flow that never opened: nothing ran.
+            self.failed(addr, true);
+            return;
+        }
         let aim = self.site.classes[c.class].aim;
         let end = if self.now.duration_since(c.since) <= aim { End::Served } else { End::Late };
         self.finish(addr, end);
--- a/src/model/build.rs
+++ b/src/model/build.rs
@@ -76,8 +76,6 @@
         }
         for n in 0..self.balancers.len() {
             self.read_store(n);
-            let sees = self.now;
-            self.balancers[n].steer.see(true, sees);
             self.balancers[n].rotation = true;
         }
         for (class, c) in site.classes.iter().enumerate() {
--- a/src/model/caller.rs
+++ b/src/model/caller.rs
@@ -58,6 +58,8 @@
     next: u32,
     /// Bytes of the answer that are still to come.
     pub missing: u32,
+    /// The target refuses the present request as not run.
+    pub shed: bool,
     unacked: u8,
 }
 
@@ -78,6 +80,7 @@
             isn,
             next: 0,
             missing: 0,
+            shed: false,
             unacked: 0,
         }
     }
@@ -106,6 +109,7 @@
         let from = self.sending.end();
         self.sending = Sending::new(from, len);
         self.missing = answer;
+        self.shed = false;
     }
 
     /// The packets that its window has room for.
--- a/src/model/serve.rs
+++ b/src/model/serve.rs
@@ -64,6 +64,7 @@
             Admitted::Shed => {
                 if let Some(c) = self.callers.get_mut(&flow.caller) {
                     c.missing = SHED;
+                    c.shed = true;
                 }
                 self.put_answer(n, flow, SHED);
             }
--- a/src/model/tally.rs
+++ b/src/model/tally.rs
@@ -63,8 +63,6 @@
     pub messages: u64,
     /// Bytes of these messages.
     pub message_bytes: u64,
-    /// Flows whose owner had to be asked for.
-    pub searches: u32,
     /// Open flows that were reset although their target held them.
     pub broken: u32,
     /// Flows of which three packets or more reached targets that do not hold
@@ -89,7 +87,6 @@
             flows: 0,
             messages: 0,
             message_bytes: 0,
-            searches: 0,
             broken: 0,
             misrouted: 0,
             doubled: 0,
