Incident: the same cause elsewhere, as failing tests; targets that leave on the model

Cause, from its log: a search ends without a trial while any agent of the service has been silent for less than 1.2 s; 98 of 100 of some 6,000 such searches had tried nothing, with 50 and more agents unsure. With a target leaving each second one of 60 always is. The class is that of the incident: what one flow needs grows with the service.

Model: Change::Leave and Change::RollAgents, patterns leave_dense and roll_agents_dense.

--- a/src/model/build.rs
+++ b/src/model/build.rs
@@ -59,6 +59,7 @@
                     target: Target::new(s.slots, s.queue, self.rng.random(), self.now),
                     listed: 1,
                     probing: false,
+                    left: false,
                 };
                 agent.target.reports = 1;
                 let report = self.report(service, 1, 1);
@@ -146,6 +147,7 @@
             .agents
             .iter()
             .enumerate()
+            .filter(|(_, a)| !a.left)
             .map(|(i, a)| Announced {
                 addr: agent_addr(i),
                 zone: zone_name(a.zone),
--- a/src/model/pattern.rs
+++ b/src/model/pattern.rs
@@ -18,6 +18,12 @@
     RollBalancers(Duration),
     /// A balancer joins each data centre.
     JoinBalancers,
+    /// Agents are stopped as planned and started again, one after the other with
+    /// this pause; their targets stay.
+    RollAgents(Duration),
+    /// A part of the targets ends for good with its VM, one after the other with
+    /// this pause.
+    Leave(f64, Duration),
     /// A part of the targets crashes; they start again after as long.
     Crash(f64, Duration),
     /// A part of the targets works this many times slower, for as long.
@@ -43,7 +49,10 @@
             | Self::StoreDown(d)
             | Self::Burst(_, d)
             | Self::Loss(_, d) => *d,
-            Self::RollBalancers(_) | Self::JoinBalancers => Duration::ZERO,
+            Self::RollBalancers(_)
+            | Self::JoinBalancers
+            | Self::RollAgents(_)
+            | Self::Leave(..) => Duration::ZERO,
         }
     }
 }
@@ -205,6 +214,29 @@
                 (s(9), Change::RollBalancers(ms(200))),
             ],
         },
+        Pattern {
+            name: "leave_dense",
+            about: "Targets leave one after the other, two a second as in a release, while \
+                    every balancer and agent is killed and back within 0.5 s: nobody \
+                    remembers a flow, and some agent is always on its way out.",
+            site: Site::dense(),
+            changes: vec![
+                (s(3), Change::Leave(0.25, ms(500))),
+                (s(4), Change::KillBalancers(1.0, ms(500))),
+                (s(4), Change::KillAgents(1.0, ms(500))),
+            ],
+        },
+        Pattern {
+            name: "roll_agents_dense",
+            about: "Agents are stopped and started in turn, six a second, and balancers too, \
+                    two a second, as in a release of this program: some agent is always \
+                    restarting.",
+            site: Site::dense(),
+            changes: vec![
+                (s(3), Change::RollAgents(ms(150))),
+                (s(3), Change::RollBalancers(ms(500))),
+            ],
+        },
         Pattern {
             name: "lossy",
             about: "Five of a hundred datagrams are lost for 5 s.",
--- a/src/model/trouble.rs
+++ b/src/model/trouble.rs
@@ -6,12 +6,17 @@
 use rand::Rng;
 
 use super::pattern::Change;
+use super::wires::Wires;
 use super::world::{BOOT, Event, LISTED, PROBE, REPORT, REPORT_AGAIN, World};
 use crate::hold::Report;
 
 /// How long a balancer that stops as planned forwards on, as the product does.
 const LINGER: Duration = Duration::from_millis(1_500);
 
+/// From an agent's order to stop to its end: its target finishes what it works
+/// on.
+const FINISH: Duration = Duration::from_millis(200);
+
 /// From the end of a planned stop to the next start.
 const RESTART: Duration = Duration::from_millis(300);
 
@@ -25,6 +30,9 @@
             Event::Probe => self.probe(),
             Event::Read(n, boot) => self.read(n, boot),
             Event::Stopped(n, boot) => self.stopped(n, boot),
+            Event::AgentStops(n) => self.agent_stops(n),
+            Event::AgentEnds(n, boot) => self.agent_ends(n, boot),
+            Event::Leaves(n) => self.leaves(n),
             Event::StartBalancer(n) => self.start_balancer(n),
             Event::StartAgent(n) => self.start_agent(n),
             Event::StartTarget(n) => self.start_target(n),
@@ -88,6 +96,9 @@
     }
 
     fn start_agent(&mut self, n: usize) {
+        if self.agents[n].left {
+            return;
+        }
         let service = self.agents[n].service;
         // The store tells for which start of the target the last process took
         // flows.
@@ -102,6 +113,9 @@
     }
 
     fn start_target(&mut self, n: usize) {
+        if self.agents[n].left {
+            return;
+        }
         let target = &mut self.agents[n].target;
         target.start(self.now);
         let boot = target.boot;
@@ -144,6 +158,18 @@
                     self.calendar.put(self.now + BOOT, Event::Read(n, 1));
                 }
             }
+            Change::RollAgents(gap) => {
+                for n in 0..self.agents.len() {
+                    // Some dozens of agents.
+                    self.calendar.put(self.now + gap * n as u32, Event::AgentStops(n));
+                }
+            }
+            Change::Leave(part, gap) => {
+                for n in 0..Self::some(part, self.agents.len()) {
+                    // Some dozens of agents.
+                    self.calendar.put(self.now + gap * n as u32, Event::Leaves(n));
+                }
+            }
             Change::Crash(part, _) => {
                 for n in 0..Self::some(part, self.agents.len()) {
                     self.agents[n].target.crash();
@@ -214,4 +240,42 @@
             self.calendar.put(self.now + RESTART, Event::StartBalancer(n));
         }
     }
+
+    /// A planned stop of an agent.
+    fn agent_stops(&mut self, n: usize) {
+        let a = &mut self.agents[n];
+        if !a.host.up {
+            return;
+        }
+        a.holder.stop();
+        let boot = a.host.boot;
+        self.calendar.put(self.now + FINISH, Event::AgentEnds(n, boot));
+    }
+
+    fn agent_ends(&mut self, n: usize, boot: u64) {
+        let a = &mut self.agents[n];
+        if a.host.boot != boot {
+            return;
+        }
+        a.host.stop();
+        self.calendar.put(self.now + RESTART, Event::StartAgent(n));
+    }
+
+    /// A target says goodbye and ends, its agent takes its entry out of the store,
+    /// and the VM goes.
+    fn leaves(&mut self, n: usize) {
+        let mut out = Wires::default();
+        let a = &mut self.agents[n];
+        a.left = true;
+        a.target.crash();
+        a.holder.crashed(&mut out);
+        for sent in out.0 {
+            self.agent_sends(n, sent, self.now);
+        }
+        self.agents[n].host.stop();
+        for b in 0..self.balancers.len() {
+            let boot = self.balancers[b].host.boot;
+            self.calendar.put(self.now + LISTED, Event::Read(b, boot));
+        }
+    }
 }
--- a/src/model/world.rs
+++ b/src/model/world.rs
@@ -81,6 +81,11 @@
     Read(usize, u64),
     /// A balancer that stops as planned has lingered.
     Stopped(usize, u64),
+    /// An agent is told to stop, and its process ends.
+    AgentStops(usize),
+    AgentEnds(usize, u64),
+    /// A target ends for good with its VM.
+    Leaves(usize),
     /// A process starts again.
     StartBalancer(usize),
     StartAgent(usize),
@@ -127,6 +132,8 @@
     /// The target's start that its entry in the store names.
     pub(super) listed: u64,
     pub(super) probing: bool,
+    /// It is gone for good, with its VM.
+    pub(super) left: bool,
 }
 
 impl Agent {
--- a/tests/model.rs
+++ b/tests/model.rs
@@ -96,6 +96,18 @@
     }
 }
 
+/// Targets that leave one after the other while every process starts anew: flows
+/// are found again within 2 s of the restart, not when the last target has left.
+#[test]
+fn leaving_holds_nothing_up() {
+    let p = named("leave_dense");
+    for seed in 1..=2 {
+        let t = run(&p, seed);
+        let back = t.between(6_500 * MS, p.site.length);
+        assert!(back >= 0.95, "seed {seed}: {back}");
+    }
+}
+
 /// Twice the load that the targets bear, then the usual: the queue of those that
 /// came too much does not outlive them.
 #[test]
--- a/tests/search.rs
+++ b/tests/search.rs
@@ -189,3 +189,59 @@
     let hint = Sent::Hint { flow: flow(1), agent: taker };
     assert_eq!(w.peers, [(home, hint, vec![])], "offered {offer:?}");
 }
+
+/// What an agent says that has not heard of flow 1.
+fn unsure(s: &mut Steer, n: u8, now: Instant) -> Wires {
+    answer(s, agent(n), 1, Word::Unsure, None, now)
+}
+
+/// Seen: while targets left one a second and all processes had been restarted,
+/// no flow was found again for as long as that went on (a quarter of the
+/// requests failed for 12 s). Each search ended at an agent that was silent for
+/// less than 1.2 s, the flow's own for all that was known; in a service of 60
+/// there was always one. What proved it: of 6,000 searches that ended so, 98 of
+/// 100 had tried no target, with 50 and more agents unsure.
+///
+/// An agent that took its entry out of the store has left with its target, and
+/// holds up nothing. One that is still listed may be restarting.
+#[test]
+fn left_not_waited_for() {
+    let now = Instant::now();
+    for left in [true, false] {
+        let mut s = steer(6, now);
+        s.roster.missed(agent(6), now + 50 * MS);
+        if left {
+            let listed: Vec<_> = (1..=5).map(announced).collect();
+            s.roster.update(&listed, now + 60 * MS);
+        }
+        let at = now + 100 * MS;
+        packet(&mut s, 1, at);
+        tick(&mut s, at);
+        let early: usize = (1..=5).map(|n| unsure(&mut s, n, at).carried(Mode::Try).len()).sum();
+        assert_eq!(early, 0, "agent 6 may answer yet");
+        let tried = tick(&mut s, at + 41 * MS).carried(Mode::Try);
+        assert_eq!(tried.len(), if left { 2 } else { 0 }, "left {left}");
+        if left {
+            let foreign = |s: &mut Steer, a| answer(s, a, 1, Word::Foreign, None, at + 50 * MS);
+            assert!(foreign(&mut s, tried[0]).carried(Mode::Try).is_empty());
+            let rest = foreign(&mut s, tried[1]).carried(Mode::Try);
+            assert_eq!(rest.len(), 3, "the flow's own is among them");
+        }
+    }
+}
+
+/// A store that does not answer takes no entry out: nobody is known to have left.
+#[test]
+fn unseen_may_live() {
+    let now = Instant::now();
+    let mut s = steer(6, now);
+    s.roster.missed(agent(6), now + 50 * MS);
+    let listed: Vec<_> = (1..=5).map(announced).collect();
+    s.roster.update(&listed, now + 60 * MS);
+    s.see(false, now + 70 * MS);
+    let at = now + 100 * MS;
+    packet(&mut s, 1, at);
+    tick(&mut s, at);
+    (1..=5).for_each(|n| assert!(unsure(&mut s, n, at).carried(Mode::Try).is_empty()));
+    assert!(tick(&mut s, at + 41 * MS).carried(Mode::Try).is_empty());
+}
