An agent that stops as planned hands over which flows it holds

Hypothesis: where agents and balancers are rolled out in turn, a flow that both have forgotten is found by trials alone, and these wait for agents that restart, of which there is always one in a service of 50.

Change: before its process ends an agent tells the other candidate of each flow's offer who holds it, and owners that only it knew that they hold theirs (one small datagram a flow, the message that balancers send a flow's home). A balancer has an agent that is named and no longer certain try its target at once, alone, as one of the two trials there are.

Ruled out: giving trials up the wait for any silent agent (steer.rs restart_waited_for: two trials would be spent on others while the flow's own restarts, and a third one later breaks a rule); the flows in the agent's entry in the store (every balancer would be sent them).

--- a/src/edge/sidecar.rs
+++ b/src/edge/sidecar.rs
@@ -146,6 +146,10 @@
         () = idle(&holder) => {}
         () = tokio::time::sleep(settings.grace().mul_f64(STOP_PART)) => {}
     }
+    if !ended {
+        let mut buf = Vec::with_capacity(bus::DATAGRAM);
+        holder.borrow().hand_over(settings.bus(), &mut Sender { wires: &wires, buf: &mut buf });
+    }
     desk.stop().await;
     super::finish(inspect, ready).await;
     Ok(())
--- a/src/hold/held.rs
+++ b/src/hold/held.rs
@@ -41,6 +41,8 @@
     pub caller_ack: u32,
     /// The balancer that wants to know what becomes of it.
     pub reply: Option<SocketAddrV4>,
+    /// The other agent that its open was offered to.
+    pub other: Option<SocketAddrV4>,
     /// The target answered on it, so it held the flow.
     pub ours: bool,
     /// End of the caller's data that has come so far.
@@ -62,6 +64,7 @@
             caller_seq: seq,
             caller_ack: 0,
             reply: None,
+            other: None,
             ours: false,
             caller_end: None,
             waiting: None,
--- a/src/hold/life.rs
+++ b/src/hold/life.rs
@@ -1,8 +1,10 @@
 //! The target's life, seen from the agent, and what comes due.
 
+use std::net::SocketAddrV4;
 use std::time::{Duration, Instant};
 
 use super::{Held, Holder, Ignored, Out, Queue, Report, Stage, Start, Target, reset};
+use crate::bus::Message;
 use crate::flow::Flow;
 use crate::{events, metrics};
 
@@ -72,6 +74,29 @@
         false
     }
 
+    /// Before the process ends as planned: tells another agent that this one, at
+    /// `me`, holds its flows, and the owners named by its own hints that they
+    /// hold theirs. The next process here knows no flow; where balancers have
+    /// forgotten it too, who is named has its target tried first. One small
+    /// datagram a flow.
+    ///
+    /// Without it, agents and balancers rolled out in turn lose the requests of
+    /// the flows that both have forgotten: a tenth of all on the model.
+    pub fn hand_over(&self, me: SocketAddrV4, out: &mut impl Out) {
+        if !self.policy.hints || self.absent {
+            return;
+        }
+        let open = self.flows.iter().filter(|(_, h)| h.stage == Stage::Open);
+        let own = open.filter_map(|(f, h)| Some((h.other.or(self.peer)?, f, me)));
+        let named = self.hints.iter().filter(|(_, owner)| **owner != me);
+        let mut all: Vec<_> = own.chain(named.map(|(f, owner)| (*owner, f, *owner))).collect();
+        // In one order, so that one seed of the model gives one run.
+        all.sort_unstable();
+        for (to, flow, agent) in all {
+            out.peer(to, &Message::Hint { flow, agent }, &[]);
+        }
+    }
+
     /// The target's process is over: its flows are gone, and their callers
     /// are told so that they can come again at once.
     pub(super) fn drop_flows(&mut self, out: &mut impl Out) {
--- a/src/hold/mod.rs
+++ b/src/hold/mod.rs
@@ -61,6 +61,8 @@
     /// Agents to which opens were passed on, and those that balancers named:
     /// what the agent says when asked for a flow whose home it is.
     hints: Table<SocketAddrV4>,
+    /// An agent of the service, the last that shared an offer with this one.
+    peer: Option<SocketAddrV4>,
     /// Flows whose target has work to do.
     waiting: u32,
     demand: Demand,
@@ -103,6 +105,7 @@
             flows: Table::new(idle),
             policy: Holding::default(),
             hints: Table::new(idle),
+            peer: None,
             waiting: 0,
             demand: Demand::default(),
             full_until: None,
--- a/src/hold/opens.rs
+++ b/src/hold/opens.rs
@@ -99,7 +99,9 @@
         self.hints.remove(flow);
         let stage =
             Stage::Opening { offer: open.offer, max_flows: open.max_flows, aged: open.aged };
-        let held = Held { reply: Some(open.reply), ..Held::new(stage, came.seg.seq) };
+        let other = open.offer.other();
+        self.peer = other.or(self.peer);
+        let held = Held { reply: Some(open.reply), other, ..Held::new(stage, came.seg.seq) };
         self.flows.insert(flow, held, now);
         self.wait(flow, true, now);
         self.opens.push_back((now + self.policy.open_wait, flow));
--- a/src/model/trouble.rs
+++ b/src/model/trouble.rs
@@ -7,7 +7,7 @@
 
 use super::pattern::Change;
 use super::wires::Wires;
-use super::world::{BOOT, Event, LISTED, PROBE, REPORT, REPORT_AGAIN, World};
+use super::world::{BOOT, Event, LISTED, PROBE, REPORT, REPORT_AGAIN, World, agent_addr};
 use crate::hold::Report;
 
 /// How long a balancer that stops as planned forwards on, as the product does.
@@ -257,7 +257,12 @@
         if a.host.boot != boot {
             return;
         }
-        a.host.stop();
+        let mut out = Wires::default();
+        a.holder.hand_over(agent_addr(n), &mut out);
+        for sent in out.0 {
+            self.agent_sends(n, sent, self.now);
+        }
+        self.agents[n].host.stop();
         self.calendar.put(self.now + RESTART, Event::StartAgent(n));
     }
 
--- a/src/steer/search.rs
+++ b/src/steer/search.rs
@@ -44,6 +44,10 @@
     pub unsure: Vec<SocketAddrV4>,
     /// Agents whose targets were tried, by this balancer or another.
     pub tried: Vec<SocketAddrV4>,
+    /// The agent that was named as the flow's owner.
+    named: Option<SocketAddrV4>,
+    /// The named one, while its target is tried.
+    trial: Option<SocketAddrV4>,
     /// Questions and answers of the round.
     messages: u32,
 }
@@ -171,6 +175,7 @@
         search.waiting.clear();
         search.silent.clear();
         search.unsure.clear();
+        search.trial = None;
         search.wave = 0;
         search.messages = 0;
         metrics::retried(Retry::OwnerAsked);
@@ -211,6 +216,7 @@
     ) {
         let Some(Known::Search(s)) = self.flows.get(answer.flow, now) else { return };
         s.messages += 1;
+        s.named = answer.hint.or(s.named);
         if let Some(since) = s.since.filter(|_| s.waiting.contains(&from)) {
             self.rtt.note(now.duration_since(since));
         }
@@ -246,7 +252,9 @@
             }
             Some(Known::Search(s)) => {
                 s.answered(from, word);
-                if s.waiting.is_empty() {
+                let done = s.waiting.is_empty();
+                self.try_named(flow, out);
+                if done {
                     self.go_on(flow, now, out);
                 }
             }
@@ -361,6 +369,23 @@
         }
     }
 
+    /// The agent that is named as the flow's owner may have forgotten it: has it
+    /// try its target at once, without waiting for what others say.
+    fn try_named(&mut self, flow: Flow, out: &mut impl Out) {
+        let most = self.policy.trials;
+        let Some(Known::Search(s)) = self.flows.peek_mut(flow) else { return };
+        let fresh = |a: &SocketAddrV4| s.unsure.contains(a) && !s.tried.contains(a);
+        let Some(named) = s.named.filter(fresh) else { return };
+        if s.tried.len() >= most {
+            return;
+        }
+        let Some(packet) = s.packets.back() else { return };
+        let message = Message::Carry { service: &s.service, mode: Mode::Try };
+        out.agent(named, &message, packet);
+        s.tried.push(named);
+        s.trial = Some(named);
+    }
+
     /// No agent knew the flow: has agents that may have forgotten it try their
     /// targets, first those to which the open was most likely offered. Once these
     /// gave it back, all others at once, if the flow's own must be among them:
@@ -369,6 +394,9 @@
     fn try_unsure(&mut self, flow: Flow, now: Instant, out: &mut impl Out) {
         let policy::Steering { trials, .. } = self.policy;
         let Some(Known::Search(s)) = self.flows.peek(flow) else { return };
+        if s.trial.is_some_and(|a| s.unsure.contains(&a)) {
+            return;
+        }
         let every = s.all_asked() && s.silent.iter().all(|a| self.roster.left(*a));
         let certain = every && self.certain(now);
         let Some(Known::Search(s)) = self.flows.get(flow, now) else { return };
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -76,6 +76,12 @@
             Stage::Take | Stage::Ask | Stage::Last => self.first,
         }
     }
+
+    /// The candidate that is not to decide next.
+    #[must_use]
+    pub fn other(&self) -> Option<SocketAddrV4> {
+        if self.to() == self.first { self.second } else { Some(self.first) }
+    }
 }
 
 /// How far an offer has come.
--- a/tests/model.rs
+++ b/tests/model.rs
@@ -109,6 +109,17 @@
     }
 }
 
+/// Agents and balancers that are stopped and started in turn, as when a release
+/// of this program is rolled out: callers hardly notice.
+#[test]
+fn rolled_agents_known() {
+    let p = named("roll_agents_dense");
+    for seed in 1..=2 {
+        let t = run(&p, seed);
+        assert!(t.part() >= 0.98, "seed {seed}: {}", t.part());
+    }
+}
+
 /// Twice the load that the targets bear, then the usual: the queue of those that
 /// came too much does not outlive them.
 #[test]
--- a/tests/search.rs
+++ b/tests/search.rs
@@ -230,6 +230,38 @@
     }
 }
 
+/// An agent that another one names as the flow's owner has restarted and no longer
+/// knows it: its target is tried at once, and nobody else's meanwhile, whoever is
+/// silent.
+#[test]
+fn named_tried_at_once() {
+    let now = Instant::now();
+    for named_itself in [true, false] {
+        let mut s = steer(6, now);
+        s.roster.missed(agent(6), now + 50 * MS);
+        let at = now + 100 * MS;
+        packet(&mut s, 1, at);
+        let owner = tick(&mut s, at).asked()[0];
+        let hint = named_itself.then_some(owner);
+        let mut tried = answer(&mut s, owner, 1, Word::Unsure, hint, at).carried(Mode::Try);
+        if !named_itself {
+            assert!(tried.is_empty());
+            let next = (1..=5).map(agent).find(|a| *a != owner).unwrap();
+            let w = answer(&mut s, next, 1, Word::Unknown, Some(owner), at);
+            tried = w.carried(Mode::Try);
+        }
+        assert_eq!(tried, [owner]);
+        let mut more = Vec::new();
+        for a in (1..=5).map(agent).filter(|a| *a != owner) {
+            more.extend(answer(&mut s, a, 1, Word::Unsure, None, at).carried(Mode::Try));
+        }
+        more.extend(tick(&mut s, at + 41 * MS).carried(Mode::Try));
+        assert!(more.is_empty(), "{more:?}");
+        let w = answer(&mut s, owner, 1, Word::Held, None, at + 42 * MS);
+        assert!(w.carried(Mode::Try).is_empty());
+    }
+}
+
 /// A store that does not answer takes no entry out: nobody is known to have left.
 #[test]
 fn unseen_may_live() {
