Metrics: bytes by purpose, refused sends, reads that leave a backlog

Four totals now say so: message_bytes and carried_bytes against the link, sends_refused, read_backlogs.

--- a/src/edge/inspect.rs
+++ b/src/edge/inspect.rs
@@ -35,6 +35,7 @@
     Server::start(addr, move |asked| match asked.path.as_str() {
         "/metrics" => {
             process.borrow().gauge();
+            metrics::load::publish();
             Answer { status: StatusCode::OK, kind: "text/plain", body: metrics::text() }
         }
         "/beliefs" => match flow(&asked.query) {
--- a/src/edge/socket.rs
+++ b/src/edge/socket.rs
@@ -1,6 +1,7 @@
 //! A UDP socket that is read in batches and never makes the process wait to
 //! send.
 
+use std::io::ErrorKind;
 use std::net::{SocketAddr, SocketAddrV4};
 
 use anyhow::Context;
@@ -8,6 +9,7 @@
 
 use crate::bus::{self, Message};
 use crate::events;
+use crate::metrics::load;
 
 /// Most datagrams read at one wake-up, so that timers and the other socket
 /// get their turn.
@@ -41,20 +43,29 @@
             match self.sock.try_recv_from(buf) {
                 Ok((n, SocketAddr::V4(from))) => take(&mut buf[..n], from),
                 Ok(_) => {}
-                Err(e) if e.kind() == std::io::ErrorKind::WouldBlock => return true,
+                Err(e) if e.kind() == ErrorKind::WouldBlock => return true,
                 Err(e) => {
                     // A peer's closed port is reported on the next call.
                     log::debug!(event = events::DATAGRAM_FAILED, error:% = e; "receiving failed");
                 }
             }
         }
+        load::backlog();
         false
     }
 
-    /// Sends one datagram; one that the socket cannot take now is lost, as
+    /// Sends a packet of a flow; one that the socket cannot take now is lost, as
     /// datagrams may be, and is sent again by the flow's ends.
     pub fn send(&self, to: SocketAddrV4, bytes: &[u8]) {
+        load::carried(bytes.len());
+        self.put(to, bytes);
+    }
+
+    fn put(&self, to: SocketAddrV4, bytes: &[u8]) {
         if let Err(e) = self.sock.try_send_to(bytes, to.into()) {
+            if e.kind() == ErrorKind::WouldBlock {
+                load::refused();
+            }
             log::debug!(event = events::DATAGRAM_FAILED, to:% = to, error:% = e; "sending failed");
         }
     }
@@ -68,7 +79,14 @@
         buf: &mut Vec<u8>,
     ) {
         match bus::encode(message, packet, buf) {
-            Ok(()) => self.send(to, buf),
+            Ok(()) => {
+                if message.carries() {
+                    load::carried(buf.len());
+                } else {
+                    load::message(buf.len());
+                }
+                self.put(to, buf);
+            }
             Err(e) => {
                 log::warn!(event = events::DATAGRAM_FAILED, to:% = to, error:% = e; "not encoded")
             }
--- a/src/metrics/mod.rs
+++ b/src/metrics/mod.rs
@@ -6,6 +6,8 @@
 //! platform's roles also serve them as text ([`text`]), with histograms and
 //! gauges, in the format that Prometheus reads.
 
+pub mod load;
+
 use std::sync::{Arc, OnceLock, Weak};
 use std::time::Duration;
 
--- a/src/model/wires.rs
+++ b/src/model/wires.rs
@@ -3,7 +3,7 @@
 
 use std::net::SocketAddrV4;
 
-use crate::bus::{self, Message, Mode};
+use crate::bus::{self, Message};
 use crate::flow::Flow;
 use crate::platform::packet;
 use crate::{hold, steer};
@@ -35,7 +35,7 @@
 impl Wires {
     fn message(&mut self, to: SocketAddrV4, message: &Message<'_>, packet: &[u8]) {
         let mut bytes = Vec::new();
-        let carries = matches!(message, Message::Carry { mode: Mode::Owner, .. });
+        let carries = message.carries();
         match bus::encode(message, packet, &mut bytes) {
             Ok(()) => self.0.push(Sent::Peer { to, bytes, carries }),
             Err(e) => log::error!(to:% = to, error:% = e; "message not encoded"),
--- a/tests/whole.rs
+++ b/tests/whole.rs
@@ -37,6 +37,12 @@
     String::from_utf8(res.body().await.unwrap().to_vec()).unwrap()
 }
 
+/// The value of one fact in a process's metrics.
+fn total(text: &str, fact: &str) -> f64 {
+    let line = text.lines().find(|l| l.contains(&format!("fact=\"{fact}\""))).unwrap();
+    line.rsplit(' ').next().unwrap().parse().unwrap()
+}
+
 #[ntex::test]
 async fn calm_run() {
     let plan = Plan { base: 26_000, secs: 3, ..Plan::default() };
@@ -50,7 +56,10 @@
             let text = get(format!("http://{sidecar}/metrics")).await;
             assert!(text.contains("jujubepost_answer_time_seconds_bucket"), "{text}");
             let text = get(format!("http://{entry}/metrics")).await;
-            assert!(text.contains("fact=\"config_version\""), "{text}");
+            for fact in ["config_version", "message_bytes", "sends_refused", "read_backlogs"] {
+                assert!(text.contains(&format!("fact=\"{fact}\"")), "{fact}: {text}");
+            }
+            assert!(total(&text, "carried_bytes") > total(&text, "message_bytes"), "{text}");
             let flow = "100.64.0.7:1000%3E198.18.0.1:443";
             let told = get(format!("http://{entry}/beliefs?flow={flow}")).await;
             let told: serde_json::Value = serde_json::from_str(&told).unwrap();
