--- a/src/bus/mod.rs
+++ b/src/bus/mod.rs
@@ -37,7 +37,8 @@
         /// Its load, as [`crate::agent::place::load`].
         load: u32,
     },
-    /// A balancer tells a flow's home which agent's target holds it.
+    /// Which agent's target holds a flow: a balancer tells the flow's home, and an
+    /// agent that stops tells another one, or the agent itself.
     Hint {
         /// The flow.
         flow: Flow,
--- a/src/hold/mod.rs
+++ b/src/hold/mod.rs
@@ -58,8 +58,8 @@
     before: Option<Predecessor>,
     flows: Table<Held>,
     policy: Holding,
-    /// Agents to which opens were passed on, and those that balancers named:
-    /// what the agent says when asked for a flow whose home it is.
+    /// Agents to which opens were passed on, and those that balancers or stopping
+    /// agents named, this one among them: what it says when asked for the flow.
     hints: Table<SocketAddrV4>,
     /// An agent of the service, the last that shared an offer with this one.
     peer: Option<SocketAddrV4>,
