--- a/src/steer/search.rs
+++ b/src/steer/search.rs
@@ -319,8 +319,8 @@
     /// Whether trials need not wait for an agent: it has been silent for longer
     /// than a restart takes, or it has left with its target. Without the second,
     /// a release in which one of 60 agents leaves each second held up every
-    /// search: a quarter of all requests failed until it was over, measured after
-    /// a kill of all processes.
+    /// search: a quarter of all requests failed or were late until it was over,
+    /// measured after a kill of all processes.
     fn out_of_reach(&self, agent: SocketAddrV4, now: Instant) -> bool {
         let left = self.sees_since.is_some() && self.roster.left(agent);
         left || self.roster.silent_for(agent, self.policy.restart, now)
