An agent lists itself once its target has reported, not before

Ruled out: removing the entry when the port is found closed (two writes a crash, each read by every balancer, and no help where nobody asked).

unlisted_without_target was red before.

--- a/src/edge/announce.rs
+++ b/src/edge/announce.rs
@@ -18,24 +18,23 @@
 /// tries within the grace of a planned stop.
 const WITHDRAW: Duration = Duration::from_millis(400);
 
-/// How long an agent waits for its target's first report before it lists
-/// itself: a target reports about once a second.
-const UNREPORTED: Duration = Duration::from_millis(2_500);
-
 /// How long an agent waits at its start for what the store knows of it: the
 /// store answers in 4 ms, and the target's callers wait meanwhile.
 const READ: Duration = Duration::from_millis(100);
 
-/// Holds the agent's entry, forever.
+/// Holds the agent's entry, forever, from its target's first report on. An agent
+/// without a target has nothing to take flows for, and holds none: listed, and
+/// gone again without a word, it would hold up the searches of its service.
 pub(super) async fn announce(
     store: platform::kv::Client,
     key: String,
     mut values: watch::Receiver<Vec<u8>>,
     check: Rc<Notify>,
 ) {
-    // One write with the target's start instead of two: each is an event at
-    // every balancer.
-    let _ = tokio::time::timeout(UNREPORTED, values.changed()).await;
+    if values.changed().await.is_err() {
+        log::error!(event = events::EDGE_STORE, key = key; "entry has no writer");
+        return;
+    }
     lease::hold(&store, &key, values, LEASE_MS, &check).await;
 }
 
--- a/src/edge/sidecar.rs
+++ b/src/edge/sidecar.rs
@@ -19,7 +19,7 @@
 use super::{AGENTS, Settings, store};
 use crate::bus::{self, Message};
 use crate::flow::Flow;
-use crate::hold::{self, Holder};
+use crate::hold::{self, Holder, Target};
 use crate::listen::{Answer, Asked, Server};
 use crate::platform::{packet, report};
 use crate::steer::Announced;
@@ -376,7 +376,8 @@
         if heard.any {
             heard_at = now;
         }
-        if heard.unlisted && relisted.is_none_or(|at| now.duration_since(at) >= RELIST) {
+        let serves = holder.target().is_some_and(Target::alive);
+        if heard.unlisted && serves && relisted.is_none_or(|at| now.duration_since(at) >= RELIST) {
             relisted = Some(now);
             log::info!(event = events::EDGE_STORE; "entry missing in the store, written again");
             entry.value.send_modify(|_| {});
--- a/tests/whole.rs
+++ b/tests/whole.rs
@@ -209,14 +209,8 @@
     end("taken", t).await;
 }
 
-/// An agent whose target has left removes its entry, also when the store is
-/// away at that moment: an entry left to its lease of minutes has every
-/// balancer that starts wait for an agent that is gone.
-#[ntex::test]
-async fn entry_removed_late() {
-    let plan = Plan { base: 28_600, targets: 2, ..Plan::default() };
-    let mut t = start("removed", plan).await;
-    let client = store(&t).await;
+/// Has the second target of the first service leave; its agent runs on.
+async fn drained(t: &Trial) {
     t.drain("meter-1");
     let agent = t.inspect(false, 0, 1);
     let since = Instant::now();
@@ -224,11 +218,22 @@
         let told = get(format!("http://{agent}/beliefs")).await;
         let told: serde_json::Value = serde_json::from_str(&told).unwrap();
         if told["target"]["alive"] == false {
-            break;
+            return;
         }
         assert!(since.elapsed() < Duration::from_secs(15), "{told}");
         tokio::time::sleep(100 * MS).await;
     }
+}
+
+/// An agent whose target has left removes its entry, also when the store is
+/// away at that moment: an entry left to its lease of minutes has every
+/// balancer that starts wait for an agent that is gone.
+#[ntex::test]
+async fn entry_removed_late() {
+    let plan = Plan { base: 28_600, targets: 2, ..Plan::default() };
+    let mut t = start("removed", plan).await;
+    let client = store(&t).await;
+    drained(&t).await;
     fault(&t, &Faults { outage: true, ..Faults::default() }).await;
     let at = t.store();
     let back = async {
@@ -242,6 +247,33 @@
     end("removed", t).await;
 }
 
+/// An agent that starts without a target, on a VM that was about to go when it lost
+/// power, lists itself nowhere: gone again without a word, it would hold up the
+/// searches of its service, and stay listed for minutes.
+#[ntex::test]
+async fn unlisted_without_target() {
+    let plan = Plan { base: 28_700, targets: 2, ..Plan::default() };
+    let mut t = start("unlisted", plan).await;
+    let client = store(&t).await;
+    drained(&t).await;
+    t.kill("sidecar-0-1");
+    let (_, agents) = client.list("jujubepost/agents/").await.unwrap();
+    for kv in &agents {
+        client.delete(&kv.key).await.unwrap();
+    }
+    t.launch("sidecar-0-1").unwrap();
+    let since = Instant::now();
+    let mut listed = Vec::new();
+    while since.elapsed() < 5_000 * MS {
+        tokio::time::sleep(200 * MS).await;
+        let (_, agents) = client.list("jujubepost/agents/").await.unwrap();
+        listed = agents.iter().map(|kv| kv.key.to_string()).collect();
+        assert!(listed.len() <= 3, "{listed:?}");
+    }
+    assert_eq!(listed.len(), 3, "the others list themselves again: {listed:?}");
+    end("unlisted", t).await;
+}
+
 /// A store that takes connections and answers nothing must not keep a process
 /// from finding it again once it answers.
 #[ntex::test]
