Questions to agents in doubt have a budget and take turns

Cause (found by reading, at the two-year size): each agent whose entry is gone or that is silent was asked each 0.3 s by each balancer, whatever their number. A store that lets all leases lapse makes a balancer send 77,000 datagrams a second to 23,000 agents, on a tenth of a core: work that grows with trouble and with the fleet.

Changed: at most doubt.pings (500) questions a second, less on narrow links and small cores (a quarter of the rate of questions for owners), those that have waited longest first. The 3 s after which an agent that is not listed and does not answer is dropped begin with its turn, so that a late turn drops nobody who lives.

--- a/src/policy/steering.rs
+++ b/src/policy/steering.rs
@@ -143,6 +143,9 @@
     pub fn fit(mut self, mbps: f64, cpu: f64) -> Self {
         let link = mbps * 125_000.0 * LINK_PART / QUESTION;
         self.asks = self.asks.min(link).min(CORE_ASKS * cpu);
+        // Positive and far below the type's limit.
+        let pings = (self.asks * PING_PART).max(1.0) as u32;
+        self.doubt.pings = self.doubt.pings.min(pings);
         self
     }
 
@@ -177,6 +180,9 @@
                 bail!("field `policy.steer.{field}`: must be at least 1");
             }
         }
+        if self.doubt.pings == 0 {
+            bail!("field `policy.steer.doubt.pings`: must be at least 1");
+        }
         if self.waves.contains(&0) {
             bail!("field `policy.steer.waves`: each must be at least 1");
         }
@@ -184,14 +190,21 @@
     }
 }
 
+/// Part of the questions' rate that questions to agents in doubt may take.
+const PING_PART: f64 = 0.25;
+
 /// When a balancer doubts an agent.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Doubt {
     /// Pause between two questions to an agent that is not listed or did not
-    /// answer. At 100 such agents a balancer sends 300 small datagrams a second.
+    /// answer.
     #[serde(with = "millis")]
     pub ping: Duration,
+    /// Questions a second to all such agents at most. Where more are due (a data
+    /// centre is dark, the store let all leases lapse), they take turns: without a
+    /// bound, 23,000 agents would be asked 77,000 times a second by each balancer.
+    pub pings: u32,
     /// How long an agent that the store does not list is kept without an answer:
     /// one that lives is listed again about 2 s after the store is back, and one
     /// whose process was killed stays listed, as its lease lasts longer.
@@ -216,6 +229,7 @@
     fn default() -> Self {
         Self {
             ping: Duration::from_millis(300),
+            pings: 500,
             keep: Duration::from_secs(3),
             gone: Duration::from_secs(4),
             unable: Duration::from_millis(500),
--- a/src/steer/roster.rs
+++ b/src/steer/roster.rs
@@ -15,6 +15,7 @@
 
 use super::Out;
 use crate::agent::place::UNABLE;
+use crate::budget::Bucket;
 use crate::bus::{Message, Word};
 use crate::flow::Flow;
 use crate::hold::Start;
@@ -50,7 +51,12 @@
     heard: Instant,
     /// It did not answer, since when.
     silent: Option<Instant>,
+    /// When it was last asked whether it is there.
     pinged: Option<Instant>,
+    /// Whether it was asked since it last said anything and since its entry went.
+    asked: bool,
+    /// Until when its turn to be asked had not come.
+    deferred: Option<Instant>,
 }
 
 impl Agent {
@@ -59,7 +65,16 @@
     }
 
     fn kept(&self, keep: Duration, now: Instant) -> bool {
-        self.unlisted.is_none_or(|at| now.duration_since(at.max(self.heard)) < keep)
+        let since = |at: Instant| at.max(self.heard).max(self.deferred.unwrap_or(at));
+        self.unlisted.is_none_or(|at| now.duration_since(since(at)) < keep)
+    }
+
+    /// Its turn to be asked has not come before `now`: the time that it has to
+    /// answer begins then, unless it was asked before.
+    fn defer(&mut self, now: Instant) {
+        if !self.asked {
+            self.deferred = Some(now);
+        }
     }
 
     /// Whether it answers and did not say within `unable` that it can take
@@ -70,8 +85,12 @@
     }
 }
 
+/// Least pause between two looks for agents to ask while the budget is spent: each
+/// goes through all agents.
+const TURN: Duration = Duration::from_millis(50);
+
 /// The agents by address and by service.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Roster {
     doubt: Doubt,
     /// In the order of their addresses, so that questions go out in one order.
@@ -79,13 +98,29 @@
     services: HashMap<Arc<str>, Vec<SocketAddrV4>>,
     /// When the next question is due; none while no agent is in doubt.
     due: Option<Instant>,
+    /// Questions to agents in doubt that may be asked.
+    pings: Bucket,
+}
+
+impl Default for Roster {
+    fn default() -> Self {
+        Self::new(Doubt::default())
+    }
 }
 
 impl Roster {
     /// No agents yet; they are doubted as `doubt` says.
     #[must_use]
     pub fn new(doubt: Doubt) -> Self {
-        Self { doubt, ..Self::default() }
+        // What comes in between two looks must not be lost.
+        let burst = f64::from(doubt.pings) * 2.0 * TURN.as_secs_f64();
+        Self {
+            doubt,
+            agents: BTreeMap::new(),
+            services: HashMap::new(),
+            due: None,
+            pings: Bucket::new(burst.max(1.0)),
+        }
     }
 
     /// Agents believed in.
@@ -108,6 +143,7 @@
         for (addr, a) in &mut self.agents {
             if a.unlisted.is_none() && !listed.contains(addr) {
                 a.unlisted = Some(now);
+                a.asked = false;
                 changed = true;
             }
         }
@@ -150,6 +186,8 @@
             heard: now,
             silent: None,
             pinged: None,
+            asked: false,
+            deferred: None,
         };
         self.agents.insert(a.addr, agent);
         self.services.entry(a.service.clone()).or_default().push(a.addr);
@@ -244,6 +282,7 @@
             a.load = load;
             a.heard = now;
             a.silent = None;
+            a.asked = false;
             // Only with a target can it take flows.
             a.ended &= load == UNABLE;
         }
@@ -340,8 +379,9 @@
         self.due
     }
 
-    /// Asks the agents that are in doubt and drops those that the store does
-    /// not list and that have not answered for three seconds.
+    /// Asks the agents that are in doubt, those that have waited longest first, as
+    /// far as the budget goes, and drops those that the store does not list and
+    /// that had their turn and have not answered in time.
     pub fn ping(&mut self, now: Instant, out: &mut impl Out) {
         if self.due.is_none_or(|at| at > now) {
             return;
@@ -355,14 +395,29 @@
         for addr in dropped {
             self.remove(addr);
         }
-        for (addr, a) in self.agents.iter_mut().filter(|(_, a)| a.doubtful()) {
-            if a.pinged.is_none_or(|at| now.duration_since(at) >= self.doubt.ping) {
-                a.pinged = Some(now);
-                out.agent(*addr, &Message::Ping { listed: a.unlisted.is_none() }, &[]);
+        self.pings.fill(self.doubt.pings.into(), now);
+        let pause = self.doubt.ping;
+        let due = |a: &Agent| a.pinged.is_none_or(|at| now.duration_since(at) >= pause);
+        let mut waiting: Vec<_> =
+            self.agents.iter_mut().filter(|(_, a)| a.doubtful() && due(a)).collect();
+        waiting.sort_by_key(|(_, a)| a.pinged);
+        let mut spent = false;
+        for (addr, a) in waiting {
+            if spent || !self.pings.take() {
+                spent = true;
+                a.defer(now);
+                continue;
+            }
+            if a.deferred.is_some() {
+                a.defer(now);
             }
+            a.pinged = Some(now);
+            a.asked = true;
+            out.agent(*addr, &Message::Ping { listed: a.unlisted.is_none() }, &[]);
         }
         let doubtful = self.agents.values().filter(|a| a.doubtful());
-        self.due = doubtful.filter_map(|a| a.pinged).min().map(|at| at + self.doubt.ping);
+        let next = doubtful.filter_map(|a| a.pinged).min().map(|at| at + pause);
+        self.due = if spent { Some(now + TURN) } else { next };
     }
 }
 
--- /dev/null
+++ b/tests/doubt.rs
@@ -0,0 +1,84 @@
+//! Agents in doubt: how often balancers ask them, whatever their number, and when
+//! they are dropped.
+
+mod common;
+
+use std::collections::HashMap;
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::time::{Duration, Instant};
+
+use common::wires::*;
+use jujubepost::policy::Steering;
+use jujubepost::steer::{Announced, Steer};
+
+const MS: Duration = Duration::from_millis(1);
+
+/// Agents of a fleet, of which each service has ten.
+fn fleet(agents: u16) -> Vec<Announced> {
+    let one = |n: u16| {
+        let [high, low] = n.to_be_bytes();
+        let addr = SocketAddrV4::new(Ipv4Addr::new(10, 1, high, low), 7_720);
+        Announced { addr, service: format!("s{}", n / 10).into(), ..announced(1) }
+    };
+    (0..agents).map(one).collect()
+}
+
+fn pinged(s: &mut Steer, now: Instant) -> Vec<SocketAddrV4> {
+    let mut w = Wires::default();
+    s.tick(now, &mut w);
+    w.peers.into_iter().filter(|(_, m, _)| matches!(m, Sent::Ping { .. })).map(|p| p.0).collect()
+}
+
+/// The store lets the leases of a whole fleet lapse at once: without a bound each
+/// balancer would ask 23,000 agents three times a second. They take turns, within
+/// the rate that its VM bears; none that answers is dropped, however late its turn.
+#[test]
+fn lapse_of_all() {
+    let now = Instant::now();
+    let policy = Steering::default().fit(1_000.0, 0.25);
+    let rate = f64::from(policy.doubt.pings);
+    let mut s = steer_with(0, policy, now);
+    let all = fleet(2_300);
+    s.roster.update(&all, now);
+    s.roster.update(&[], now);
+    let mut asked: HashMap<SocketAddrV4, u32> = HashMap::new();
+    let secs = 10;
+    for ms in (0..secs * 1_000).step_by(10) {
+        let at = now + ms * MS;
+        for addr in pinged(&mut s, at) {
+            *asked.entry(addr).or_default() += 1;
+            s.roster.pong(addr, &format!("s{}", number(addr) / 10), 0, at);
+        }
+    }
+    let sum: u32 = asked.values().sum();
+    assert!(f64::from(sum) <= rate * f64::from(secs) * 1.1, "{sum} pings in {secs} s");
+    assert_eq!(asked.len(), all.len(), "every agent had its turn");
+    assert_eq!(s.roster.len(), all.len(), "all answered");
+}
+
+fn number(addr: SocketAddrV4) -> u16 {
+    let [_, _, high, low] = addr.ip().octets();
+    u16::from_be_bytes([high, low])
+}
+
+/// Of a fleet whose entries are gone, those that do not answer are dropped once they
+/// were asked and had their 3 s, not before their turn has come.
+#[test]
+fn dropped_once_asked() {
+    let now = Instant::now();
+    let mut s = steer_with(0, Steering::default().fit(4.0, 0.12), now);
+    let all = fleet(2_000);
+    s.roster.update(&all, now);
+    s.roster.update(&[], now);
+    let mut first: HashMap<SocketAddrV4, Duration> = HashMap::new();
+    for ms in (0..60_000).step_by(10) {
+        let since = ms * MS;
+        for addr in pinged(&mut s, now + since) {
+            first.entry(addr).or_insert(since);
+        }
+        let left = s.roster.len();
+        let due = first.values().filter(|at| since >= **at + 3_000 * MS).count();
+        assert!(left >= all.len() - due, "{left} left after {since:?}, {due} had their time");
+    }
+    assert_eq!((first.len(), s.roster.len()), (all.len(), 0));
+}
