Bus: new words come last, so that versions understand each other in a roll-out

Numbers are now a test (tests/bus_numbers.rs); that a target has ended is a message of its own beside the pong, which stays as it was.

Ruled out: a version byte (older processes would not read it).

--- a/src/bus/mod.rs
+++ b/src/bus/mod.rs
@@ -1,6 +1,9 @@
 //! What balancers and agents say to each other about flows: one UDP datagram
 //! a message, a `postcard`-encoded [`Message`] followed, where the message
 //! carries one, by a caller's packet as it came.
+//!
+//! Variants are numbered in their order, and processes of two versions talk to
+//! each other while a release is rolled out: new ones come last.
 
 use std::net::SocketAddrV4;
 
@@ -56,9 +59,10 @@
         service: &'a str,
         /// Its load, as [`crate::agent::place::load`].
         load: u32,
-        /// No process of its target runs, as [`Word::Ended`].
-        ended: bool,
     },
+    /// An agent that answered a [`Message::Ping`] says that no process of its target
+    /// runs, as [`Word::Ended`].
+    Ended,
 }
 
 impl Message<'_> {
@@ -150,9 +154,6 @@
     Held,
     /// Its target does not hold the flow.
     Unknown,
-    /// No process of its target runs: it holds no flow, and takes none before the
-    /// store can name the target's next start.
-    Ended,
     /// The agent started after its target and has never seen the flow; the
     /// target may hold it.
     Unsure,
@@ -160,6 +161,9 @@
     Refused(Refusal),
     /// It was tried at the target, which does not hold it.
     Foreign,
+    /// No process of its target runs: it holds no flow, and takes none before the
+    /// store can name the target's next start.
+    Ended,
 }
 
 /// Encodes `message`, followed by `packet`, into `buf`.
--- a/src/hold/mod.rs
+++ b/src/hold/mod.rs
@@ -230,9 +230,11 @@
             (Message::Hint { flow, agent }, _) => self.hints.insert(*flow, *agent, now),
             (Message::Ping { .. }, _) => {
                 let load = self.load(now);
-                self.told_end |= self.absent;
-                let pong = Message::Pong { service: &self.service, load, ended: self.absent };
-                out.peer(from, &pong, &[]);
+                out.peer(from, &Message::Pong { service: &self.service, load }, &[]);
+                if self.absent {
+                    self.told_end = true;
+                    out.peer(from, &Message::Ended, &[]);
+                }
             }
             _ => {}
         }
--- a/src/steer/mod.rs
+++ b/src/steer/mod.rs
@@ -175,12 +175,8 @@
         match message {
             Message::Note(note) => self.note(from, *note, now, out),
             Message::Answers { answers, load } => self.answers(from, answers, *load, now, out),
-            Message::Pong { service, load, ended } => {
-                self.roster.pong(from, service, *load, now);
-                if *ended {
-                    self.roster.said(from, Word::Ended);
-                }
-            }
+            Message::Pong { service, load } => self.roster.pong(from, service, *load, now),
+            Message::Ended => self.roster.said(from, Word::Ended),
             _ => {}
         }
     }
--- /dev/null
+++ b/tests/bus_numbers.rs
@@ -0,0 +1,50 @@
+//! What balancers and agents of two versions say to each other while a release is
+//! rolled out: a word keeps its number, so that none is taken for another one.
+
+mod common;
+
+use common::wires::*;
+use jujubepost::bus::{Message, Note, Word, encode};
+use jujubepost::metrics::Refusal;
+
+fn number(message: &Message<'_>) -> u8 {
+    let mut buf = Vec::new();
+    encode(message, &[], &mut buf).unwrap();
+    buf[0]
+}
+
+#[test]
+fn words_keep_numbers() {
+    let words = [
+        Word::Held,
+        Word::Unknown,
+        Word::Unsure,
+        Word::Refused(Refusal::Full),
+        Word::Foreign,
+        Word::Ended,
+    ];
+    for (n, word) in words.into_iter().enumerate() {
+        let mut buf = Vec::new();
+        let note = Note { flow: flow(1), word, load: 0 };
+        encode(&Message::Note(note), &[], &mut buf).unwrap();
+        let plain = Note { word: Word::Held, ..note };
+        let mut held = Vec::new();
+        encode(&Message::Note(plain), &[], &mut held).unwrap();
+        let at = buf.iter().zip(&held).position(|(a, b)| a != b);
+        assert_eq!(at.map_or(0, |at| buf[at]), n as u8, "{word:?}");
+    }
+}
+
+#[test]
+fn messages_keep_numbers() {
+    let note = Note { flow: flow(1), word: Word::Held, load: 0 };
+    let numbers = [
+        Message::Note(note),
+        Message::Answers { answers: Vec::new(), load: 0 },
+        Message::Hint { flow: flow(1), agent: agent(1) },
+        Message::Ping { listed: true },
+        Message::Pong { service: SERVICE, load: 0 },
+        Message::Ended,
+    ];
+    assert_eq!(numbers.map(|m| number(&m)), [2, 4, 5, 6, 7, 8]);
+}
--- a/tests/common/wires.rs
+++ b/tests/common/wires.rs
@@ -24,7 +24,8 @@
     Answers { answers: Vec<Answer> },
     Hint { flow: Flow, agent: SocketAddrV4 },
     Ping { listed: bool },
-    Pong { load: u32, ended: bool },
+    Pong { load: u32 },
+    Ended,
 }
 
 impl Sent {
@@ -45,7 +46,8 @@
             Message::Answers { ref answers, .. } => Self::Answers { answers: answers.clone() },
             Message::Hint { flow, agent } => Self::Hint { flow, agent },
             Message::Ping { listed } => Self::Ping { listed },
-            Message::Pong { load, ended, .. } => Self::Pong { load, ended },
+            Message::Pong { load, .. } => Self::Pong { load },
+            Message::Ended => Self::Ended,
         }
     }
 
@@ -67,9 +69,8 @@
             Self::Answers { answers } => Message::Answers { answers: answers.clone(), load: 0 },
             Self::Hint { flow, agent } => Message::Hint { flow: *flow, agent: *agent },
             Self::Ping { listed } => Message::Ping { listed: *listed },
-            Self::Pong { load, ended } => {
-                Message::Pong { service: SERVICE, load: *load, ended: *ended }
-            }
+            Self::Pong { load } => Message::Pong { service: SERVICE, load: *load },
+            Self::Ended => Message::Ended,
         }
     }
 }
--- a/tests/hold.rs
+++ b/tests/hold.rs
@@ -377,7 +377,7 @@
     h.target_packet(&answer(1, 5_001, 10), &mut b"answer".to_vec(), now, &mut w, |_| {});
     assert!(h.idle());
     h.message(balancer(), &Message::Ping { listed: true }, None, &[], now, &mut w);
-    assert!(w.peers.contains(&(balancer(), Sent::Pong { load: UNABLE, ended: false }, vec![])));
+    assert!(w.peers.contains(&(balancer(), Sent::Pong { load: UNABLE }, vec![])));
 }
 
 #[test]
@@ -411,6 +411,22 @@
     assert_eq!(asked(&mut h, 2, 5_001, now).words(), [Word::Ended]);
 }
 
+/// A balancer that no longer sees the agent in the store asks once more before its
+/// VM goes, and learns that the target has ended.
+#[test]
+fn end_told_when_asked() {
+    let now = Instant::now();
+    let mut h = holder(now);
+    let ping = |h: &mut Holder| {
+        let mut w = Wires::default();
+        h.message(balancer(), &Message::Ping { listed: false }, None, &[], now, &mut w);
+        w.peers.into_iter().map(|(_, m, _)| m).collect::<Vec<_>>()
+    };
+    assert!(!ping(&mut h).contains(&Sent::Ended));
+    h.crashed(&mut Wires::default());
+    assert_eq!(ping(&mut h), [Sent::Pong { load: UNABLE }, Sent::Ended]);
+}
+
 /// Balancers that were told of a target's end take its agent's silence as the end
 /// of its flows until the store names the next start: that start takes none before
 /// they can have read it. One of whose end nobody was told takes flows at once.
