--- a/src/hold/life.rs
+++ b/src/hold/life.rs
@@ -87,7 +87,7 @@
     /// datagram a flow.
     ///
     /// Without it, agents and balancers rolled out in turn lose the requests of
-    /// the flows that both have forgotten: a tenth of all on the model.
+    /// the flows that both have forgotten.
     pub fn hand_over(&self, me: SocketAddrV4, out: &mut impl Out) {
         if !self.policy.hints || self.absent {
             return;
--- a/src/policy/holding.rs
+++ b/src/policy/holding.rs
@@ -18,7 +18,7 @@
     /// How long an open counts as waiting work before the caller's first packet
     /// after it: a handshake takes some 5 ms. After an outage many of the opens
     /// that are carried have been given up by their callers; counted for longer,
-    /// they made targets look busy that were idle.
+    /// they would make idle targets look busy.
     #[serde(with = "millis")]
     pub open_wait: Duration,
     /// How long a flow counts as waiting for its target's answer at most: a full
@@ -57,8 +57,8 @@
     #[serde(with = "millis")]
     pub silent_open: Duration,
     /// Silence after a request was handed to the target before its port is
-    /// tried: the longest work seen takes 0.3 s, and a busy target answers
-    /// others.
+    /// tried: longer than a request takes, and a busy target answers others
+    /// meanwhile.
     #[serde(with = "millis")]
     pub silent_work: Duration,
     /// Whether the agent remembers to whom it passed opens on, and says so when
