Logs and metrics tell a process that did not run, and the age of the store's last answer

Our logs and metrics did not show that a balancer had stood still, nor that it made no call to the store afterwards; a call that hangs, a call never made and a store that answers late looked alike. Now E708 and paused_ms tell the first, store_age_ms beside the counts of failed calls the second. No change of what is decided.

--- a/src/edge/entry.rs
+++ b/src/edge/entry.rs
@@ -15,7 +15,7 @@
 use super::inspect::{self, Inspect};
 use super::listing::Reader;
 use super::socket::Socket;
-use super::{Settings, relay, store};
+use super::{Settings, pause, relay, store};
 use crate::admin::{self, Board};
 use crate::bus::{self, Message};
 use crate::flow::Flow;
@@ -191,9 +191,9 @@
     let mut buf = vec![0; PACKET];
     let mut scratch = Vec::with_capacity(bus::DATAGRAM);
     loop {
-        let now = Instant::now();
-        let due = steer.borrow().next_due(now);
-        let wait = due.map_or(IDLE_TICK, |at| at.saturating_duration_since(now));
+        let before = Instant::now();
+        let due = steer.borrow().next_due(before);
+        let wait = due.map_or(IDLE_TICK, |at| at.saturating_duration_since(before));
         tokio::select! {
             () = wires.packets.readable() => {}
             () = wires.bus.readable() => {}
@@ -202,6 +202,7 @@
         let mut steer = steer.borrow_mut();
         let mut out = Sender { wires, port, buf: &mut scratch };
         let now = Instant::now();
+        pause::note(before + wait, now);
         // Agents' answers before callers' packets, and no timeout before every
         // answer that has come was read: on a busy VM a caller's next packet
         // would overtake the note of its open, and answers in the queue would
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -7,6 +7,7 @@
 pub mod entry;
 mod inspect;
 mod listing;
+mod pause;
 mod port;
 mod relay;
 mod reports;
--- /dev/null
+++ b/src/edge/pause.rs
@@ -0,0 +1,21 @@
+//! Notices that the process did not run for a while, because its VM stood still or had no
+//! processor time: until it has caught up, what it knows is as old as the pause.
+
+use std::time::{Duration, Instant};
+
+use crate::events;
+use crate::metrics::load;
+
+/// Shortest pause that is logged: callers notice it.
+const NOTED: Duration = Duration::from_millis(500);
+
+/// Logs that the process runs only `now`, though a timer was due at `due`.
+pub fn note(due: Instant, now: Instant) {
+    let late = now.saturating_duration_since(due);
+    if late < NOTED {
+        return;
+    }
+    let ms = u64::try_from(late.as_millis()).unwrap_or(u64::MAX);
+    load::paused(ms);
+    log::warn!(event = events::EDGE_PAUSED, late_ms = ms; "process did not run");
+}
--- a/src/edge/sidecar.rs
+++ b/src/edge/sidecar.rs
@@ -16,7 +16,7 @@
 use super::inspect::{self, Inspect};
 use super::port::{self, Port};
 use super::socket::Socket;
-use super::{AGENTS, Settings, reports, store};
+use super::{AGENTS, Settings, pause, reports, store};
 use crate::bus::{self, Message};
 use crate::flow::Flow;
 use crate::hold::{self, Holder, Target};
@@ -252,26 +252,27 @@
     let mut probes = JoinSet::new();
     let mut heard_at = Instant::now();
     loop {
-        let now = Instant::now();
-        if now.duration_since(heard_at) >= QUIET {
-            heard_at = now;
+        let before = Instant::now();
+        if before.duration_since(heard_at) >= QUIET {
+            heard_at = before;
             entry.check.notify_one();
         }
-        if probes.is_empty() && holder.borrow().doubtful(now) {
+        if probes.is_empty() && holder.borrow().doubtful(before) {
             probes.spawn_local(port::probe(wires.target));
         }
         let due = holder.borrow().next_due().filter(|_| probes.is_empty());
-        let wait = due.map_or(QUIET, |at| at.saturating_duration_since(now));
+        let wait = due.map_or(QUIET, |at| at.saturating_duration_since(before)).min(QUIET);
         let mut probed = None;
         tokio::select! {
             () = wires.bus.readable() => {}
             () = wires.outbound.readable() => {}
             Some(found) = probes.join_next() => probed = found.ok(),
-            () = tokio::time::sleep(wait.min(QUIET)) => {}
+            () = tokio::time::sleep(wait) => {}
         }
         let mut holder = holder.borrow_mut();
         let mut out = Sender { wires, buf: &mut scratch };
         let now = Instant::now();
+        pause::note(before + wait, now);
         if let Some(found) = probed {
             port::note(&mut holder, found, wires.target, now, &mut out);
         }
--- a/src/events/mod.rs
+++ b/src/events/mod.rs
@@ -90,6 +90,8 @@
 pub const EDGE_TARGET: &str = "E706";
 /// A balancer hands a large configuration on in parts, or no longer does.
 pub const EDGE_RELAY: &str = "E707";
+/// The process did not run for a while.
+pub const EDGE_PAUSED: &str = "E708";
 /// A new flow was refused; nothing ran.
 pub const FLOW_REFUSED: &str = "E710";
 /// A flow was reset because its target's process is over.
--- a/src/metrics/load.rs
+++ b/src/metrics/load.rs
@@ -1,13 +1,20 @@
 //! What tells a full link from a busy processor: bytes sent by purpose,
-//! datagrams that a socket refused, reads that left datagrams waiting. Plain
-//! integers, since each datagram counts.
+//! datagrams that a socket refused, reads that left datagrams waiting, pauses of
+//! the process. Plain integers, since each datagram counts. Besides, how old the
+//! key-value service's last answer is.
 
 use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
+use std::sync::{Mutex, PoisonError};
+use std::time::Instant;
 
 static MESSAGES: AtomicU64 = AtomicU64::new(0);
 static CARRIED: AtomicU64 = AtomicU64::new(0);
 static REFUSED: AtomicU64 = AtomicU64::new(0);
 static BACKLOGS: AtomicU64 = AtomicU64::new(0);
+static PAUSED_MS: AtomicU64 = AtomicU64::new(0);
+
+/// When the key-value service last answered.
+static ANSWERED: Mutex<Option<Instant>> = Mutex::new(None);
 
 /// Counts `bytes` of a message about flows: questions, offers, answers, trials.
 /// They grow with trouble, and are to leave the link to callers.
@@ -31,15 +38,31 @@
     BACKLOGS.fetch_add(1, Relaxed);
 }
 
-/// Sets the gauges of the totals since the process's start.
+/// Counts `ms` in which the process did not run.
+pub fn paused(ms: u64) {
+    PAUSED_MS.fetch_add(ms, Relaxed);
+}
+
+/// Notes that the key-value service has answered a call with success.
+pub fn answered() {
+    *ANSWERED.lock().unwrap_or_else(PoisonError::into_inner) = Some(Instant::now());
+}
+
+/// Sets the gauges of the totals since the process's start, and of the age of
+/// the key-value service's last answer, if there was one.
 pub fn publish() {
     let totals = [
         ("message_bytes", &MESSAGES),
         ("carried_bytes", &CARRIED),
         ("sends_refused", &REFUSED),
         ("read_backlogs", &BACKLOGS),
+        ("paused_ms", &PAUSED_MS),
     ];
     for (fact, total) in totals {
         super::state(fact, total.load(Relaxed));
     }
+    let answered = *ANSWERED.lock().unwrap_or_else(PoisonError::into_inner);
+    if let Some(at) = answered {
+        super::state("store_age_ms", u64::try_from(at.elapsed().as_millis()).unwrap_or(u64::MAX));
+    }
 }
--- a/src/metrics/mod.rs
+++ b/src/metrics/mod.rs
@@ -239,6 +239,9 @@
 
 /// Notes how long a call to the key-value service took, and how it ended.
 pub fn called(call: &str, ok: bool, took: Duration) {
+    if ok {
+        load::answered();
+    }
     let attributes = [KeyValue::new("call", call.to_string()), KeyValue::new("ok", ok)];
     meters().calls.record(took.as_secs_f64(), &attributes);
 }
