--- a/tests/whole.rs
+++ b/tests/whole.rs
@@ -143,6 +143,26 @@
     kv::Client::new(t.store().into(), 1_000 * MS, 1_000 * MS).await.unwrap()
 }
 
+/// Waits until each data centre's `balancers` have `version` of the configuration in
+/// force, which may take 3 s from now on.
+async fn in_force(t: &Trial, balancers: u8, version: u64) -> anyhow::Result<()> {
+    let since = Instant::now();
+    let all: Vec<_> = (0..2).flat_map(|z| (0..balancers).map(move |n| (z, n))).collect();
+    loop {
+        let mut versions = Vec::new();
+        for (z, n) in &all {
+            let told = get(format!("http://{}/beliefs", t.inspect(true, *z, *n))).await;
+            let told: serde_json::Value = serde_json::from_str(&told)?;
+            versions.push(told["version"].as_u64());
+        }
+        if versions.iter().all(|v| *v == Some(version)) {
+            return Ok(());
+        }
+        assert!(since.elapsed() < Duration::from_secs(3), "{versions:?}");
+        tokio::time::sleep(50 * MS).await;
+    }
+}
+
 /// The store is away longer than entries live, forgets its history and loses
 /// answers; a change made right after its return is in force within 3 s.
 #[ntex::test]
@@ -159,21 +179,7 @@
             let newer = String::from_utf8(old.value)?.replace("\"version\":1", "\"version\":2");
             // The answer is lost; the write has taken effect.
             let _ = client.put(config::KEY, newer.as_bytes(), 0).await;
-            let since = Instant::now();
-            loop {
-                let mut versions = Vec::new();
-                for (z, n) in [(0, 0), (0, 1), (1, 0), (1, 1)] {
-                    let told = get(format!("http://{}/beliefs", t.inspect(true, z, n))).await;
-                    let told: serde_json::Value = serde_json::from_str(&told)?;
-                    versions.push(told["version"].as_u64());
-                }
-                if versions.iter().all(|v| *v == Some(2)) {
-                    break;
-                }
-                assert!(since.elapsed() < Duration::from_secs(3), "{versions:?}");
-                tokio::time::sleep(50 * MS).await;
-            }
-            Ok(())
+            in_force(t, 2, 2).await
         })
         .await
         .unwrap();
@@ -182,6 +188,34 @@
     end("store", t).await;
 }
 
+/// Guards against balancers that leave a change out of force after they stood still: one
+/// change is made meanwhile, the next right after.
+#[ntex::test]
+async fn change_after_freeze() {
+    let balancers = 8;
+    let plan = Plan { base: 27_400, balancers, ..Plan::default() };
+    let t = start("freeze", plan).await;
+    let entries: Vec<_> = t.labels().into_iter().filter(|l| l.starts_with("entry")).collect();
+    for version in [2, 4] {
+        entries.iter().for_each(|label| t.send(label, Signal::SIGSTOP));
+        tokio::time::sleep(500 * MS).await;
+        t.configure(version).await.unwrap();
+        tokio::time::sleep(4_500 * MS).await;
+        entries.iter().for_each(|label| t.send(label, Signal::SIGCONT));
+        tokio::time::sleep(50 * MS).await;
+        t.configure(version + 1).await.unwrap();
+        in_force(&t, balancers, version + 1).await.unwrap();
+    }
+    let mut paused = 0.0;
+    for (z, n) in (0..2).flat_map(|z| (0..balancers).map(move |n| (z, n))) {
+        let text = get(format!("http://{}/metrics", t.inspect(true, z, n))).await;
+        assert!(total(&text, "store_age_ms") < 4_000.0, "{text}");
+        paused += total(&text, "paused_ms");
+    }
+    assert!(paused > 0.0, "no balancer noticed that it stood still");
+    end("freeze", t).await;
+}
+
 /// The store takes away the agents' entries, whose leases stand, while no
 /// balancer runs that knew them: the agents write them again.
 #[ntex::test]
