A pause after a standstill takes no longer than it asks for

Cause: the mirror of the store waits 0.3 s between a change and its next read, on ntex's timers. These are driven by a thread of their own. Where a pause begins right after the process stood still, before that thread has run, it is longer by as much as the oldest due timer is late: 4.6 s here. The balancer made no call to the store meanwhile, and so had no error to log.

Ruled out: a silent connection, a call given up late (no failed call), a store that answers late (it counts no call).

--- a/src/balancer/follow.rs
+++ b/src/balancer/follow.rs
@@ -99,7 +99,7 @@
     );
     let expiry = async {
         loop {
-            ntex::time::sleep(HOLD_TICK).await;
+            tokio::time::sleep(HOLD_TICK).await;
             let mut j = judge.borrow_mut();
             j.stale |= j.builder.roster.hold_ended(j.built, Instant::now());
             j.catch_up();
--- a/src/listen/mod.rs
+++ b/src/listen/mod.rs
@@ -98,7 +98,7 @@
             }
             Err(e) => {
                 log::warn!(event = crate::events::LISTEN_FAILED, error:% = e; "accepting failed");
-                ntex::time::sleep(ACCEPT_PAUSE).await;
+                tokio::time::sleep(ACCEPT_PAUSE).await;
             }
         }
     }
--- a/src/platform/kv.rs
+++ b/src/platform/kv.rs
@@ -157,13 +157,14 @@
                 None => req.send().await,
             }
         };
-        // The client's own timeout starts once it is connected.
-        let answer = ntex::time::timeout(timeout, sent).await;
+        // The client's own timeout starts once it is connected, and is late after a
+        // standstill of the process.
+        let answer = tokio::time::timeout(timeout, sent).await;
         let ok = matches!(&answer, Ok(Ok(res)) if res.status().is_success());
         let call = step.split(' ').next().unwrap_or_default();
         metrics::called(call, ok, started.elapsed());
         answer
-            .map_err(|()| anyhow::anyhow!("{step} at store {}: timeout", self.addr))?
+            .map_err(|_| anyhow::anyhow!("{step} at store {}: timeout", self.addr))?
             .map_err(|e| anyhow::anyhow!("{step} at store {}: {e}", self.addr))
     }
 
@@ -175,9 +176,9 @@
         if !res.status().is_success() {
             bail!("{step} at store {}: status {}", self.addr, res.status());
         }
-        let body = ntex::time::timeout(self.timeout, res.body().limit(ANSWER_LIMIT))
+        let body = tokio::time::timeout(self.timeout, res.body().limit(ANSWER_LIMIT))
             .await
-            .map_err(|()| anyhow::anyhow!("{step} at store {}: answer cut short", self.addr))?
+            .map_err(|_| anyhow::anyhow!("{step} at store {}: answer cut short", self.addr))?
             .map_err(|e| anyhow::anyhow!("{step} at store {}: answer: {e}", self.addr))?;
         serde_json::from_slice(&body).with_context(|| format!("{step} at store {}", self.addr))
     }
--- a/src/store/lease.rs
+++ b/src/store/lease.rs
@@ -34,7 +34,7 @@
             Ok(lease) => renew(store, key, lease, &mut value, beat, check).await,
             Err(e) => {
                 failed(&e);
-                ntex::time::sleep(PAUSE.min(beat)).await;
+                tokio::time::sleep(PAUSE.min(beat)).await;
             }
         }
     }
@@ -67,7 +67,7 @@
                 }
                 Err(e) => failed(&e),
             },
-            () = ntex::time::sleep(pause) => match store.keepalive(lease).await {
+            () = tokio::time::sleep(pause) => match store.keepalive(lease).await {
                 Ok(true) => pause = beat,
                 Ok(false) => {
                     log::warn!(event = events::AGENT_LAPSED, key = key, lease = lease; "lease lapsed");
--- a/src/store/mirror.rs
+++ b/src/store/mirror.rs
@@ -177,7 +177,7 @@
                 list = false;
                 tell(News::Copy(&copy));
                 if !source.gather.is_zero() {
-                    ntex::time::sleep(source.gather).await;
+                    tokio::time::sleep(source.gather).await;
                 }
             }
             Ok(Step::Compacted) => {
@@ -192,7 +192,7 @@
                 if ask && from_peers(source, &mut copy).await {
                     tell(News::Copy(&copy));
                 }
-                ntex::time::sleep(if copy.rev == 0 { EMPTY_PAUSE } else { PAUSE }).await;
+                tokio::time::sleep(if copy.rev == 0 { EMPTY_PAUSE } else { PAUSE }).await;
             }
         }
     }
--- a/src/store/server/mod.rs
+++ b/src/store/server/mod.rs
@@ -48,7 +48,7 @@
 pub(crate) async fn gate(st: &Shared) -> Result<(), HttpResponse> {
     let faults = st.lock().faults.clone();
     if faults.delay_ms > 0 {
-        ntex::time::sleep(Duration::from_millis(faults.delay_ms)).await;
+        tokio::time::sleep(Duration::from_millis(faults.delay_ms)).await;
     }
     if faults.outage {
         return Err(HttpResponse::ServiceUnavailable().body("store: outage"));
@@ -92,7 +92,7 @@
     let ticker = shared.clone();
     let tick = tokio::task::spawn_local(async move {
         loop {
-            ntex::time::sleep(LEASE_TICK).await;
+            tokio::time::sleep(LEASE_TICK).await;
             let expired = ticker.lock().expire(Instant::now());
             if expired {
                 log::info!("{} leases lapsed", events::STORE_LAPSED);
--- a/src/target/mod.rs
+++ b/src/target/mod.rs
@@ -151,7 +151,7 @@
         st.lock().load.busy -= 1;
         return st.answer(S::GATEWAY_TIMEOUT).finish();
     }
-    ntex::time::sleep(work).await;
+    tokio::time::sleep(work).await;
     let mut inner = st.lock();
     inner.load.busy -= 1;
     inner.load.served += 1;
@@ -174,7 +174,7 @@
         let name = name.clone();
         async move {
             if n > 0 {
-                ntex::time::sleep(FEED_EVERY).await;
+                tokio::time::sleep(FEED_EVERY).await;
             }
             let line = Bytes::from(format!("{name} {n}\n"));
             Some((Ok::<_, std::io::Error>(line), (n + 1, guard)))
--- a/src/trial/router.rs
+++ b/src/trial/router.rs
@@ -77,7 +77,7 @@
         let client = Client::new().await;
         for addr in addrs {
             let url = format!("http://{}:{}{READY_PATH}", addr.ip(), self.ready_port);
-            let asked = ntex::time::timeout(PROBE, client.get(url).send()).await;
+            let asked = tokio::time::timeout(PROBE, client.get(url).send()).await;
             let ready = matches!(asked, Ok(Ok(res)) if res.status().is_success());
             let mut zones = self.zones.borrow_mut();
             if let Some(b) = zones.iter_mut().flatten().find(|b| b.addr == addr) {
--- a/src/trial/target.rs
+++ b/src/trial/target.rs
@@ -132,7 +132,7 @@
         let url = format!("http://{reports}{}{id}", report::HEARTBEAT);
         let call = client.post(url).send_json(&body);
         let ok = matches!(
-            ntex::time::timeout(Duration::from_secs(1), call).await,
+            tokio::time::timeout(Duration::from_secs(1), call).await,
             Ok(Ok(res)) if res.status().is_success()
         );
         state.acknowledged.set(state.acknowledged.get() || ok);
--- a/tests/frozen.rs
+++ b/tests/frozen.rs
@@ -52,6 +52,7 @@
         let (pid, begin, pause) = (std::process::id(), BEGIN.as_secs_f64(), FREEZE.as_secs_f64());
         let script = format!("sleep {begin}; kill -STOP {pid}; sleep {pause}; kill -CONT {pid}");
         let shell = Command::new("sh").args(["-c", &script]).spawn().unwrap();
+        #[expect(clippy::disallowed_methods, reason = "as the HTTP library's own timers")]
         tokio::task::spawn_local(ntex::time::sleep(OTHER));
         Self { started: Instant::now(), shell, _turn: turn }
     }
