A lease's renewal is not put off by looks at its key or new values

The renewal was a pause begun anew after every look at the entry and every new value. An agent that no balancer talks to looks each 4 s, so its lease of 300 s would never be renewed: the entry lapses and is back up to 4 s later, with all idle agents of a service that started together. Callers of such a service would be refused as without a target.

--- a/src/store/lease.rs
+++ b/src/store/lease.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use tokio::sync::{Notify, watch};
+use tokio::time::Instant;
 
 use super::Lessor;
 use crate::events;
@@ -55,7 +56,8 @@
     beat: Duration,
     check: &Notify,
 ) {
-    let mut pause = beat;
+    // Fixed, so that nothing else done meanwhile puts off the renewal.
+    let mut due = Instant::now() + beat;
     loop {
         tokio::select! {
             () = check.notified() => match store.has(key).await {
@@ -67,8 +69,8 @@
                 }
                 Err(e) => failed(&e),
             },
-            () = tokio::time::sleep(pause) => match store.keepalive(lease).await {
-                Ok(true) => pause = beat,
+            () = tokio::time::sleep_until(due) => match store.keepalive(lease).await {
+                Ok(true) => due = Instant::now() + beat,
                 Ok(false) => {
                     log::warn!(event = events::AGENT_LAPSED, key = key, lease = lease; "lease lapsed");
                     metrics::retried(Retry::LeaseLapsed);
@@ -76,8 +78,7 @@
                 }
                 Err(e) => {
                     failed(&e);
-                    pause = PAUSE.min(beat);
-                    continue;
+                    due = Instant::now() + PAUSE.min(beat);
                 }
             },
             Ok(()) = value.changed() => {
