What a balancer knew before it stood still proves no flow lost

Three branches: - All agents that a balancer knew denied a flow, so it was reset as lost; an agent listed while the balancer stood still held it. Likewise for refusing opens as nobody's. - An agent that had missed one answer before the standstill was taken as silent for 4 s right after it, though nobody had asked it; its flows were reset. - An agent whose entry the store had taken away was dropped as not having answered. A caller whose request may not be repeated loses it by such a reset.

A balancer that notices a pause of 0.5 s or more now takes the store's list as unseen until it has answered a call begun after the pause, asks it at once, and counts the pause as nobody's silence. IDLE_TICK is 1 s, so that an idle balancer notices pauses too.

--- a/src/agent/mod.rs
+++ b/src/agent/mod.rs
@@ -73,6 +73,7 @@
         peers: settings.balancers.iter().map(|b| b.addr).collect(),
         ask: mirror::Ask::Empty,
         gather: Duration::ZERO,
+        refresh: std::sync::Arc::default(),
     };
     let follower =
         tokio::task::spawn_local(follow_orders(source, keys.clone(), agent.clone(), board));
--- a/src/balancer/mod.rs
+++ b/src/balancer/mod.rs
@@ -100,6 +100,7 @@
         peers: settings.peers(me.addr),
         ask: store::mirror::Ask::Empty,
         gather: Duration::ZERO,
+        refresh: std::sync::Arc::default(),
     };
     let watcher = tokio::task::spawn_local(follow::follow(
         source,
--- a/src/edge/entry.rs
+++ b/src/edge/entry.rs
@@ -9,7 +9,7 @@
 use std::time::{Duration, Instant};
 
 use ntex::http::StatusCode;
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 use tokio::task::JoinHandle;
 
 use super::inspect::{self, Inspect};
@@ -41,8 +41,9 @@
 /// the pause between the first reports of targets that start together (0.15 s).
 const GATHER: Duration = Duration::from_millis(300);
 
-/// Longest sleep without a timer due, so that old flows are forgotten.
-const IDLE_TICK: Duration = Duration::from_secs(5);
+/// Longest sleep without a timer due, so that old flows are forgotten and pauses of the
+/// process are noticed.
+const IDLE_TICK: Duration = Duration::from_secs(1);
 
 struct Wires {
     packets: Socket,
@@ -93,9 +94,10 @@
         ip:% = settings.ip;
         "balancer started"
     );
-    let follower = follow_store(&settings, &steer, &board).await?;
+    let refresh = Arc::new(Notify::new());
+    let follower = follow_store(&settings, &steer, &board, refresh.clone()).await?;
     let port = settings.packets.port();
-    super::until_stopped(path, forward(&wires, &steer, port, &board)).await?;
+    super::until_stopped(path, forward(&wires, &steer, port, &board, &refresh)).await?;
     log::info!(
         event = events::EDGE_STOP, name:% = settings.name, flows = steer.borrow().remembered();
         "balancer stops"
@@ -103,7 +105,7 @@
     steer.borrow_mut().stop();
     board.set_ready(false);
     let linger = LINGER.min(settings.grace() / 2);
-    let _ = tokio::time::timeout(linger, forward(&wires, &steer, port, &board)).await;
+    let _ = tokio::time::timeout(linger, forward(&wires, &steer, port, &board, &refresh)).await;
     follower.abort();
     let _ = follower.await;
     desk.stop().await;
@@ -117,6 +119,7 @@
     settings: &Settings,
     steer: &Rc<RefCell<Steer>>,
     board: &Board,
+    refresh: Arc<Notify>,
 ) -> anyhow::Result<JoinHandle<()>> {
     let source = Source {
         store: store(settings).await?,
@@ -124,6 +127,7 @@
         peers: settings.peers(),
         ask: mirror::Ask::Always,
         gather: GATHER,
+        refresh,
     };
     let relay = Relay::new(platform::config::KEY, &settings.zone, settings.ip, settings.large());
     let (tell, copies) = watch::channel(None);
@@ -187,7 +191,13 @@
 }
 
 /// Forwards packets until told otherwise.
-async fn forward(wires: &Wires, steer: &RefCell<Steer>, port: u16, board: &Board) {
+async fn forward(
+    wires: &Wires,
+    steer: &RefCell<Steer>,
+    port: u16,
+    board: &Board,
+    refresh: &Notify,
+) {
     let mut buf = vec![0; PACKET];
     let mut scratch = Vec::with_capacity(bus::DATAGRAM);
     loop {
@@ -202,7 +212,10 @@
         let mut steer = steer.borrow_mut();
         let mut out = Sender { wires, port, buf: &mut scratch };
         let now = Instant::now();
-        pause::note(before + wait, now);
+        if let Some(paused) = pause::note(before + wait, now) {
+            steer.resume(paused);
+            refresh.notify_one();
+        }
         // Agents' answers before callers' packets, and no timeout before every
         // answer that has come was read: on a busy VM a caller's next packet
         // would overtake the note of its open, and answers in the queue would
--- a/src/edge/pause.rs
+++ b/src/edge/pause.rs
@@ -9,13 +9,15 @@
 /// Shortest pause that is logged: callers notice it.
 const NOTED: Duration = Duration::from_millis(500);
 
-/// Logs that the process runs only `now`, though a timer was due at `due`.
-pub fn note(due: Instant, now: Instant) {
+/// Logs that the process runs only `now`, though a timer was due at `due`; returns how
+/// long it did not run.
+pub fn note(due: Instant, now: Instant) -> Option<Duration> {
     let late = now.saturating_duration_since(due);
     if late < NOTED {
-        return;
+        return None;
     }
     let ms = u64::try_from(late.as_millis()).unwrap_or(u64::MAX);
     load::paused(ms);
     log::warn!(event = events::EDGE_PAUSED, late_ms = ms; "process did not run");
+    Some(late)
 }
--- a/src/steer/roster.rs
+++ b/src/steer/roster.rs
@@ -135,6 +135,16 @@
         self.agents.is_empty()
     }
 
+    /// Goes on after the process did not run for `paused`: nobody was asked
+    /// meanwhile, so that time is nobody's silence.
+    pub fn resume(&mut self, paused: Duration) {
+        for a in self.agents.values_mut() {
+            for since in [&mut a.silent, &mut a.unlisted, &mut a.deferred] {
+                *since = since.map(|at| at + paused);
+            }
+        }
+    }
+
     /// Takes in the agents that the store lists now; says whether any came or
     /// went.
     pub fn update(&mut self, announced: &[Announced], now: Instant) -> bool {
--- a/src/store/mirror.rs
+++ b/src/store/mirror.rs
@@ -12,6 +12,7 @@
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
+use tokio::sync::Notify;
 use xxhash_rust::xxh3::Xxh3;
 
 use super::{Change, Keeper, Kv};
@@ -120,6 +121,9 @@
     /// Pause after a change before the next is asked for: changes that come
     /// together (many agents start at once) cost one call instead of many.
     pub gather: Duration,
+    /// Has the service asked at once, as the process did not run for a while and what
+    /// is on its way may be old.
+    pub refresh: Arc<Notify>,
 }
 
 /// When a mirror whose service fails asks its peers.
@@ -140,7 +144,8 @@
     Copy(&'a Snapshot),
     /// A call to the service failed; it is made again after a pause.
     Failed(&'a anyhow::Error),
-    /// The service answers, for the first time or after a failure.
+    /// The service answers, for the first time, after a failure or after
+    /// [`Source::refresh`].
     Back,
 }
 
@@ -162,10 +167,13 @@
     loop {
         let before = std::mem::replace(&mut narrow, scope(&copy));
         list |= before.is_some() && narrow.is_none();
-        let step = if list {
-            relist(source, &mut copy).await
-        } else {
-            watch(source, narrow, &mut copy, !lost).await
+        let step = tokio::select! {
+            biased;
+            () = source.refresh.notified() => {
+                lost = true;
+                continue;
+            }
+            step = read(source, list, narrow, &mut copy, !lost) => step,
         };
         if step.is_ok() && lost {
             lost = false;
@@ -205,6 +213,16 @@
     Compacted,
 }
 
+async fn read<K: Keeper>(
+    source: &Source<K>,
+    list: bool,
+    narrow: Option<&str>,
+    copy: &mut Snapshot,
+    wait: bool,
+) -> anyhow::Result<Step> {
+    if list { relist(source, copy).await } else { watch(source, narrow, copy, wait).await }
+}
+
 async fn relist<K: Keeper>(source: &Source<K>, copy: &mut Snapshot) -> anyhow::Result<Step> {
     let listed = Snapshot::list(&source.store, &source.prefix).await?;
     if listed.rev < copy.rev {
--- a/tests/frozen.rs
+++ b/tests/frozen.rs
@@ -6,7 +6,7 @@
 use std::net::{SocketAddr, TcpListener};
 use std::process::{Child, Command};
 use std::rc::Rc;
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
 use jujubepost::platform::kv;
@@ -152,6 +152,7 @@
         peers: Vec::new(),
         ask: Ask::Empty,
         gather: 300 * MS,
+        refresh: Arc::default(),
     };
     let late = tokio::select! {
         late = store.second_call() => late,
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -191,6 +191,7 @@
         peers: Vec::new(),
         ask: Ask::Always,
         gather: Duration::ZERO,
+        refresh: std::sync::Arc::default(),
     };
     let listed = |copy: &Snapshot| copy.keys.contains_key(&*store.relay).then_some(OWN);
     let seen = RefCell::new(Vec::new());
