A call's timeout holds for all of its answer, not for its head alone

The own interface's client gave an answer's body no time limit; one cut short held up the mirror, a lease or an operator's command for good. Shown by stalled_answer.rs: given_up_in_time, red before (the call hangs), 0.5 s after.

--- a/src/store/client.rs
+++ b/src/store/client.rs
@@ -63,6 +63,18 @@
         req: &Q,
         timeout: Duration,
         step: &str,
+    ) -> anyhow::Result<A> {
+        tokio::time::timeout(timeout, self.answer(path, req, timeout, step))
+            .await
+            .map_err(|_| anyhow::anyhow!("{step} at store {}: timeout", self.addr))?
+    }
+
+    async fn answer<Q: Serialize, A: DeserializeOwned>(
+        &self,
+        path: &str,
+        req: &Q,
+        timeout: Duration,
+        step: &str,
     ) -> anyhow::Result<A> {
         let url = format!("http://{}{path}", self.addr);
         let res = self
