--- a/examples/fleet.rs
+++ b/examples/fleet.rs
@@ -77,7 +77,7 @@
             .into_iter()
             .map(|(key, value)| Change::Put(Kv { key: key.into(), value, rev, lease: 0 }));
         copy.apply(rev, put.collect());
-        last = (keys, bytes, time(|| reader.learn(&mut steer, &copy)));
+        last = (keys, bytes, time(|| reader.apply_snapshot(&mut steer, &copy)));
     }
     last
 }
@@ -106,7 +106,7 @@
         copy.apply(2, (0..agents).map(|n| Change::Put(agent(n, routes, 2))).collect());
         let mut steer = steer();
         let mut reader = Reader::default();
-        let at_first = time(|| reader.learn(&mut steer, &copy));
+        let at_first = time(|| reader.apply_snapshot(&mut steer, &copy));
         let mut kept = Arc::new(copy.clone());
         let taken = rss_kib().saturating_sub(before);
         let mut rev = 2;
@@ -114,7 +114,7 @@
             rev = change.rev;
             copy.apply(rev, vec![Change::Put(change)]);
             time(|| {
-                reader.learn(&mut steer, &copy);
+                reader.apply_snapshot(&mut steer, &copy);
                 kept = Arc::new(copy.clone());
             })
         };
--- a/examples/packet.rs
+++ b/examples/packet.rs
@@ -91,7 +91,7 @@
     let share = Share { service: "meter".into(), weight: 1, max_flows: 2_000 };
     let route = Route { name: "r".into(), services: vec![share], limit: Duration::from_secs(3) };
     let idle = Duration::from_secs(15);
-    s.obey(Routes { version: 1, routes: [(vip(), route)].into(), idle });
+    s.apply_routes(Routes { version: 1, routes: [(vip(), route)].into(), idle });
     let agents: Vec<Announced> = (1..=10)
         .map(|n| Announced {
             addr: addr(n),
--- a/src/admin/mod.rs
+++ b/src/admin/mod.rs
@@ -43,7 +43,7 @@
     pub ready: bool,
     /// The store's revision that its view reflects; 0 before the first.
     pub rev: i64,
-    /// Stamp of the operators' orders that it obeys, as
+    /// Stamp of the operators' orders that it applies, as
     /// [`Snapshot::stamp`]; the same in every process once a change is in
     /// force everywhere.
     pub orders: u64,
--- a/src/agent/mod.rs
+++ b/src/agent/mod.rs
@@ -187,7 +187,7 @@
         |_| None,
         |news| match news {
             News::Copy(copy) => {
-                agent.borrow_mut().obey(Orders::read(&keys, copy, &name));
+                agent.borrow_mut().apply_orders(Orders::read(&keys, copy, &name));
                 board.set_copy(std::sync::Arc::new(copy.clone()));
                 board.set_ready(true);
             }
--- a/src/agent/state.rs
+++ b/src/agent/state.rs
@@ -114,7 +114,7 @@
     }
 
     /// Puts new orders in force.
-    pub fn obey(&mut self, orders: Orders) {
+    pub fn apply_orders(&mut self, orders: Orders) {
         let name = &self.me.name;
         match (orders.drain, self.drain) {
             (true, None) => {
--- a/src/ctl/fleet.rs
+++ b/src/ctl/fleet.rs
@@ -51,7 +51,7 @@
     futures_util::future::join_all(asked).await
 }
 
-/// Waits until every balancer and agent that answers obeys the orders now in
+/// Waits until every balancer and agent that answers applies the orders now in
 /// the store; returns how long that took.
 ///
 /// # Errors
--- a/src/edge/entry.rs
+++ b/src/edge/entry.rs
@@ -131,7 +131,7 @@
     };
     let relay = Relay::new(platform::config::KEY, &settings.zone, settings.ip, settings.large());
     let (tell, copies) = watch::channel(None);
-    let relaying = relay::keep(source.store.clone(), relay.clone(), steer.clone(), copies);
+    let relaying = relay::run(source.store.clone(), relay.clone(), steer.clone(), copies);
     let (view, seen) = (steer.clone(), board.clone());
     Ok(tokio::task::spawn_local(async move {
         let mut lost = false;
@@ -143,7 +143,7 @@
         };
         let follow = mirror::follow(&source, scope, |news| match news {
             News::Copy(copy) => {
-                reader.learn(&mut view.borrow_mut(), copy);
+                reader.apply_snapshot(&mut view.borrow_mut(), copy);
                 seen.set_ready(view.borrow().ready());
                 let copy = Arc::new(copy.clone());
                 seen.set_copy(copy.clone());
--- a/src/edge/listing.rs
+++ b/src/edge/listing.rs
@@ -23,13 +23,13 @@
 }
 
 impl Reader {
-    /// Has `steer` know what the store's keys say now.
-    pub fn learn(&mut self, steer: &mut Steer, copy: &Snapshot) {
+    /// Applies what the store's keys say now to `steer`.
+    pub fn apply_snapshot(&mut self, steer: &mut Steer, copy: &Snapshot) {
         if let Some(kv) = copy.keys.get(platform::config::KEY)
             && kv.rev != self.config
         {
             self.config = kv.rev;
-            obey(steer, kv);
+            apply_config(steer, kv);
         }
         self.read_parts(steer, copy);
         if self.read_agents(copy) {
@@ -45,7 +45,7 @@
         }
     }
 
-    /// Puts a configuration that a relay handed on in force, if it is newer.
+    /// Applies a configuration that a relay published in parts, if it is newer.
     fn read_parts(&mut self, steer: &mut Steer, copy: &Snapshot) {
         let Some((index, rev)) = relay::index(copy).filter(|(_, rev)| *rev != self.index) else {
             return;
@@ -69,7 +69,7 @@
                         part
                     }
                     Err(e) => {
-                        refused(kv, &e);
+                        log_rejected(kv, &e);
                         return;
                     }
                 },
@@ -79,7 +79,7 @@
         self.index = rev;
         let routes = relay::parts::join(&index, parts.values().map(|(_, part)| part));
         self.parts = parts;
-        in_force(steer, routes, rev, read);
+        apply(steer, routes, rev, read);
     }
 
     /// Reads the agents' entries that changed; says whether any did.
@@ -117,19 +117,18 @@
     None
 }
 
-/// Reads what the operators wrote and puts it in force, unless something newer
-/// is.
-fn obey(steer: &mut Steer, kv: &Kv) {
+/// Applies what the operators wrote, unless something newer is in force.
+fn apply_config(steer: &mut Steer, kv: &Kv) {
     match platform::config::decode(&kv.value) {
-        Ok(routes) => in_force(steer, routes, kv.rev, 0),
-        Err(e) => refused(kv, &e),
+        Ok(routes) => apply(steer, routes, kv.rev, 0),
+        Err(e) => log_rejected(kv, &e),
     }
 }
 
-/// Puts `routes` in force, of which `parts` parts were read anew.
-fn in_force(steer: &mut Steer, routes: Routes, rev: i64, parts: usize) {
+/// Applies `routes`, of which `parts` parts were read anew.
+fn apply(steer: &mut Steer, routes: Routes, rev: i64, parts: usize) {
     let (version, n) = (routes.version, routes.routes.len());
-    if steer.obey(routes) {
+    if steer.apply_routes(routes) {
         log::info!(
             event = events::EDGE_CONFIG, version = version, routes = n, rev = rev, parts = parts;
             "configuration in force"
@@ -137,7 +136,7 @@
     }
 }
 
-fn refused(kv: &Kv, e: &dyn std::fmt::Display) {
+fn log_rejected(kv: &Kv, e: &dyn std::fmt::Display) {
     metrics::dropped("configuration_unreadable");
     log::error!(
         event = events::EDGE_CONFIG, key:% = kv.key, rev = kv.rev, error:% = format!("{e:#}");
--- a/src/edge/relay.rs
+++ b/src/edge/relay.rs
@@ -19,16 +19,15 @@
 /// in full again after this; a change is to be in force within 5 s.
 const LEASE_MS: u64 = 2_000;
 
-/// Longest pause, drawn at random, before a balancer stands as relay: of the
-/// 300 of a data centre one or two write their key before the others see it.
-const STAND: Duration = Duration::from_millis(500);
+/// Longest pause, drawn at random, X/// 300 of a data centre one or two write their key before the others see it.
+const CAMPAIGN: Duration = Duration::from_millis(500);
 
 /// Pause before parts that could not be written are written again.
 const RETRY: Duration = Duration::from_millis(500);
 
 /// Does the relay's work, forever; `copies` brings the store's keys, none while
 /// the store is lost.
-pub async fn keep(
+pub async fn run(
     store: Client,
     relay: Relay,
     steer: Rc<RefCell<Steer>>,
@@ -40,10 +39,10 @@
         let copy = copies.borrow_and_update().clone();
         let wanted = |copy: &Option<Arc<Snapshot>>| copy.as_ref().is_some_and(|c| relay.wanted(c));
         if wanted(&copy) && holder.is_empty() {
-            tokio::time::sleep(STAND.mul_f64(rand::random())).await;
+            tokio::time::sleep(CAMPAIGN.mul_f64(rand::random())).await;
             if wanted(&copies.borrow()) {
                 log::info!(event = events::EDGE_RELAY, key = relay.key(), relay = true; "relay");
-                holder.spawn_local(hold(store.clone(), relay.key().to_string()));
+                holder.spawn_local(hold_key(store.clone(), relay.key().to_string()));
             }
             continue;
         }
@@ -56,7 +55,7 @@
             }
         }
         let written = match &copy {
-            Some(copy) => hand_on(&store, &relay, &steer, copy).await,
+            Some(copy) => publish_parts(&store, &relay, &steer, copy).await,
             None => Ok(()),
         };
         let failed = written.is_err();
@@ -70,7 +69,7 @@
     }
 }
 
-async fn hold(store: Client, key: String) {
+async fn hold_key(store: Client, key: String) {
     // The key says all; its value is never changed.
     let (_value, values) = watch::channel(Vec::new());
     lease::hold(&store, &key, values, LEASE_MS, &Notify::new()).await;
@@ -83,9 +82,9 @@
     }
 }
 
-/// Writes what the store does not have yet of the configuration in force. Where
+/// Publishes what the store does not have yet of the configuration in force. Where
 /// another relay was first, the next copy shows it.
-async fn hand_on(
+async fn publish_parts(
     store: &Client,
     relay: &Relay,
     steer: &RefCell<Steer>,
@@ -100,7 +99,7 @@
     log::info!(
         event = events::EDGE_RELAY, version = version, parts = writes.put.len(),
         removed = writes.remove.len(), first = first;
-        "configuration handed on in parts"
+        "configuration published in parts"
     );
     Ok(())
 }
--- a/src/model/build.rs
+++ b/src/model/build.rs
@@ -157,7 +157,7 @@
             .collect();
         let routes = self.routes();
         let steer = &mut self.balancers[n].steer;
-        steer.obey(routes);
+        steer.apply_routes(routes);
         steer.roster.update(&listed, self.now);
         steer.see(true, self.now);
         self.wake_balancer(n, self.now);
--- a/src/steer/mod.rs
+++ b/src/steer/mod.rs
@@ -131,7 +131,7 @@
     }
 
     /// Puts `routes` in force unless a newer version is; says whether it did.
-    pub fn obey(&mut self, routes: Routes) -> bool {
+    pub fn apply_routes(&mut self, routes: Routes) -> bool {
         let newer = self.version().is_none_or(|v| v < routes.version);
         if newer {
             self.routes = Some(routes);
--- a/tests/common/wires.rs
+++ b/tests/common/wires.rs
@@ -239,7 +239,7 @@
 pub fn steer_with(agents: u8, policy: Steering, now: Instant) -> Steer {
     let mut s = Steer::new(balancer(), Arc::from(ZONE), Duration::from_secs(60)).policy(policy);
     s.see(true, now - Duration::from_secs(60));
-    s.obey(routes(1));
+    s.apply_routes(routes(1));
     let listed: Vec<Announced> = (1..=agents).map(announced).collect();
     s.roster.update(&listed, now);
     s
--- a/tests/compaction.rs
+++ b/tests/compaction.rs
@@ -1,5 +1,5 @@
 //! A balancer that missed changes while frozen, and a store that has forgotten
-//! them by the time it asks: it lists again and obeys the newest orders.
+//! them by the time it asks: it lists again and applies the newest orders.
 
 mod common;
 
--- a/tests/foreign.rs
+++ b/tests/foreign.rs
@@ -120,7 +120,7 @@
         let mut reader = Reader::default();
         let foreign = Kv { key: format!("{AGENTS}{name}").into(), value: value.clone(), rev: 9, lease: 0 };
         let bad: Kv = Kv { key: Arc::from(relay::INDEX), value, rev: 10, lease: 0 };
-        reader.learn(&mut s, &snapshot([foreign, bad, entry(1), entry(2)]));
+        reader.apply_snapshot(&mut s, &snapshot([foreign, bad, entry(1), entry(2)]));
         prop_assert_eq!(s.roster.of(SERVICE).count(), 2);
         prop_assert_eq!(s.version(), Some(1));
     }
@@ -131,7 +131,7 @@
         let mut s = steer(1, Instant::now());
         let mut reader = Reader::default();
         let kv = Kv { key: config::KEY.into(), value, rev: 3, lease: 0 };
-        reader.learn(&mut s, &snapshot([kv, entry(1)]));
+        reader.apply_snapshot(&mut s, &snapshot([kv, entry(1)]));
         prop_assert_eq!(s.version(), Some(1));
     }
 
@@ -153,6 +153,6 @@
     let mut s = steer(0, Instant::now());
     let mut lie = entry(1);
     lie.value = entry(2).value;
-    Reader::default().learn(&mut s, &snapshot([lie, entry(3)]));
+    Reader::default().apply_snapshot(&mut s, &snapshot([lie, entry(3)]));
     assert_eq!(s.roster.of(SERVICE).collect::<Vec<_>>(), [agent(3)]);
 }
--- a/tests/in_force.rs
+++ b/tests/in_force.rs
@@ -55,11 +55,11 @@
     (meter.ok, meter.refused)
 }
 
-/// The orders that each balancer and agent obeys.
+/// The orders that each balancer and agent applies.
 async fn orders(s: &Settings) -> Vec<u64> {
     let all = fleet::statuses(s).await;
-    let obeying = all.into_iter().filter(|(p, _)| p.role != "fabric");
-    obeying.map(|(_, st)| st.unwrap().orders).collect()
+    let applying = all.into_iter().filter(|(p, _)| p.role != "fabric");
+    applying.map(|(_, st)| st.unwrap().orders).collect()
 }
 
 #[ntex::test]
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -1,5 +1,5 @@
 //! A large configuration is handed on between balancers in parts: a change
-//! moves few of them, mixed parts are not obeyed, and a relay that dies is
+//! moves few of them, mixed parts are not applied, and a relay that dies is
 //! followed by another.
 
 use std::cell::RefCell;
@@ -49,7 +49,7 @@
 }
 
 /// Writes what `relay` has due for `routes`; returns the number of keys.
-fn hand_on(copy: &mut Snapshot, relay: &Relay, routes: &Routes) -> usize {
+fn publish(copy: &mut Snapshot, relay: &Relay, routes: &Routes) -> usize {
     let writes = relay.due(copy, routes).unwrap().unwrap_or_default();
     let n = writes.put.len();
     writes.put.into_iter().for_each(|(key, value)| put(copy, &key, value));
@@ -79,26 +79,26 @@
 fn one_change_one_part() {
     let mut copy = large();
     let mut all = routes(7, 2_200);
-    assert_eq!(hand_on(&mut copy, &balancer(1), &all), PARTS + 1);
-    assert_eq!(hand_on(&mut copy, &balancer(1), &all), 0, "written once");
+    assert_eq!(publish(&mut copy, &balancer(1), &all), PARTS + 1);
+    assert_eq!(publish(&mut copy, &balancer(1), &all), 0, "written once");
     all.version = 9;
     all.routes.get_mut(&addr(5)).unwrap().limit = Duration::from_secs(1);
-    assert_eq!(hand_on(&mut copy, &balancer(1), &all), 2, "the part and the index");
+    assert_eq!(publish(&mut copy, &balancer(1), &all), 2, "the part and the index");
     let mut s = steer();
-    Reader::default().learn(&mut s, &copy);
+    Reader::default().apply_snapshot(&mut s, &copy);
     assert_eq!(s.routes(), Some(&all));
 }
 
-/// Pages of a listing are no snapshot: parts of two versions are not obeyed,
+/// Pages of a listing are no snapshot: parts of two versions are not applied,
 /// and once the rest has come, they are.
 #[test]
 fn mixed_parts_wait() {
     let (mut copy, relay) = (large(), balancer(1));
-    hand_on(&mut copy, &relay, &routes(7, 50));
+    publish(&mut copy, &relay, &routes(7, 50));
     let old = copy.clone();
-    hand_on(&mut copy, &relay, &routes(8, 60));
+    publish(&mut copy, &relay, &routes(8, 60));
     let (mut s, mut reader) = (steer(), Reader::default());
-    reader.learn(&mut s, &old);
+    reader.apply_snapshot(&mut s, &old);
     assert_eq!(s.version(), Some(7));
     let mut mixed = copy.clone();
     let index = relay::index(&copy).unwrap().0;
@@ -106,12 +106,12 @@
     let key = changed.unwrap();
     mixed.keys.insert(key.as_str().into(), old.keys[key.as_str()].clone());
     assert!(relay::whole(&mixed, &index).is_none());
-    reader.learn(&mut s, &mixed);
+    reader.apply_snapshot(&mut s, &mixed);
     assert_eq!((s.version(), s.routes().unwrap().routes.len()), (Some(7), 50));
-    reader.learn(&mut s, &copy);
+    reader.apply_snapshot(&mut s, &copy);
     assert_eq!((s.version(), s.routes().unwrap().routes.len()), (Some(8), 60));
     // Never back.
-    reader.learn(&mut s, &old);
+    reader.apply_snapshot(&mut s, &old);
     assert_eq!(s.version(), Some(8));
 }
 
@@ -127,7 +127,7 @@
     put(&mut copy, second.key(), Vec::new());
     assert!(!first.wanted(&copy) && second.wanted(&copy), "one is");
     assert_eq!(first.scope(&copy, Some(7)), None, "it has written nothing yet");
-    hand_on(&mut copy, &second, &routes(7, 50));
+    publish(&mut copy, &second, &routes(7, 50));
     assert_eq!(first.scope(&copy, Some(7)), Some(OWN));
     assert_eq!(first.scope(&copy, Some(8)), None, "the parts are older than what is in force");
     assert_eq!(second.scope(&copy, Some(7)), None, "a relay follows everything");
@@ -142,7 +142,7 @@
 #[test]
 fn small_again() {
     let (mut copy, relay) = (large(), balancer(1));
-    hand_on(&mut copy, &relay, &routes(7, 50));
+    publish(&mut copy, &relay, &routes(7, 50));
     put(&mut copy, config::KEY, vec![b' '; 10]);
     let writes = relay.due(&copy, &routes(8, 1)).unwrap().unwrap();
     assert_eq!((writes.put.len(), writes.remove.len()), (0, PARTS + 1));
--- a/tests/stalled_answer.rs
+++ b/tests/stalled_answer.rs
@@ -16,7 +16,8 @@
         let (mut stream, _) = listener.accept().unwrap();
         let mut buf = [0; 1_024];
         assert!(stream.read(&mut buf).unwrap() > 0);
-        let head = b"HTTP/1.1 200 OK\r\ncontent-type: application/json\r\ncontent-length: 99\r\n\r\n";
+        let head =
+            b"HTTP/1.1 200 OK\r\ncontent-type: application/json\r\ncontent-length: 99\r\n\r\n";
         stream.write_all(head).unwrap();
         while stream.read(&mut buf).is_ok_and(|n| n > 0) {}
     });
--- a/tests/steer.rs
+++ b/tests/steer.rs
@@ -275,7 +275,7 @@
     assert!(s.next_due(now).unwrap() <= now + 20 * MS);
     assert!(tick(&mut s, now + 20 * MS).peers.is_empty());
     assert!(s.next_due(now + 20 * MS).unwrap() > now + 20 * MS, "no busy loop");
-    s.obey(routes(1));
+    s.apply_routes(routes(1));
     s.roster.update(&[announced(1)], now);
     assert_eq!(tick(&mut s, now + 60 * MS).opens(), [agent(1)]);
 }
@@ -283,8 +283,8 @@
 #[test]
 fn config_never_back() {
     let mut s = steer(1, Instant::now());
-    assert!(s.obey(routes(9)));
-    assert!(!s.obey(routes(7)));
+    assert!(s.apply_routes(routes(9)));
+    assert!(!s.apply_routes(routes(7)));
     assert_eq!(s.version(), Some(9));
 }
 
