Names: what becomes of a flow is resolved

steer/verdict.rs is resolve.rs with resolve, resolve_on_timeout and reset_lost for decide, decide_without and lose; Known is FlowState, certain roster_current, all_asked all_queried, out_of_reach unreachable, Asks Queries, may_live maybe_alive, the fabric's fate outcome. Behaviour and wire unchanged.

--- a/src/fabric/mod.rs
+++ b/src/fabric/mod.rs
@@ -26,7 +26,7 @@
 use tokio::sync::mpsc;
 use tokio::task::JoinSet;
 
-use spray::{Fate, Spray};
+use spray::{Outcome, Spray};
 
 use crate::admin::{self, Board, Faults};
 use crate::events;
@@ -119,7 +119,7 @@
     loop {
         let (n, _) = spray.sock().recv_from(&mut buf).await.context("fabric: receiving")?;
         let Ok(r) = wire::decode::<Reply>(&buf[..n]) else { continue };
-        let Fate::Arrives(copies) = spray.fate(r.flow) else { continue };
+        let Outcome::Arrives(copies) = spray.outcome(r.flow) else { continue };
         for _ in 0..copies {
             hand(spray, flows, r.clone(), me).await;
         }
--- a/src/fabric/spray.rs
+++ b/src/fabric/spray.rs
@@ -17,7 +17,7 @@
 
 /// What the faults make of one packet.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Fate {
+pub enum Outcome {
     /// It never arrives.
     Lost,
     /// It arrives this often, each after its own delay.
@@ -70,7 +70,7 @@
             format!("flow {:x} {:?}", p.flow, p.kind)
         });
         let Ok(bytes) = wire::encode(p) else { return };
-        if let Fate::Arrives(copies) = self.fate(p.flow) {
+        if let Outcome::Arrives(copies) = self.outcome(p.flow) {
             for _ in 0..copies {
                 self.one(&bytes).await;
             }
@@ -78,12 +78,12 @@
     }
 
     /// What the faults make of a packet of `flow`, in either direction.
-    pub fn fate(&self, flow: u64) -> Fate {
+    pub fn outcome(&self, flow: u64) -> Outcome {
         let f = self.board.faults();
         if self.muted.borrow().contains(&flow) || hit(f.lose) {
-            return Fate::Lost;
+            return Outcome::Lost;
         }
-        Fate::Arrives(if hit(f.double) { 2 } else { 1 })
+        Outcome::Arrives(if hit(f.double) { 2 } else { 1 })
     }
 
     /// How long a packet is held up, if the faults delay it.
--- a/src/hold/life.rs
+++ b/src/hold/life.rs
@@ -127,11 +127,11 @@
     /// tried.
     #[must_use]
     pub fn doubtful(&self, now: Instant) -> bool {
-        self.may_live() && self.silent_since.is_some_and(|at| now >= at)
+        self.maybe_alive() && self.silent_since.is_some_and(|at| now >= at)
     }
 
     /// Whether the target's process may be running.
-    fn may_live(&self) -> bool {
+    fn maybe_alive(&self) -> bool {
         !self.absent && self.target.as_ref().is_none_or(Target::alive)
     }
 
@@ -194,7 +194,7 @@
     pub fn next_due(&self) -> Option<Instant> {
         let queues = [&self.opens, &self.unanswered, &self.working, &self.ended];
         let first = queues.into_iter().filter_map(|q| q.front().map(|(at, _)| *at)).min();
-        let silent = self.silent_since.filter(|_| self.may_live());
+        let silent = self.silent_since.filter(|_| self.maybe_alive());
         [first, self.ending, silent].into_iter().flatten().min()
     }
 
--- a/src/steer/mod.rs
+++ b/src/steer/mod.rs
@@ -12,15 +12,15 @@
 //! All that grows with trouble has a budget: further offers of opens, questions
 //! to agents, packets kept ([`Steering`]).
 
-mod asks;
-mod known;
 mod opens;
 mod owner;
+mod queries;
+mod resolve;
 mod roster;
 mod routes;
 mod rtt;
 mod search;
-mod verdict;
+mod state;
 
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, VecDeque};
@@ -28,12 +28,12 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use asks::Asks;
-pub use known::{Known, Opening};
+use queries::Queries;
 pub use roster::{Announced, Roster};
 pub use routes::{Route, Routes, Share};
 use rtt::Rtt;
 pub use search::Search;
+pub use state::{FlowState, Opening};
 
 use crate::budget::Bucket;
 use crate::bus::{Answer, Message, Mode, Note, Word};
@@ -59,10 +59,10 @@
     routes: Option<Routes>,
     /// The agents that the balancer believes in.
     pub roster: Roster,
-    flows: Table<Known>,
+    flows: Table<FlowState>,
     due: Calendar,
     policy: Steering,
-    asks: Asks,
+    queries: Queries,
     /// How long agents take to answer.
     rtt: Rtt,
     /// Further offers of opens that may be made.
@@ -90,7 +90,7 @@
             flows: Table::new(idle),
             due: Calendar::default(),
             policy: Steering::default(),
-            asks: Asks::new(0.0, 0.0),
+            queries: Queries::new(0.0, 0.0),
             rtt: Rtt::default(),
             retries: Bucket::new(0.0),
             kept: 0,
@@ -105,7 +105,7 @@
     /// The balancer with another policy.
     #[must_use]
     pub fn policy(mut self, policy: Steering) -> Self {
-        self.asks = Asks::new(policy.asks, policy.ask_burst);
+        self.queries = Queries::new(policy.asks, policy.ask_burst);
         self.retries = Bucket::new(policy.retry_burst);
         self.roster = Roster::new(policy.doubt.clone());
         self.policy = policy;
@@ -163,7 +163,7 @@
             return;
         }
         match self.flows.get(came.flow(), now) {
-            Some(Known::At { agent, service }) if !self.roster.gone(*agent, now) => {
+            Some(FlowState::At { agent, service }) if !self.roster.gone(*agent, now) => {
                 let message = Message::Carry { service, mode: Mode::Owner };
                 out.agent(*agent, &message, packet);
             }
@@ -220,23 +220,23 @@
     /// The target of the agent `from` holds `flow`.
     fn held(&mut self, from: SocketAddrV4, flow: Flow, now: Instant, out: &mut impl Out) {
         let service = match self.flows.remove(flow) {
-            Some(Known::Opening(o)) => {
+            Some(FlowState::Opening(o)) => {
                 self.rtt.note(now.duration_since(o.asked));
                 self.tell_home(from, flow, &o, out);
                 o.service
             }
-            Some(Known::Search(s)) => {
+            Some(FlowState::Search(s)) => {
                 let service = s.service.clone();
                 self.found(from, s, out);
                 service
             }
-            Some(at @ Known::At { .. }) => {
+            Some(at @ FlowState::At { .. }) => {
                 self.flows.insert(flow, at, now);
                 return;
             }
             None => return,
         };
-        self.flows.insert(flow, Known::At { agent: from, service }, now);
+        self.flows.insert(flow, FlowState::At { agent: from, service }, now);
     }
 
     /// Tells a flow's home of its owner, unless it is the owner or passed the
@@ -279,7 +279,7 @@
             "flow": flow.to_string(),
             "route": route.map(|(r, _)| r.name.to_string()),
             "service": route.map(|(_, s)| s.service.to_string()),
-            "known": self.flows.peek(flow).map(Known::rule),
+            "known": self.flows.peek(flow).map(FlowState::rule),
             "a_new_one_goes_to": pick.map(|(a, b)| (a.to_string(), b.map(|b| b.to_string()))),
         })
     }
@@ -299,7 +299,7 @@
     /// When [`Steer::tick`] next has something to do.
     #[must_use]
     pub fn next_due(&self, now: Instant) -> Option<Instant> {
-        [self.due.first(), self.roster.next_ping(), self.unpark_at, self.asks.next(now)]
+        [self.due.first(), self.roster.next_ping(), self.unpark_at, self.queries.next(now)]
             .into_iter()
             .flatten()
             .min()
@@ -315,15 +315,15 @@
             self.overdue(flow, now, out);
         }
         self.roster.ping(now, out);
-        self.asks.send(now, out);
+        self.queries.send(now, out);
         let kept = &mut self.kept;
         self.flows.expire(now, |_, known| *kept -= known.kept());
     }
 
     fn overdue(&mut self, flow: Flow, now: Instant, out: &mut impl Out) {
         match self.flows.peek(flow) {
-            Some(Known::Opening(o)) if o.due <= now => self.reoffer(flow, now, out),
-            Some(Known::Search(s)) if s.due.is_some_and(|at| at <= now) => {
+            Some(FlowState::Opening(o)) if o.due <= now => self.reoffer(flow, now, out),
+            Some(FlowState::Search(s)) if s.due.is_some_and(|at| at <= now) => {
                 self.unanswered(flow, now, out);
             }
             Some(_) | None => {}
--- a/src/steer/opens.rs
+++ b/src/steer/opens.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddrV4;
 use std::time::{Duration, Instant};
 
-use super::{Known, Opening, Out, Steer, refuse};
+use super::{FlowState, Opening, Out, Steer, refuse};
 use crate::bus::{Message, Open};
 use crate::events;
 use crate::flow::{Arrival, Flow};
@@ -22,12 +22,12 @@
         let mut opening = Opening::new(share, seq, came.packet, now, patience);
         let mut before = None;
         match self.flows.remove(flow) {
-            Some(Known::At { agent, .. }) => before = Some(agent),
-            Some(Known::Opening(o)) if o.seq == seq => {
+            Some(FlowState::At { agent, .. }) => before = Some(agent),
+            Some(FlowState::Opening(o)) if o.seq == seq => {
                 before = o.offered.first().copied();
                 opening = Opening { offered: Vec::new(), ..o };
             }
-            Some(known @ Known::Search(_)) => self.kept -= known.kept(),
+            Some(known @ FlowState::Search(_)) => self.kept -= known.kept(),
             _ => {}
         }
         self.retries.add(self.policy.retry_share);
@@ -35,13 +35,13 @@
         // target would only answer a handshake that is thrown away.
         let before = before.filter(|a| self.roster.answers(*a));
         if !self.offer(flow, &mut opening, before, now, out) {
-            if self.certain(now) {
+            if self.roster_current(now) {
                 refuse(flow, Refusal::NoTarget, out);
                 return;
             }
             self.rest(flow, &mut opening, now);
         }
-        self.flows.insert(flow, Known::Opening(opening), now);
+        self.flows.insert(flow, FlowState::Opening(opening), now);
     }
 
     /// Lets an open rest until the next round of offers; the pauses grow.
@@ -55,7 +55,7 @@
     }
 
     /// Whether an agent that is not in the roster can be taken as gone.
-    pub(super) fn certain(&self, now: Instant) -> bool {
+    pub(super) fn roster_current(&self, now: Instant) -> bool {
         self.sees_since.is_some_and(|at| now.duration_since(at) >= self.policy.relisted)
     }
 
@@ -98,19 +98,19 @@
         now: Instant,
         out: &mut impl Out,
     ) {
-        let Some(Known::Opening(o)) = self.flows.get(flow, now) else { return };
+        let Some(FlowState::Opening(o)) = self.flows.get(flow, now) else { return };
         if !o.offered.contains(&from) {
             return;
         }
         o.doubtful |= matches!(reason, Refusal::NoTarget | Refusal::Busy);
-        let Some(Known::Opening(mut opening)) = self.flows.remove(flow) else { return };
+        let Some(FlowState::Opening(mut opening)) = self.flows.remove(flow) else { return };
         self.rtt.note(now.duration_since(opening.asked));
         let most =
             if reason == Refusal::Busy { self.policy.busy_offers } else { self.policy.most_offers };
         let more = opening.offered.len() < most;
         if more && self.offer(flow, &mut opening, None, now, out) {
-            self.flows.insert(flow, Known::Opening(opening), now);
-        } else if more && !opening.doubtful && self.certain(now) {
+            self.flows.insert(flow, FlowState::Opening(opening), now);
+        } else if more && !opening.doubtful && self.roster_current(now) {
             refuse(flow, reason, out);
         } else {
             self.again(flow, opening, reason, now, out);
@@ -131,14 +131,14 @@
             refuse(flow, reason, out);
         } else {
             self.rest(flow, &mut opening, now);
-            self.flows.insert(flow, Known::Opening(opening), now);
+            self.flows.insert(flow, FlowState::Opening(opening), now);
         }
     }
 
     /// The agents that an open was offered to did not answer, or its rest is
     /// over: offers it to the next, as far as the budget goes.
     pub(super) fn reoffer(&mut self, flow: Flow, now: Instant, out: &mut impl Out) {
-        let Some(Known::Opening(mut opening)) = self.flows.remove(flow) else { return };
+        let Some(FlowState::Opening(mut opening)) = self.flows.remove(flow) else { return };
         if !opening.resting {
             metrics::retried(Retry::OpenTimeout);
             log::info!(
@@ -156,7 +156,7 @@
             metrics::retried(Retry::BudgetSpent);
             self.again(flow, opening, Refusal::OpenTimeout, now, out);
         } else if self.offer(flow, &mut opening, None, now, out) {
-            self.flows.insert(flow, Known::Opening(opening), now);
+            self.flows.insert(flow, FlowState::Opening(opening), now);
         } else {
             self.again(flow, opening, Refusal::NoTarget, now, out);
         }
--- a/src/steer/owner.rs
+++ b/src/steer/owner.rs
@@ -8,7 +8,7 @@
 use std::net::SocketAddrV4;
 use std::time::Instant;
 
-use super::{Known, Out, Search, Steer, refuse_at};
+use super::{FlowState, Out, Search, Steer, refuse_at};
 use crate::bus::{Answer, Message, Mode, Word};
 use crate::events;
 use crate::flow::{Arrival, Flow};
@@ -30,9 +30,9 @@
         // An open whose note has not come yet: the agents that it was offered to
         // know best.
         let (mut search, offered) = match self.flows.remove(flow) {
-            Some(Known::Search(s)) => (s, Vec::new()),
-            Some(Known::Opening(o)) => (Search::default(), o.offered),
-            Some(Known::At { .. }) | None => (Search::default(), Vec::new()),
+            Some(FlowState::Search(s)) => (s, Vec::new()),
+            Some(FlowState::Opening(o)) => (Search::default(), o.offered),
+            Some(FlowState::At { .. }) | None => (Search::default(), Vec::new()),
         };
         self.kept -= search.bytes();
         let under_way = search.due.is_some();
@@ -45,7 +45,7 @@
             search.service = service;
             self.begin(flow, &mut search, &offered, now);
         }
-        self.flows.insert(flow, Known::Search(search), now);
+        self.flows.insert(flow, FlowState::Search(search), now);
     }
 
     /// Begins a round: every agent of the service is to be asked, the likeliest
@@ -76,11 +76,11 @@
         self.ask_wave(flow, search, now);
     }
 
-    /// Asks the next agents of a round.
+    /// Queries the next agents of a round.
     fn ask_wave(&mut self, flow: Flow, search: &mut Search, now: Instant) {
         let wave = search.next_wave(&self.policy.waves);
         for agent in &wave {
-            self.asks.put(*agent, &search.service, search.question(flow));
+            self.queries.put(*agent, &search.service, search.question(flow));
         }
         // Fewer than the type holds.
         search.messages += wave.len() as u32;
@@ -103,7 +103,7 @@
         now: Instant,
         out: &mut impl Out,
     ) {
-        let Some(Known::Search(s)) = self.flows.get(answer.flow, now) else { return };
+        let Some(FlowState::Search(s)) = self.flows.get(answer.flow, now) else { return };
         s.messages += 1;
         s.named = answer.hint.or(s.named);
         if let Some(since) = s.since.filter(|_| s.waiting.contains(&from)) {
@@ -118,10 +118,10 @@
             s.waiting.push(hint);
             s.messages += 1;
             let (service, question) = (s.service.clone(), s.question(answer.flow));
-            self.asks.put(hint, &service, question);
-            if let Some(Known::Search(mut s)) = self.flows.remove(answer.flow) {
+            self.queries.put(hint, &service, question);
+            if let Some(FlowState::Search(mut s)) = self.flows.remove(answer.flow) {
                 self.await_wave(answer.flow, &mut s, now);
-                self.flows.insert(answer.flow, Known::Search(s), now);
+                self.flows.insert(answer.flow, FlowState::Search(s), now);
             }
         }
         self.unknown(from, answer.flow, answer.word, now, out);
@@ -136,10 +136,10 @@
         out: &mut impl Out,
     ) {
         match self.flows.get(flow, now) {
-            Some(Known::At { agent, .. }) if *agent == from => {
+            Some(FlowState::At { agent, .. }) if *agent == from => {
                 self.flows.remove(flow);
             }
-            Some(Known::Search(s)) => {
+            Some(FlowState::Search(s)) => {
                 s.answered(from, word);
                 let done = s.waiting.is_empty();
                 self.try_named(flow, out);
@@ -153,27 +153,27 @@
 
     /// A wave is over: the next is asked, or the round decided.
     fn go_on(&mut self, flow: Flow, now: Instant, out: &mut impl Out) {
-        let Some(Known::Search(s)) = self.flows.peek(flow) else { return };
+        let Some(FlowState::Search(s)) = self.flows.peek(flow) else { return };
         if !s.left.is_empty() {
-            let Some(Known::Search(mut s)) = self.flows.remove(flow) else { return };
+            let Some(FlowState::Search(mut s)) = self.flows.remove(flow) else { return };
             self.ask_wave(flow, &mut s, now);
-            self.flows.insert(flow, Known::Search(s), now);
+            self.flows.insert(flow, FlowState::Search(s), now);
         } else if s.silent.is_empty() {
             let lost = s.lost();
-            self.decide(flow, lost, now, out);
+            self.resolve(flow, lost, now, out);
         } else {
-            self.decide_without(flow, now, out);
+            self.resolve_on_timeout(flow, now, out);
         }
     }
 
     /// Some agents of the wave did not answer in time.
     pub(super) fn unanswered(&mut self, flow: Flow, now: Instant, out: &mut impl Out) {
-        let Some(Known::Search(mut s)) = self.flows.remove(flow) else { return };
-        let unsent = s.waiting.iter().any(|a| self.asks.waits(*a, flow));
+        let Some(FlowState::Search(mut s)) = self.flows.remove(flow) else { return };
+        let unsent = s.waiting.iter().any(|a| self.queries.waits(*a, flow));
         if unsent {
             // The budget has not allowed the question yet.
             self.await_wave(flow, &mut s, now);
-            self.flows.insert(flow, Known::Search(s), now);
+            self.flows.insert(flow, FlowState::Search(s), now);
             return;
         }
         let silent = std::mem::take(&mut s.waiting);
@@ -186,7 +186,7 @@
             self.roster.missed(*agent, now);
         }
         s.silent.extend(silent);
-        self.flows.insert(flow, Known::Search(s), now);
+        self.flows.insert(flow, FlowState::Search(s), now);
         self.go_on(flow, now, out);
     }
 
--- a/src/steer/asks.rs
+++ b/src/steer/queries.rs
@@ -19,7 +19,7 @@
 
 /// Questions that have not gone out yet.
 #[derive(Debug)]
-pub struct Asks {
+pub struct Queries {
     queues: BTreeMap<SocketAddrV4, Queue>,
     /// Agents with questions, those that have waited longest first.
     turns: VecDeque<SocketAddrV4>,
@@ -28,14 +28,14 @@
     rate: f64,
 }
 
-impl Asks {
+impl Queries {
     /// No questions, and at most `rate` datagrams a second, `burst` at once.
     #[must_use]
     pub const fn new(rate: f64, burst: f64) -> Self {
         Self { queues: BTreeMap::new(), turns: VecDeque::new(), budget: Bucket::new(burst), rate }
     }
 
-    /// Asks `agent`, beside a target of `service`.
+    /// Queries `agent`, beside a target of `service`.
     pub fn put(&mut self, agent: SocketAddrV4, service: &Arc<str>, question: Question) {
         let queue = self.queues.entry(agent).or_default();
         if queue.questions.is_empty() {
--- a/src/steer/verdict.rs
+++ b/src/steer/resolve.rs
@@ -4,21 +4,21 @@
 use std::net::SocketAddrV4;
 use std::time::Instant;
 
-use super::{Known, Out, Steer, refuse_at};
+use super::{FlowState, Out, Steer, refuse_at};
 use crate::flow::Flow;
 use crate::metrics::{self, Refusal};
 
 impl Steer {
-    /// Every agent was asked and some are silent. Those that are long gone count
-    /// as denying the flow, if most agents answered: a balancer cut off from most
-    /// of them knows nothing.
-    pub(super) fn decide_without(&mut self, flow: Flow, now: Instant, out: &mut impl Out) {
-        let Some(Known::Search(s)) = self.flows.peek(flow) else { return };
+    /// Resolves a search in which every agent was asked and some do not answer.
+    /// Those that are long gone count as denying the flow, if most agents answered:
+    /// a balancer cut off from most of them knows nothing.
+    pub(super) fn resolve_on_timeout(&mut self, flow: Flow, now: Instant, out: &mut impl Out) {
+        let Some(FlowState::Search(s)) = self.flows.peek(flow) else { return };
         let gone = s.silent.iter().all(|a| self.roster.gone(*a, now));
         let most = s.silent.len() * 2 < usize::try_from(s.agents).unwrap_or(usize::MAX);
         let lost = gone && most && s.unsure.is_empty();
-        if lost || s.silent.iter().all(|a| self.out_of_reach(*a, now)) {
-            self.decide(flow, lost, now, out);
+        if lost || s.silent.iter().all(|a| self.unreachable(*a, now)) {
+            self.resolve(flow, lost, now, out);
         } else {
             self.end_round(flow);
         }
@@ -28,23 +28,23 @@
     /// than a restart takes, or it has left with its target. Without the second,
     /// a release, in which some agent always is on its way out, would hold up
     /// every search until it is over.
-    fn out_of_reach(&self, agent: SocketAddrV4, now: Instant) -> bool {
+    fn unreachable(&self, agent: SocketAddrV4, now: Instant) -> bool {
         let left = self.sees_since.is_some() && self.roster.left(agent);
         left || self.roster.silent_for(agent, self.policy.restart, now)
     }
 
-    /// The round is over: the flow is lost, or targets are tried.
-    pub(super) fn decide(&mut self, flow: Flow, lost: bool, now: Instant, out: &mut impl Out) {
+    /// Ends the round: the flow is lost, or targets are tried.
+    pub(super) fn resolve(&mut self, flow: Flow, lost: bool, now: Instant, out: &mut impl Out) {
         self.end_round(flow);
         if lost && self.sees_since.is_some() {
-            self.lose(flow, out);
+            self.reset_lost(flow, out);
         } else {
             self.try_unsure(flow, now, out);
         }
     }
 
     fn end_round(&mut self, flow: Flow) {
-        let Some(Known::Search(s)) = self.flows.peek_mut(flow) else { return };
+        let Some(FlowState::Search(s)) = self.flows.peek_mut(flow) else { return };
         let before = s.bytes();
         s.due = None;
         s.keep_last();
@@ -52,9 +52,9 @@
         self.kept -= before - s.bytes();
     }
 
-    /// The target that held the flow is gone: tells its caller at once.
-    fn lose(&mut self, flow: Flow, out: &mut impl Out) {
-        if let Some(Known::Search(s)) = self.flows.remove(flow) {
+    /// Resets a flow whose target is gone, so that its caller can come again at once.
+    fn reset_lost(&mut self, flow: Flow, out: &mut impl Out) {
+        if let Some(FlowState::Search(s)) = self.flows.remove(flow) {
             self.kept -= s.bytes();
             refuse_at(flow, s.ack, Refusal::Lost, out);
         }
@@ -64,7 +64,7 @@
     /// try its target at once, without waiting for what others say.
     pub(super) fn try_named(&mut self, flow: Flow, out: &mut impl Out) {
         let most = self.policy.trials;
-        let Some(Known::Search(s)) = self.flows.peek_mut(flow) else { return };
+        let Some(FlowState::Search(s)) = self.flows.peek_mut(flow) else { return };
         let fresh = |a: &SocketAddrV4| s.unsure.contains(a) && !s.tried.contains(a);
         let Some(named) = s.named.filter(fresh) else { return };
         if s.tried.len() >= most {
@@ -82,16 +82,16 @@
     /// current.
     fn try_unsure(&mut self, flow: Flow, now: Instant, out: &mut impl Out) {
         let trials = self.policy.trials;
-        let Some(Known::Search(s)) = self.flows.peek(flow) else { return };
+        let Some(FlowState::Search(s)) = self.flows.peek(flow) else { return };
         if s.trial.is_some_and(|a| s.unsure.contains(&a)) {
             return;
         }
-        let every = s.all_asked() && s.silent.iter().all(|a| self.roster.left(*a));
-        let certain = every && self.certain(now);
-        let Some(Known::Search(s)) = self.flows.get(flow, now) else { return };
+        let every = s.all_queried() && s.silent.iter().all(|a| self.roster.left(*a));
+        let complete = every && self.roster_current(now);
+        let Some(FlowState::Search(s)) = self.flows.get(flow, now) else { return };
         let mut left = self.roster.likely(&s.unsure, &self.zone, flow);
         left.retain(|a| !s.tried.contains(a));
-        let all = certain && s.tried.len() >= trials && !s.trying();
+        let all = complete && s.tried.len() >= trials && !s.trying();
         if !all {
             left.truncate(trials.saturating_sub(s.tried.len()));
         }
--- a/src/steer/roster.rs
+++ b/src/steer/roster.rs
@@ -389,7 +389,7 @@
         self.due
     }
 
-    /// Asks the agents that are in doubt, those that have waited longest first, as
+    /// Queries the agents that are in doubt, those that have waited longest first, as
     /// far as the budget goes, and drops those that the store does not list and
     /// that had their turn and have not answered in time.
     pub fn ping(&mut self, now: Instant, out: &mut impl Out) {
--- a/src/steer/search.rs
+++ b/src/steer/search.rs
@@ -49,8 +49,8 @@
 }
 
 impl Search {
-    /// Whether every agent of the service said for certain that its target
-    /// does not hold the flow: the target that did is gone.
+    /// Whether every agent of the service said that its target does
+    /// not hold the flow: the target that did is gone.
     #[must_use]
     pub fn lost(&self) -> bool {
         self.agents > 0 && self.all_answered() && self.unsure.is_empty()
@@ -58,11 +58,11 @@
 
     /// Whether every agent of the service has answered.
     fn all_answered(&self) -> bool {
-        self.all_asked() && self.silent.is_empty()
+        self.all_queried() && self.silent.is_empty()
     }
 
     /// Whether every agent of the service was asked, and had its time to answer.
-    pub(super) fn all_asked(&self) -> bool {
+    pub(super) fn all_queried(&self) -> bool {
         self.left.is_empty() && self.waiting.is_empty()
     }
 
--- a/src/steer/known.rs
+++ b/src/steer/state.rs
@@ -9,7 +9,7 @@
 
 /// What is known of a flow.
 #[derive(Debug)]
-pub enum Known {
+pub enum FlowState {
     /// It is being opened.
     Opening(Opening),
     /// An agent's target holds it.
@@ -23,7 +23,7 @@
     Search(Search),
 }
 
-impl Known {
+impl FlowState {
     /// By which rule the flow's packets go, in words.
     #[must_use]
     pub fn rule(&self) -> String {
