--- a/examples/packet.rs
+++ b/examples/packet.rs
@@ -11,7 +11,7 @@
 use std::time::{Duration, Instant};
 
 use jujubepost::balancer::{self, Pool, View};
-use jujubepost::bus::{self, Message, Mode, Note, Word};
+use jujubepost::bus::{self, FlowStatus, Message, Mode, Note};
 use jujubepost::flow::{Flags, Flow, Segment};
 use jujubepost::hold::{self, Holder, Report, State};
 use jujubepost::platform::packet;
@@ -104,7 +104,7 @@
     let mut out = Encode::default();
     for (port, p) in (1..=FLOWS).zip(packets) {
         s.packet(&packet::decode(p).unwrap(), p, now, &mut out);
-        let note = Note { flow: flow(port), word: Word::Held, load: 0 };
+        let note = Note { flow: flow(port), status: FlowStatus::Held, load: 0 };
         s.note(addr(1), note, now, &mut out);
     }
     s
--- a/src/bus/mod.rs
+++ b/src/bus/mod.rs
@@ -61,7 +61,7 @@
         load: u32,
     },
     /// An agent that answered a [`Message::Ping`] says that no process of its target
-    /// runs, as [`Word::Ended`].
+    /// runs, as [`FlowStatus::Ended`].
     Ended,
 }
 
@@ -119,7 +119,7 @@
     /// The flow.
     pub flow: Flow,
     /// Whether its own target holds it.
-    pub word: Word,
+    pub status: FlowStatus,
     /// Another agent to which it passed the flow's open, or which a balancer
     /// named.
     pub hint: Option<SocketAddrV4>,
@@ -142,25 +142,25 @@
     /// The flow.
     pub flow: Flow,
     /// What became of it.
-    pub word: Word,
+    pub status: FlowStatus,
     /// The agent's load, as [`crate::agent::place::load`].
     pub load: u32,
 }
 
 /// What an agent knows of a flow.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Word {
+pub enum FlowStatus {
     /// Its target holds the flow.
     Held,
     /// Its target does not hold the flow.
     Unknown,
     /// The agent started after its target and has never seen the flow; the
     /// target may hold it.
-    Unsure,
+    Unverified,
     /// The offered agents may not take it; nothing ran.
     Refused(Refusal),
     /// It was tried at the target, which does not hold it.
-    Foreign,
+    NotOwner,
     /// No process of its target runs: it holds no flow, and takes none before the
     /// store can name the target's next start.
     Ended,
--- a/src/hold/asked.rs
+++ b/src/hold/asked.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use super::{Holder, Out, Stage, Target};
-use crate::bus::{Answer, Ask, Message, Question, Word};
+use crate::bus::{Answer, Ask, FlowStatus, Message, Question};
 use crate::metrics::{self, Refusal};
 
 impl Holder {
@@ -23,21 +23,21 @@
         }
         let mut answers = Vec::with_capacity(ask.questions.len());
         for question in &ask.questions {
-            let word = self.knows(question, now);
+            let status = self.knows(question, now);
             let hint = self.hints.get(question.flow, now).copied();
-            answers.push(Answer { flow: question.flow, word, hint });
+            answers.push(Answer { flow: question.flow, status, hint });
         }
         let load = self.load(now);
         out.peer(from, &Message::Answers { answers, load }, &[]);
     }
 
-    fn knows(&mut self, question: &Question, now: Instant) -> Word {
+    fn knows(&mut self, question: &Question, now: Instant) -> FlowStatus {
         if let Some(h) = self.flows.get(question.flow, now) {
             return match h.stage {
-                Stage::Trial => Word::Unsure,
-                _ if h.goes_on(question.ack) => Word::Held,
-                Stage::Foreign => Word::Foreign,
-                _ => Word::Unknown,
+                Stage::Trial => FlowStatus::Unverified,
+                _ if h.goes_on(question.ack) => FlowStatus::Held,
+                Stage::NotOwner => FlowStatus::NotOwner,
+                _ => FlowStatus::Unknown,
             };
         }
         if let Some(denial) = self.denial() {
@@ -46,16 +46,16 @@
         if self.target.is_none() {
             self.expect(Duration::ZERO, now);
         }
-        Word::Unsure
+        FlowStatus::Unverified
     }
 
     /// The word that denies a flow which the agent does not know; none where its
     /// target may hold it.
-    pub(super) fn denial(&mut self) -> Option<Word> {
+    pub(super) fn denial(&mut self) -> Option<FlowStatus> {
         if self.absent {
             self.told_end = true;
-            return Some(Word::Ended);
+            return Some(FlowStatus::Ended);
         }
-        self.target.as_ref().is_some_and(Target::complete).then_some(Word::Unknown)
+        self.target.as_ref().is_some_and(Target::complete).then_some(FlowStatus::Unknown)
     }
 }
--- a/src/hold/held.rs
+++ b/src/hold/held.rs
@@ -25,7 +25,7 @@
     /// Tried at the target, which has not answered yet.
     Trial,
     /// Tried at the target, which does not hold it.
-    Foreign,
+    NotOwner,
     /// Both ends have finished, or one broke it off.
     Closed,
 }
@@ -93,7 +93,7 @@
     #[must_use]
     pub const fn goes_on(&self, ack: Option<u32>) -> bool {
         match (self.stage, ack) {
-            (Stage::Opening { .. } | Stage::Foreign, _) => false,
+            (Stage::Opening { .. } | Stage::NotOwner, _) => false,
             (Stage::Answered(seq), Some(ack)) => ack.wrapping_sub(seq) <= FIRST_ACK,
             (Stage::Answered(_), None) | (Stage::Open | Stage::Trial | Stage::Closed, _) => true,
         }
--- a/src/hold/opens.rs
+++ b/src/hold/opens.rs
@@ -6,7 +6,7 @@
 use super::{Held, Holder, Out, Stage, pass};
 use crate::agent::place::{self, UNABLE, place};
 use crate::agent::{Admit, Step, admit};
-use crate::bus::{Open, Word};
+use crate::bus::{FlowStatus, Open};
 use crate::events;
 use crate::flow::{Arrival, Flow};
 use crate::metrics::{self, Refusal};
@@ -56,7 +56,7 @@
                 let answered = !matches!(h.stage, Stage::Opening { .. });
                 out.target(came.packet);
                 if answered {
-                    self.note(flow, Word::Held, open.reply, now, out);
+                    self.note(flow, FlowStatus::Held, open.reply, now, out);
                 }
                 return;
             }
@@ -124,6 +124,6 @@
             waiting = self.waiting, flows = self.flows.len();
             "open not taken"
         );
-        self.note(flow, Word::Refused(reason), reply, now, out);
+        self.note(flow, FlowStatus::Refused(reason), reply, now, out);
     }
 }
--- a/src/hold/packets.rs
+++ b/src/hold/packets.rs
@@ -7,7 +7,7 @@
 use super::{Held, Holder, NOBODY, Out, Stage, pass, reset};
 use crate::agent::Step;
 use crate::agent::place::give_back;
-use crate::bus::{Message, Mode, Note, Open, Word};
+use crate::bus::{FlowStatus, Message, Mode, Note, Open};
 use crate::events;
 use crate::flow::{Arrival, Flow, Segment};
 use crate::metrics::{self, Refusal, Retry};
@@ -29,13 +29,13 @@
                 self.note_caller(flow, seg, now);
                 out.target(packet);
                 if mode != Mode::Owner {
-                    self.note(flow, Word::Held, from, now, out);
+                    self.note(flow, FlowStatus::Held, from, now, out);
                 }
             }
             Some(false) => {
-                let tried = self.flows.peek(flow).is_some_and(|h| h.stage == Stage::Foreign);
-                let word = if tried { Word::Foreign } else { Word::Unknown };
-                self.note(flow, word, from, now, out);
+                let tried = self.flows.peek(flow).is_some_and(|h| h.stage == Stage::NotOwner);
+                let status = if tried { FlowStatus::NotOwner } else { FlowStatus::Unknown };
+                self.note(flow, status, from, now, out);
             }
             None => self.carry_unknown(from, mode, came, out),
         }
@@ -118,7 +118,7 @@
         let before = h.stage;
         h.stage = match before {
             Stage::Opening { .. } | Stage::Answered(_) if seg.flags.syn => Stage::Answered(seg.seq),
-            Stage::Trial | Stage::Foreign => Stage::Open,
+            Stage::Trial | Stage::NotOwner => Stage::Open,
             other => other,
         };
         h.ours = true;
@@ -133,7 +133,7 @@
             self.close(flow, now);
         }
         if let (true, Some(to)) = (news, reply) {
-            self.note(flow, Word::Held, to, now, out);
+            self.note(flow, FlowStatus::Held, to, now, out);
         }
     }
 
@@ -153,8 +153,8 @@
             if h.ours && h.stage != Stage::Closed {
                 reset(flow, seg.ack, out);
             }
-            self.flows.insert(flow, Held::new(Stage::Foreign, 0), now);
-            self.note(flow, Word::Foreign, reply, now, out);
+            self.flows.insert(flow, Held::new(Stage::NotOwner, 0), now);
+            self.note(flow, FlowStatus::NotOwner, reply, now, out);
             return;
         };
         let service = self.service.clone();
@@ -174,7 +174,7 @@
     pub(super) fn note(
         &self,
         flow: Flow,
-        word: Word,
+        status: FlowStatus,
         to: SocketAddrV4,
         now: Instant,
         out: &mut impl Out,
@@ -183,6 +183,6 @@
             return;
         }
         let load = self.load(now);
-        out.peer(to, &Message::Note(Note { flow, word, load }), &[]);
+        out.peer(to, &Message::Note(Note { flow, status, load }), &[]);
     }
 }
--- a/src/model/build.rs
+++ b/src/model/build.rs
@@ -34,7 +34,7 @@
             agents: Vec::new(),
             callers: BTreeMap::new(),
             next_port: 0,
-            strays: HashMap::new(),
+            misrouted: HashMap::new(),
             runs: HashMap::new(),
             loss: 0.0,
             burst: 1.0,
--- a/src/model/serve.rs
+++ b/src/model/serve.rs
@@ -5,7 +5,7 @@
 use rand::Rng;
 
 use super::target::{Admitted, Came, SHED, Timer};
-use super::world::{Event, LOCAL, Strays, World, class_of};
+use super::world::{Event, LOCAL, Misrouted, World, class_of};
 use crate::flow::{Flow, Segment};
 use crate::platform::packet;
 
@@ -35,7 +35,7 @@
             self.calendar.put(self.now + LOCAL, Event::FromTarget(n, back));
             return;
         }
-        self.strays.remove(&flow);
+        self.misrouted.remove(&flow);
         let after = if seg.opens() { HANDSHAKE } else { LOCAL };
         for seg in out {
             let bytes = packet::encode(&seg, &[]);
@@ -55,13 +55,16 @@
         let flow = seg.by_caller();
         if self.agents.iter().any(|a| a.holds(flow)) {
             let now = self.now;
-            let strays =
-                self.strays.entry(flow).or_insert(Strays { first: now, count: 0, told: false });
-            strays.count += 1;
-            let long = now.duration_since(strays.first) >= MISROUTED_FOR;
-            if strays.count >= MISROUTED && long {
-                self.tally.misrouted += u32::from(!strays.told);
-                strays.told = true;
+            let misrouted = self.misrouted.entry(flow).or_insert(Misrouted {
+                first: now,
+                count: 0,
+                told: false,
+            });
+            misrouted.count += 1;
+            let long = now.duration_since(misrouted.first) >= MISROUTED_FOR;
+            if misrouted.count >= MISROUTED && long {
+                self.tally.misrouted += u32::from(!misrouted.told);
+                misrouted.told = true;
             }
         }
     }
--- a/src/model/world.rs
+++ b/src/model/world.rs
@@ -145,7 +145,7 @@
 }
 
 /// Packets of a flow at targets that do not hold it.
-pub(super) struct Strays {
+pub(super) struct Misrouted {
     /// When the first of them came.
     pub(super) first: Instant,
     pub(super) count: u32,
@@ -167,7 +167,7 @@
     pub(super) next_port: u32,
     /// Packets of a flow at targets that do not hold it, since it was last at
     /// its own.
-    pub(super) strays: HashMap<Flow, Strays>,
+    pub(super) misrouted: HashMap<Flow, Misrouted>,
     pub(super) runs: HashMap<SocketAddrV4, u32>,
     pub(super) loss: f64,
     pub(super) burst: f64,
--- a/src/steer/mod.rs
+++ b/src/steer/mod.rs
@@ -36,7 +36,7 @@
 pub use state::{FlowState, Opening};
 
 use crate::budget::Bucket;
-use crate::bus::{Answer, Message, Mode, Note, Word};
+use crate::bus::{Answer, FlowStatus, Message, Mode, Note};
 use crate::events;
 use crate::flow::{Arrival, Flow, Segment, Table};
 use crate::metrics::{self, Refusal};
@@ -183,7 +183,7 @@
             Message::Note(note) => self.note(from, *note, now, out),
             Message::Answers { answers, load } => self.answers(from, answers, *load, now, out),
             Message::Pong { service, load } => self.roster.pong(from, service, *load, now),
-            Message::Ended => self.roster.said(from, Word::Ended),
+            Message::Ended => self.roster.said(from, FlowStatus::Ended),
             _ => {}
         }
     }
@@ -191,12 +191,15 @@
     /// Takes what an agent says of a flow.
     pub fn note(&mut self, from: SocketAddrV4, note: Note, now: Instant, out: &mut impl Out) {
         self.roster.heard(from, note.load, now);
-        self.roster.said(from, note.word);
-        match note.word {
-            Word::Held => self.held(from, note.flow, now, out),
-            Word::Refused(reason) => self.refused(from, note.flow, reason, now, out),
-            Word::Unknown | Word::Ended | Word::Unsure | Word::Foreign => {
-                self.unknown(from, note.flow, note.word, now, out);
+        self.roster.said(from, note.status);
+        match note.status {
+            FlowStatus::Held => self.held(from, note.flow, now, out),
+            FlowStatus::Refused(reason) => self.refused(from, note.flow, reason, now, out),
+            FlowStatus::Unknown
+            | FlowStatus::Ended
+            | FlowStatus::Unverified
+            | FlowStatus::NotOwner => {
+                self.unknown(from, note.flow, note.status, now, out);
             }
         }
     }
@@ -212,7 +215,7 @@
     ) {
         self.roster.heard(from, load, now);
         for answer in answers {
-            self.roster.said(from, answer.word);
+            self.roster.said(from, answer.status);
             self.answer(from, *answer, now, out);
         }
     }
--- a/src/steer/owner.rs
+++ b/src/steer/owner.rs
@@ -9,7 +9,7 @@
 use std::time::Instant;
 
 use super::{FlowState, Out, Search, Steer, refuse_at};
-use crate::bus::{Answer, Message, Mode, Word};
+use crate::bus::{Answer, FlowStatus, Message, Mode};
 use crate::events;
 use crate::flow::{Arrival, Flow};
 use crate::metrics::{self, Refusal, Retry};
@@ -63,7 +63,7 @@
         search.left = order.into();
         search.waiting.clear();
         search.silent.clear();
-        search.unsure.clear();
+        search.unverified.clear();
         search.trial = None;
         search.wave = 0;
         search.messages = 0;
@@ -109,7 +109,7 @@
         if let Some(since) = s.since.filter(|_| s.waiting.contains(&from)) {
             self.rtt.note(now.duration_since(since));
         }
-        if answer.word == Word::Held {
+        if answer.status == FlowStatus::Held {
             self.held(from, answer.flow, now, out);
             return;
         }
@@ -124,14 +124,14 @@
                 self.flows.insert(answer.flow, FlowState::Search(s), now);
             }
         }
-        self.unknown(from, answer.flow, answer.word, now, out);
+        self.unknown(from, answer.flow, answer.status, now, out);
     }
 
     pub(super) fn unknown(
         &mut self,
         from: SocketAddrV4,
         flow: Flow,
-        word: Word,
+        status: FlowStatus,
         now: Instant,
         out: &mut impl Out,
     ) {
@@ -140,7 +140,7 @@
                 self.flows.remove(flow);
             }
             Some(FlowState::Search(s)) => {
-                s.answered(from, word);
+                s.answered(from, status);
                 let done = s.waiting.is_empty();
                 self.try_named(flow, out);
                 if done {
@@ -179,7 +179,7 @@
         let silent = std::mem::take(&mut s.waiting);
         log::info!(
             event = events::OWNER_UNKNOWN, flow:% = flow, silent:? = silent,
-            unsure:? = s.unsure, tried:? = s.tried;
+            unverified:? = s.unverified, tried:? = s.tried;
             "flow's owner not found"
         );
         for agent in &silent {
--- a/src/steer/resolve.rs
+++ b/src/steer/resolve.rs
@@ -16,7 +16,7 @@
         let Some(FlowState::Search(s)) = self.flows.peek(flow) else { return };
         let gone = s.silent.iter().all(|a| self.roster.gone(*a, now));
         let most = s.silent.len() * 2 < usize::try_from(s.agents).unwrap_or(usize::MAX);
-        let lost = gone && most && s.unsure.is_empty();
+        let lost = gone && most && s.unverified.is_empty();
         if lost || s.silent.iter().all(|a| self.unreachable(*a, now)) {
             self.resolve(flow, lost, now, out);
         } else {
@@ -39,7 +39,7 @@
         if lost && self.sees_since.is_some() {
             self.reset_lost(flow, out);
         } else {
-            self.try_unsure(flow, now, out);
+            self.try_unverified(flow, now, out);
         }
     }
 
@@ -65,7 +65,7 @@
     pub(super) fn try_named(&mut self, flow: Flow, out: &mut impl Out) {
         let most = self.policy.trials;
         let Some(FlowState::Search(s)) = self.flows.peek_mut(flow) else { return };
-        let fresh = |a: &SocketAddrV4| s.unsure.contains(a) && !s.tried.contains(a);
+        let fresh = |a: &SocketAddrV4| s.unverified.contains(a) && !s.tried.contains(a);
         let Some(named) = s.named.filter(fresh) else { return };
         if s.tried.len() >= most {
             return;
@@ -80,16 +80,16 @@
     /// gave it back, all others at once, if the flow's own must be among them:
     /// every agent of the service answered or has left, and the list of them is
     /// current.
-    fn try_unsure(&mut self, flow: Flow, now: Instant, out: &mut impl Out) {
+    fn try_unverified(&mut self, flow: Flow, now: Instant, out: &mut impl Out) {
         let trials = self.policy.trials;
         let Some(FlowState::Search(s)) = self.flows.peek(flow) else { return };
-        if s.trial.is_some_and(|a| s.unsure.contains(&a)) {
+        if s.trial.is_some_and(|a| s.unverified.contains(&a)) {
             return;
         }
         let every = s.all_queried() && s.silent.iter().all(|a| self.roster.left(*a));
         let complete = every && self.roster_current(now);
         let Some(FlowState::Search(s)) = self.flows.get(flow, now) else { return };
-        let mut left = self.roster.likely(&s.unsure, &self.zone, flow);
+        let mut left = self.roster.likely(&s.unverified, &self.zone, flow);
         left.retain(|a| !s.tried.contains(a));
         let all = complete && s.tried.len() >= trials && !s.trying();
         if !all {
--- a/src/steer/roster.rs
+++ b/src/steer/roster.rs
@@ -16,7 +16,7 @@
 use super::Out;
 use crate::agent::place::UNABLE;
 use crate::budget::Bucket;
-use crate::bus::{Message, Word};
+use crate::bus::{FlowStatus, Message};
 use crate::flow::Flow;
 use crate::hold::Start;
 use crate::policy::Doubt;
@@ -299,13 +299,16 @@
     }
 
     /// An agent said `word` of a flow.
-    pub fn said(&mut self, addr: SocketAddrV4, word: Word) {
+    pub fn said(&mut self, addr: SocketAddrV4, status: FlowStatus) {
         if let Some(a) = self.agents.get_mut(&addr) {
-            match word {
-                Word::Ended => a.ended = true,
-                Word::Held | Word::Unknown | Word::Unsure | Word::Foreign => a.ended = false,
+            match status {
+                FlowStatus::Ended => a.ended = true,
+                FlowStatus::Held
+                | FlowStatus::Unknown
+                | FlowStatus::Unverified
+                | FlowStatus::NotOwner => a.ended = false,
                 // Says nothing of the target.
-                Word::Refused(_) => {}
+                FlowStatus::Refused(_) => {}
             }
         }
     }
--- a/src/steer/search.rs
+++ b/src/steer/search.rs
@@ -7,7 +7,7 @@
 use std::time::Instant;
 
 use super::Out;
-use crate::bus::{Message, Mode, Question, Word};
+use crate::bus::{FlowStatus, Message, Mode, Question};
 use crate::flow::{Flow, Segment};
 use crate::metrics;
 use crate::policy::Steering;
@@ -37,7 +37,7 @@
     /// Agents that did not answer in time.
     pub(super) silent: Vec<SocketAddrV4>,
     /// Agents that may have forgotten the flow.
-    pub unsure: Vec<SocketAddrV4>,
+    pub unverified: Vec<SocketAddrV4>,
     /// Agents whose targets were tried, by this balancer or another.
     pub tried: Vec<SocketAddrV4>,
     /// The agent that was named as the flow's owner.
@@ -53,7 +53,7 @@
     /// not hold the flow: the target that did is gone.
     #[must_use]
     pub fn lost(&self) -> bool {
-        self.agents > 0 && self.all_answered() && self.unsure.is_empty()
+        self.agents > 0 && self.all_answered() && self.unverified.is_empty()
     }
 
     /// Whether every agent of the service has answered.
@@ -67,23 +67,23 @@
     }
 
     /// An agent answered that it does not know the flow, or may have forgotten
-    /// it ([`Word::Unsure`]), or that its target was tried ([`Word::Foreign`]).
-    pub(super) fn answered(&mut self, from: SocketAddrV4, word: Word) {
+    /// it ([`FlowStatus::Unverified`]), or that its target was tried ([`FlowStatus::NotOwner`]).
+    pub(super) fn answered(&mut self, from: SocketAddrV4, status: FlowStatus) {
         self.left.retain(|a| *a != from);
-        for list in [&mut self.waiting, &mut self.silent, &mut self.unsure] {
+        for list in [&mut self.waiting, &mut self.silent, &mut self.unverified] {
             list.retain(|a| *a != from);
         }
-        if word == Word::Unsure {
-            self.unsure.push(from);
+        if status == FlowStatus::Unverified {
+            self.unverified.push(from);
         }
-        if word == Word::Foreign && !self.tried.contains(&from) {
+        if status == FlowStatus::NotOwner && !self.tried.contains(&from) {
             self.tried.push(from);
         }
     }
 
     /// Whether a target that is being tried has not answered yet.
     pub(super) fn trying(&self) -> bool {
-        self.unsure.iter().any(|a| self.tried.contains(a))
+        self.unverified.iter().any(|a| self.tried.contains(a))
     }
 
     /// Takes the agents of the next wave out of those left.
--- a/src/steer/state.rs
+++ b/src/steer/state.rs
@@ -30,7 +30,7 @@
         match self {
             Self::Opening(o) => format!("being opened, offered to {:?}", o.offered),
             Self::At { agent, .. } => format!("held by the target of {agent}"),
-            Self::Search(s) => format!("owner asked for; unsure: {:?}", s.unsure),
+            Self::Search(s) => format!("owner asked for; unverified: {:?}", s.unverified),
         }
     }
 
--- a/tests/border.rs
+++ b/tests/border.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use jujubepost::bus::{self, Answer, Message, Mode, Word};
+use jujubepost::bus::{self, Answer, FlowStatus, Message, Mode};
 use jujubepost::edge::Settings;
 use jujubepost::hold::{Start, State};
 use jujubepost::platform::config;
@@ -107,7 +107,7 @@
         service: "255.255.255.254:65534".parse().unwrap(),
     };
     let hint = Some(flow.caller);
-    let answers = vec![Answer { flow, word: Word::Unsure, hint }; bus::QUESTIONS];
+    let answers = vec![Answer { flow, status: FlowStatus::Unverified, hint }; bus::QUESTIONS];
     let message = Message::Answers { answers, load: u32::MAX };
     bus::encode(&message, &[], &mut buf).unwrap();
     assert!(buf.len() <= 1_236, "{} bytes: longer than a packet", buf.len());
--- a/tests/bus_numbers.rs
+++ b/tests/bus_numbers.rs
@@ -4,7 +4,7 @@
 mod common;
 
 use common::wires::*;
-use jujubepost::bus::{Message, Note, Word, encode};
+use jujubepost::bus::{FlowStatus, Message, Note, encode};
 use jujubepost::metrics::Refusal;
 
 fn number(message: &Message<'_>) -> u8 {
@@ -15,29 +15,29 @@
 
 #[test]
 fn words_keep_numbers() {
-    let words = [
-        Word::Held,
-        Word::Unknown,
-        Word::Unsure,
-        Word::Refused(Refusal::Full),
-        Word::Foreign,
-        Word::Ended,
+    let statuses = [
+        FlowStatus::Held,
+        FlowStatus::Unknown,
+        FlowStatus::Unverified,
+        FlowStatus::Refused(Refusal::Full),
+        FlowStatus::NotOwner,
+        FlowStatus::Ended,
     ];
-    for (n, word) in words.into_iter().enumerate() {
+    for (n, status) in statuses.into_iter().enumerate() {
         let mut buf = Vec::new();
-        let note = Note { flow: flow(1), word, load: 0 };
+        let note = Note { flow: flow(1), status, load: 0 };
         encode(&Message::Note(note), &[], &mut buf).unwrap();
-        let plain = Note { word: Word::Held, ..note };
+        let plain = Note { status: FlowStatus::Held, ..note };
         let mut held = Vec::new();
         encode(&Message::Note(plain), &[], &mut held).unwrap();
         let at = buf.iter().zip(&held).position(|(a, b)| a != b);
-        assert_eq!(at.map_or(0, |at| buf[at]), n as u8, "{word:?}");
+        assert_eq!(at.map_or(0, |at| buf[at]), n as u8, "{status:?}");
     }
 }
 
 #[test]
 fn messages_keep_numbers() {
-    let note = Note { flow: flow(1), word: Word::Held, load: 0 };
+    let note = Note { flow: flow(1), status: FlowStatus::Held, load: 0 };
     let numbers = [
         Message::Note(note),
         Message::Answers { answers: Vec::new(), load: 0 },
--- a/tests/common/wires.rs
+++ b/tests/common/wires.rs
@@ -7,7 +7,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use jujubepost::bus::{Answer, Ask, Message, Mode, Note, Open, Question, Word};
+use jujubepost::bus::{Answer, Ask, FlowStatus, Message, Mode, Note, Open, Question};
 use jujubepost::flow::{Flags, Flow, Segment};
 use jujubepost::hold::{self, Holder, Report, State};
 use jujubepost::policy::Steering;
@@ -90,10 +90,10 @@
 
 impl Wires {
     /// The words of the notes and answers sent.
-    pub fn words(&self) -> Vec<Word> {
+    pub fn statuses(&self) -> Vec<FlowStatus> {
         let of = |m: &Sent| match m {
-            Sent::Note(n) => vec![n.word],
-            Sent::Answers { answers } => answers.iter().map(|a| a.word).collect(),
+            Sent::Note(n) => vec![n.status],
+            Sent::Answers { answers } => answers.iter().map(|a| a.status).collect(),
             _ => Vec::new(),
         };
         self.peers.iter().flat_map(|(_, m, _)| of(m)).collect()
--- a/tests/hand_over.rs
+++ b/tests/hand_over.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use common::wires::*;
-use jujubepost::bus::{Ask, Message, Open, Question, Word};
+use jujubepost::bus::{Ask, FlowStatus, Message, Open, Question};
 use jujubepost::hold::{Holder, State};
 use jujubepost::wire::{Offer, Stage};
 
@@ -67,7 +67,7 @@
     let question = Question { flow: flow(1), ack: Some(5_001) };
     let ask = Message::Ask(Ask { service: SERVICE, questions: vec![question] });
     let answers = tell(&mut next, &ask, now).answers();
-    assert_eq!((answers[0].word, answers[0].hint), (Word::Unsure, Some(agent(1))));
+    assert_eq!((answers[0].status, answers[0].hint), (FlowStatus::Unverified, Some(agent(1))));
     // It is not told to itself again, and an ended target's flows to nobody.
     assert!(handed(&next).is_empty());
     h.crashed(&mut Wires::default());
--- a/tests/hold.rs
+++ b/tests/hold.rs
@@ -7,7 +7,7 @@
 
 use common::wires::*;
 use jujubepost::agent::place::UNABLE;
-use jujubepost::bus::{Ask, Message, Mode, Question, Word};
+use jujubepost::bus::{Ask, FlowStatus, Message, Mode, Question};
 use jujubepost::hold::{Holder, Report, Start, State};
 use jujubepost::metrics::Refusal;
 
@@ -48,8 +48,8 @@
     let w = opened(&mut h, 1, 5_000, now);
     assert_eq!(w.target, [b"syn".to_vec(), b"ack".to_vec()]);
     assert_eq!(w.callers, [b"syn-ack".to_vec()]);
-    assert_eq!(w.words(), [Word::Held]);
-    assert_eq!(asked(&mut h, 1, 5_001, now).words(), [Word::Held]);
+    assert_eq!(w.statuses(), [FlowStatus::Held]);
+    assert_eq!(asked(&mut h, 1, 5_001, now).statuses(), [FlowStatus::Held]);
 }
 
 #[test]
@@ -59,7 +59,7 @@
     let mut w = Wires::default();
     let m = Message::Open(jujubepost::bus::Open { service: "fieldlog", ..open(agent(1), false) });
     h.message(balancer(), &m, Some(&syn(1)), b"syn", now, &mut w);
-    assert_eq!(w.words(), [Word::Refused(Refusal::ForeignOwner)]);
+    assert_eq!(w.statuses(), [FlowStatus::Refused(Refusal::ForeignOwner)]);
     let m = Message::Carry { service: "fieldlog", mode: Mode::Try };
     h.message(balancer(), &m, Some(&data(1, 1, 1, 1)), b"data", now, &mut w);
     let m = Message::Ask(Ask { service: "fieldlog", questions: Vec::new() });
@@ -72,7 +72,7 @@
 fn silent_before_report() {
     let now = Instant::now();
     let mut h = Holder::new(SERVICE.into(), Duration::from_secs(60));
-    assert_eq!(offer(&mut h, 1, false, now).words(), [Word::Refused(Refusal::NoTarget)]);
+    assert_eq!(offer(&mut h, 1, false, now).statuses(), [FlowStatus::Refused(Refusal::NoTarget)]);
     // Flows that were open before the agent started pass at once.
     assert_eq!(carry(&mut h, Mode::Owner, 2, 9, now).target.len(), 1);
 }
@@ -83,11 +83,11 @@
     let mut h = holder(now);
     opened(&mut h, 1, 5_000, now);
     assert!(h.report(report("i-1", 2, State::Draining), now));
-    assert_eq!(offer(&mut h, 2, false, now).words(), [Word::Refused(Refusal::Draining)]);
+    assert_eq!(offer(&mut h, 2, false, now).statuses(), [FlowStatus::Refused(Refusal::Draining)]);
     assert_eq!(carry(&mut h, Mode::Owner, 1, 5_001, now).target.len(), 1, "open flows stay");
     // A report that was overtaken does not bring it back.
     assert!(!h.report(report("i-1", 1, State::Ready), now));
-    assert_eq!(offer(&mut h, 3, false, now).words(), [Word::Refused(Refusal::Draining)]);
+    assert_eq!(offer(&mut h, 3, false, now).statuses(), [FlowStatus::Refused(Refusal::Draining)]);
 }
 
 #[test]
@@ -96,7 +96,7 @@
     let mut h = holder(now);
     assert!(h.report(report("i-2", 1, State::Ready), now));
     assert!(!h.report(report("i-1", 99, State::Draining), now), "of an earlier start");
-    assert!(offer(&mut h, 1, false, now).words().is_empty());
+    assert!(offer(&mut h, 1, false, now).statuses().is_empty());
     assert!(!h.gone(&"i-1".into(), now));
 }
 
@@ -108,11 +108,11 @@
     let mut h = Holder::new(SERVICE.into(), Duration::from_secs(60));
     assert!(h.report(born_at(1_000, 50, State::Draining), now));
     assert!(h.report(born_at(2_000, 1, State::Ready), now + MS), "a lower number, a later start");
-    assert!(offer(&mut h, 1, false, now + MS).words().is_empty(), "it takes flows");
+    assert!(offer(&mut h, 1, false, now + MS).statuses().is_empty(), "it takes flows");
     assert!(!h.report(born_at(1_000, 51, State::Draining), now + 2 * MS));
     assert!(!h.report(born_at(500, 9, State::Draining), now + 2 * MS), "never heard of before");
     assert!(!h.report(report("i-1", 9, State::Draining), now + 2 * MS), "names no start");
-    assert!(offer(&mut h, 2, false, now + 3 * MS).words().is_empty());
+    assert!(offer(&mut h, 2, false, now + 3 * MS).statuses().is_empty());
     assert_eq!(h.target().unwrap().start().born, Some(2_000));
 }
 
@@ -184,13 +184,13 @@
     h.crashed(&mut w);
     assert_eq!(w.resets, [(flow(1), 5_001)]);
     let w = offer(&mut h, 3, false, now + 80 * MS);
-    assert_eq!(w.words(), [Word::Refused(Refusal::Draining)]);
+    assert_eq!(w.statuses(), [FlowStatus::Refused(Refusal::Draining)]);
     assert!(
         !h.report(report("i-1", 9, State::Ready), now),
         "a late report of the start that ended"
     );
     assert!(h.report(report("i-2", 1, State::Ready), now + 500 * MS));
-    assert!(offer(&mut h, 4, false, now + 500 * MS).words().is_empty());
+    assert!(offer(&mut h, 4, false, now + 500 * MS).statuses().is_empty());
 }
 
 /// Which flows an agent can deny for certain: all, if it saw its target start
@@ -199,18 +199,18 @@
 fn certain_or_not() {
     let now = Instant::now();
     let cases = [
-        (1, None, Word::Unknown),
-        (3, None, Word::Unsure),
-        (3, Some("i-1"), Word::Unsure),
-        (3, Some("i-0"), Word::Unknown),
-        (30, Some("i-0"), Word::Unsure),
+        (1, None, FlowStatus::Unknown),
+        (3, None, FlowStatus::Unverified),
+        (3, Some("i-1"), FlowStatus::Unverified),
+        (3, Some("i-0"), FlowStatus::Unknown),
+        (30, Some("i-0"), FlowStatus::Unverified),
     ];
-    for (seq, served, word) in cases {
+    for (seq, served, status) in cases {
         let mut h = Holder::new(SERVICE.into(), Duration::from_secs(60));
         h.follows(served.map(Into::into), now);
         h.report(report("i-1", seq, State::Ready), now);
         let w = asked(&mut h, 1, 5_001, now);
-        assert_eq!(w.words(), [word], "seq {seq}, served {served:?}");
+        assert_eq!(w.statuses(), [status], "seq {seq}, served {served:?}");
         assert!(w.target.is_empty(), "asked only");
     }
 }
@@ -222,12 +222,12 @@
 #[test]
 fn unwritten_start() {
     let now = Instant::now();
-    for (heard, word) in [(100 * MS, Word::Unknown), (350 * MS, Word::Unsure)] {
+    for (heard, status) in [(100 * MS, FlowStatus::Unknown), (350 * MS, FlowStatus::Unverified)] {
         let mut h = Holder::new(SERVICE.into(), Duration::from_secs(60));
         h.follows(Some("i-0".into()), now);
         h.report(report("i-1", 2, State::Ready), now + heard);
         let w = asked(&mut h, 1, 5_001, now + heard);
-        assert_eq!(w.words(), [word], "heard after {heard:?}");
+        assert_eq!(w.statuses(), [status], "heard after {heard:?}");
     }
 }
 
@@ -250,10 +250,14 @@
         }
         h.report(report("i-1", 3, State::Ready), now + 100 * MS);
         if !before {
-            assert_eq!(asked(&mut h, 1, 5_001, now + 100 * MS).words(), [Word::Unknown]);
+            assert_eq!(asked(&mut h, 1, 5_001, now + 100 * MS).statuses(), [FlowStatus::Unknown]);
             send(&mut h);
         }
-        assert_eq!(asked(&mut h, 1, 5_001, now + 100 * MS).words(), [Word::Unsure], "{before}");
+        assert_eq!(
+            asked(&mut h, 1, 5_001, now + 100 * MS).statuses(),
+            [FlowStatus::Unverified],
+            "{before}"
+        );
     }
 }
 
@@ -266,7 +270,10 @@
     h.mark_new();
     h.report(report("i-1", 1, State::Ready), now);
     for at in [now, now + 490 * MS] {
-        assert_eq!(offer(&mut h, 1, false, at).words(), [Word::Refused(Refusal::NoTarget)]);
+        assert_eq!(
+            offer(&mut h, 1, false, at).statuses(),
+            [FlowStatus::Refused(Refusal::NoTarget)]
+        );
     }
     // Its target's later reports do not begin the wait again.
     h.report(report("i-1", 2, State::Ready), now + 450 * MS);
@@ -287,14 +294,14 @@
     assert_eq!(w.target.len(), 1);
     let back = bounced(data(1, 1_001, 5_001, 100));
     h.target_packet(&back, &mut b"data".to_vec(), now, &mut w, |_| {});
-    assert_eq!((w.words(), w.resets.len()), (vec![Word::Foreign], 0), "another's flow");
+    assert_eq!((w.statuses(), w.resets.len()), (vec![FlowStatus::NotOwner], 0), "another's flow");
     let w = asked(&mut h, 1, 5_001, now);
-    assert_eq!((w.words(), w.target.len()), (vec![Word::Foreign], 0), "tried once");
+    assert_eq!((w.statuses(), w.target.len()), (vec![FlowStatus::NotOwner], 0), "tried once");
     // One that the target answers is its own.
     carry(&mut h, Mode::Try, 2, 5_001, now);
     let mut w = Wires::default();
     h.target_packet(&answer(2, 5_001, 100), &mut b"answer".to_vec(), now, &mut w, |_| {});
-    assert_eq!((w.words(), w.callers.len()), (vec![Word::Held], 1));
+    assert_eq!((w.statuses(), w.callers.len()), (vec![FlowStatus::Held], 1));
 }
 
 #[test]
@@ -305,7 +312,7 @@
     h.target_packet(&syn_ack(1, 5_000), &mut b"syn-ack".to_vec(), now, &mut w, |_| {});
     // The caller goes on with another target's sequence number.
     let w = asked(&mut h, 1, 900_001, now);
-    assert_eq!((w.words(), w.target.len()), (vec![Word::Unknown], 0));
+    assert_eq!((w.statuses(), w.target.len()), (vec![FlowStatus::Unknown], 0));
 }
 
 #[test]
@@ -314,9 +321,9 @@
     let mut h = holder(now);
     let mut w = offer(&mut h, 1, false, now);
     h.target_packet(&bounced(syn(1)), &mut b"syn".to_vec(), now, &mut w, |_| {});
-    assert_eq!(w.words(), [Word::Refused(Refusal::Full)]);
-    assert_eq!(offer(&mut h, 2, false, now).words(), [Word::Refused(Refusal::Full)]);
-    assert!(offer(&mut h, 3, false, now + 300 * MS).words().is_empty());
+    assert_eq!(w.statuses(), [FlowStatus::Refused(Refusal::Full)]);
+    assert_eq!(offer(&mut h, 2, false, now).statuses(), [FlowStatus::Refused(Refusal::Full)]);
+    assert!(offer(&mut h, 3, false, now + 300 * MS).statuses().is_empty());
 }
 
 /// Load of an overload: a target is handed at most twice its slots, and what
@@ -327,13 +334,13 @@
     let now = Instant::now();
     let mut h = holder(now);
     for port in 1..=5 {
-        assert!(offer(&mut h, port, true, now).words().is_empty(), "slot {port} is free");
+        assert!(offer(&mut h, port, true, now).statuses().is_empty(), "slot {port} is free");
     }
-    assert_eq!(offer(&mut h, 6, true, now).words(), [Word::Refused(Refusal::Busy)]);
+    assert_eq!(offer(&mut h, 6, true, now).statuses(), [FlowStatus::Refused(Refusal::Busy)]);
     for port in 7..=11 {
-        assert!(offer(&mut h, port, false, now).words().is_empty(), "queue has room");
+        assert!(offer(&mut h, port, false, now).statuses().is_empty(), "queue has room");
     }
-    assert_eq!(offer(&mut h, 12, false, now).words(), [Word::Refused(Refusal::Busy)]);
+    assert_eq!(offer(&mut h, 12, false, now).statuses(), [FlowStatus::Refused(Refusal::Busy)]);
 }
 
 /// What counts as waiting work: not an open that its caller gave up, not a
@@ -372,7 +379,7 @@
     carry(&mut h, Mode::Owner, 1, 5_001, now);
     h.stop();
     assert!(!h.idle(), "its target works");
-    assert_eq!(offer(&mut h, 2, false, now).words(), [Word::Refused(Refusal::Draining)]);
+    assert_eq!(offer(&mut h, 2, false, now).statuses(), [FlowStatus::Refused(Refusal::Draining)]);
     let mut w = Wires::default();
     h.target_packet(&answer(1, 5_001, 10), &mut b"answer".to_vec(), now, &mut w, |_| {});
     assert!(h.idle());
@@ -399,16 +406,16 @@
 fn no_target_denies() {
     let now = Instant::now();
     let mut h = Holder::new(SERVICE.into(), Duration::from_secs(60));
-    assert_eq!(asked(&mut h, 1, 5_001, now).words(), [Word::Unsure]);
+    assert_eq!(asked(&mut h, 1, 5_001, now).statuses(), [FlowStatus::Unverified]);
     assert!(h.doubtful(now), "its port is to be tried");
     h.crashed(&mut Wires::default());
     assert!(!h.doubtful(now));
-    assert_eq!(asked(&mut h, 1, 5_001, now).words(), [Word::Ended]);
+    assert_eq!(asked(&mut h, 1, 5_001, now).statuses(), [FlowStatus::Ended]);
     // A target whose flows were not all known, and which has ended.
     assert!(h.report(report("i-1", 30, State::Ready), now));
-    assert_eq!(asked(&mut h, 2, 5_001, now).words(), [Word::Unsure]);
+    assert_eq!(asked(&mut h, 2, 5_001, now).statuses(), [FlowStatus::Unverified]);
     h.crashed(&mut Wires::default());
-    assert_eq!(asked(&mut h, 2, 5_001, now).words(), [Word::Ended]);
+    assert_eq!(asked(&mut h, 2, 5_001, now).statuses(), [FlowStatus::Ended]);
 }
 
 /// A balancer that no longer sees the agent in the store asks once more before its
@@ -437,13 +444,13 @@
         let mut h = holder(now);
         h.crashed(&mut Wires::default());
         if told {
-            assert_eq!(asked(&mut h, 1, 5_001, now).words(), [Word::Ended]);
+            assert_eq!(asked(&mut h, 1, 5_001, now).statuses(), [FlowStatus::Ended]);
         }
         assert!(h.report(report("i-2", 1, State::Ready), now + 100 * MS));
         let early = offer(&mut h, 2, false, now + 500 * MS);
-        let wait = [Word::Refused(Refusal::NoTarget)];
-        assert_eq!(early.words(), if told { &wait[..] } else { &[] }, "told {told}");
-        assert!(offer(&mut h, 3, false, now + 600 * MS).words().is_empty(), "told {told}");
+        let wait = [FlowStatus::Refused(Refusal::NoTarget)];
+        assert_eq!(early.statuses(), if told { &wait[..] } else { &[] }, "told {told}");
+        assert!(offer(&mut h, 3, false, now + 600 * MS).statuses().is_empty(), "told {told}");
     }
 }
 
@@ -468,8 +475,8 @@
     h.message(balancer(), &m, Some(&last), b"fin", end, &mut w);
     for ms in [150, 1_000, 3_000] {
         h.tick(end + ms * MS, &mut w);
-        assert_eq!(asked(&mut h, 1, 5_012, end).words(), [Word::Held], "{ms} ms");
+        assert_eq!(asked(&mut h, 1, 5_012, end).statuses(), [FlowStatus::Held], "{ms} ms");
     }
     h.tick(end + 3_300 * MS, &mut w);
-    assert_eq!(asked(&mut h, 1, 5_012, end).words(), [Word::Unknown]);
+    assert_eq!(asked(&mut h, 1, 5_012, end).statuses(), [FlowStatus::Unknown]);
 }
--- a/tests/resume.rs
+++ b/tests/resume.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 use common::wires::*;
-use jujubepost::bus::{Answer, Word};
+use jujubepost::bus::{Answer, FlowStatus};
 use jujubepost::steer::Steer;
 use jujubepost::store::mirror::{self, Ask, News, Source};
 use jujubepost::store::{Batch, Keeper, Kv};
@@ -35,7 +35,7 @@
 fn denied(s: &mut Steer, agents: impl IntoIterator<Item = u8>, now: Instant) -> usize {
     let mut w = packet(s, now);
     for n in agents {
-        let answer = Answer { flow: flow(1), word: Word::Unknown, hint: None };
+        let answer = Answer { flow: flow(1), status: FlowStatus::Unknown, hint: None };
         s.answers(agent(n), &[answer], 0, now, &mut w);
         s.tick(now, &mut w);
     }
--- a/tests/search.rs
+++ b/tests/search.rs
@@ -8,7 +8,7 @@
 use std::time::{Duration, Instant};
 
 use common::wires::*;
-use jujubepost::bus::{Answer, Mode, QUESTIONS, Word};
+use jujubepost::bus::{Answer, FlowStatus, Mode, QUESTIONS};
 use jujubepost::policy::Steering;
 use jujubepost::steer::Steer;
 
@@ -30,12 +30,12 @@
     s: &mut Steer,
     from: SocketAddrV4,
     port: u16,
-    word: Word,
+    status: FlowStatus,
     hint: Option<SocketAddrV4>,
     now: Instant,
 ) -> Wires {
     let mut w = Wires::default();
-    s.answers(from, &[Answer { flow: flow(port), word, hint }], 0, now, &mut w);
+    s.answers(from, &[Answer { flow: flow(port), status, hint }], 0, now, &mut w);
     s.tick(now, &mut w);
     w
 }
@@ -65,10 +65,10 @@
             let mut count = 0;
             while let Some(agent) = asked.pop() {
                 count += 2;
-                let word = if agent == owner { Word::Held } else { Word::Unknown };
-                let w = answer(&mut after, agent, port, word, hint, now);
+                let status = if agent == owner { FlowStatus::Held } else { FlowStatus::Unknown };
+                let w = answer(&mut after, agent, port, status, hint, now);
                 asked.extend(w.asked());
-                if word == Word::Held {
+                if status == FlowStatus::Held {
                     assert_eq!(w.carried(Mode::Owner), [owner]);
                     break;
                 }
@@ -94,7 +94,7 @@
     let w = tick(&mut s, now);
     assert_eq!(w.asked().len(), 1);
     assert!(w.peers.iter().all(|(_, _, data)| data.is_empty()));
-    let w = answer(&mut s, w.asked()[0], 1, Word::Held, None, now);
+    let w = answer(&mut s, w.asked()[0], 1, FlowStatus::Held, None, now);
     assert_eq!(w.carried(Mode::Owner).len(), 3);
 }
 
@@ -110,7 +110,7 @@
             packet(s, port, now);
         }
         tick(s, now);
-        answer(s, agent(1), port, Word::Held, None, now).carried(Mode::Owner).len()
+        answer(s, agent(1), port, FlowStatus::Held, None, now).carried(Mode::Owner).len()
     };
     // Packets of six bytes.
     assert_eq!(found(&mut s, 1), 5);
@@ -184,15 +184,15 @@
     let taker = w.opens()[0];
     s.roster.pong(home, SERVICE, 0, now + 42 * MS);
     let mut w = Wires::default();
-    let held = jujubepost::bus::Note { flow: flow(1), word: Word::Held, load: 0 };
+    let held = jujubepost::bus::Note { flow: flow(1), status: FlowStatus::Held, load: 0 };
     s.note(taker, held, now + 43 * MS, &mut w);
     let hint = Sent::Hint { flow: flow(1), agent: taker };
     assert_eq!(w.peers, [(home, hint, vec![])], "offered {offer:?}");
 }
 
 /// What an agent says that has not heard of flow 1.
-fn unsure(s: &mut Steer, n: u8, now: Instant) -> Wires {
-    answer(s, agent(n), 1, Word::Unsure, None, now)
+fn unverified(s: &mut Steer, n: u8, now: Instant) -> Wires {
+    answer(s, agent(n), 1, FlowStatus::Unverified, None, now)
 }
 
 /// Seen: while targets left one a second and all processes had been restarted,
@@ -200,7 +200,7 @@
 /// requests failed or were late for 12 s). Each search ended at an agent that was
 /// silent for less than 1.2 s, the flow's own for all that was known; in a service
 /// of 60 there was always one. What proved it: of 6,000 searches that ended so, 97
-/// of 100 had tried no target, with 50 and more agents unsure.
+/// of 100 had tried no target, with 50 and more agents unverified.
 ///
 /// An agent that took its entry out of the store has left with its target, and
 /// holds up nothing. One that is still listed may be restarting.
@@ -217,12 +217,14 @@
         let at = now + 100 * MS;
         packet(&mut s, 1, at);
         tick(&mut s, at);
-        let early: usize = (1..=5).map(|n| unsure(&mut s, n, at).carried(Mode::Try).len()).sum();
+        let early: usize =
+            (1..=5).map(|n| unverified(&mut s, n, at).carried(Mode::Try).len()).sum();
         assert_eq!(early, 0, "agent 6 may answer yet");
         let tried = tick(&mut s, at + 41 * MS).carried(Mode::Try);
         assert_eq!(tried.len(), if left { 2 } else { 0 }, "left {left}");
         if left {
-            let foreign = |s: &mut Steer, a| answer(s, a, 1, Word::Foreign, None, at + 50 * MS);
+            let foreign =
+                |s: &mut Steer, a| answer(s, a, 1, FlowStatus::NotOwner, None, at + 50 * MS);
             assert!(foreign(&mut s, tried[0]).carried(Mode::Try).is_empty());
             let rest = foreign(&mut s, tried[1]).carried(Mode::Try);
             assert_eq!(rest.len(), 3, "the flow's own is among them");
@@ -243,21 +245,22 @@
         packet(&mut s, 1, at);
         let owner = tick(&mut s, at).asked()[0];
         let hint = named_itself.then_some(owner);
-        let mut tried = answer(&mut s, owner, 1, Word::Unsure, hint, at).carried(Mode::Try);
+        let mut tried =
+            answer(&mut s, owner, 1, FlowStatus::Unverified, hint, at).carried(Mode::Try);
         if !named_itself {
             assert!(tried.is_empty());
             let next = (1..=5).map(agent).find(|a| *a != owner).unwrap();
-            let w = answer(&mut s, next, 1, Word::Unknown, Some(owner), at);
+            let w = answer(&mut s, next, 1, FlowStatus::Unknown, Some(owner), at);
             tried = w.carried(Mode::Try);
         }
         assert_eq!(tried, [owner]);
         let mut more = Vec::new();
         for a in (1..=5).map(agent).filter(|a| *a != owner) {
-            more.extend(answer(&mut s, a, 1, Word::Unsure, None, at).carried(Mode::Try));
+            more.extend(answer(&mut s, a, 1, FlowStatus::Unverified, None, at).carried(Mode::Try));
         }
         more.extend(tick(&mut s, at + 41 * MS).carried(Mode::Try));
         assert!(more.is_empty(), "{more:?}");
-        let w = answer(&mut s, owner, 1, Word::Held, None, at + 42 * MS);
+        let w = answer(&mut s, owner, 1, FlowStatus::Held, None, at + 42 * MS);
         assert!(w.carried(Mode::Try).is_empty());
     }
 }
@@ -274,7 +277,7 @@
     let at = now + 100 * MS;
     packet(&mut s, 1, at);
     tick(&mut s, at);
-    (1..=5).for_each(|n| assert!(unsure(&mut s, n, at).carried(Mode::Try).is_empty()));
+    (1..=5).for_each(|n| assert!(unverified(&mut s, n, at).carried(Mode::Try).is_empty()));
     assert!(tick(&mut s, at + 41 * MS).carried(Mode::Try).is_empty());
 }
 
@@ -288,10 +291,12 @@
 #[test]
 fn ended_not_waited_for() {
     let now = Instant::now();
-    let other = |n, word, s: &mut Steer, port, at| answer(s, agent(n), port, word, None, at);
-    for (said, reborn, resets) in
-        [(Word::Ended, false, 1), (Word::Unknown, false, 0), (Word::Ended, true, 0)]
-    {
+    let other = |n, status, s: &mut Steer, port, at| answer(s, agent(n), port, status, None, at);
+    for (said, reborn, resets) in [
+        (FlowStatus::Ended, false, 1),
+        (FlowStatus::Unknown, false, 0),
+        (FlowStatus::Ended, true, 0),
+    ] {
         let mut s = steer(6, now);
         packet(&mut s, 1, now);
         tick(&mut s, now);
@@ -305,7 +310,8 @@
         let at = now + 100 * MS;
         packet(&mut s, 2, at);
         tick(&mut s, at);
-        let told = (1..=5).flat_map(|n| other(n, Word::Unknown, &mut s, 2, at).resets).count();
+        let told =
+            (1..=5).flat_map(|n| other(n, FlowStatus::Unknown, &mut s, 2, at).resets).count();
         let later = tick(&mut s, at + 41 * MS).resets.len();
         assert_eq!(told + later, resets, "{said:?}, reborn {reborn}");
     }
--- a/tests/steer.rs
+++ b/tests/steer.rs
@@ -8,16 +8,16 @@
 
 use common::wires::*;
 use jujubepost::agent::place::UNABLE;
-use jujubepost::bus::{Mode, Note, Word};
+use jujubepost::bus::{FlowStatus, Mode, Note};
 use jujubepost::metrics::Refusal;
 use jujubepost::steer::Steer;
 
 const MS: Duration = Duration::from_millis(1);
 
-fn note(s: &mut Steer, from: SocketAddrV4, port: u16, word: Word, now: Instant) -> Wires {
+fn note(s: &mut Steer, from: SocketAddrV4, port: u16, status: FlowStatus, now: Instant) -> Wires {
     let mut w = Wires::default();
-    let load = if matches!(word, Word::Refused(_)) { UNABLE } else { 0 };
-    s.note(from, Note { flow: flow(port), word, load }, now, &mut w);
+    let load = if matches!(status, FlowStatus::Refused(_)) { UNABLE } else { 0 };
+    s.note(from, Note { flow: flow(port), status, load }, now, &mut w);
     s.tick(now, &mut w);
     w
 }
@@ -41,7 +41,7 @@
     let now = Instant::now();
     let mut s = steer(3, now);
     let first = packet(&mut s, syn(1), now).opens()[0];
-    note(&mut s, first, 1, Word::Held, now);
+    note(&mut s, first, 1, FlowStatus::Held, now);
     let w = packet(&mut s, data(1, 1_001, 1, 10), now);
     assert_eq!(w.carried(Mode::Owner), [first]);
     // A copy of the open goes where the first went.
@@ -71,16 +71,16 @@
     // Its home first, then the others.
     let home = packet(&mut s, data(1, 1_001, 77, 10), now).asked();
     assert_eq!(home.len(), 1);
-    let others = note(&mut s, home[0], 1, Word::Unknown, now).asked();
+    let others = note(&mut s, home[0], 1, FlowStatus::Unknown, now).asked();
     let mut all = [home.clone(), others.clone()].concat();
     all.sort();
     assert_eq!(all, [agent(1), agent(2), agent(3)]);
     // The owner gets the packet that was kept, and those that follow.
-    let w = note(&mut s, others[0], 1, Word::Held, now);
+    let w = note(&mut s, others[0], 1, FlowStatus::Held, now);
     assert_eq!(w.carried(Mode::Owner), [others[0]]);
     assert_eq!(packet(&mut s, data(1, 1_011, 77, 10), now).carried(Mode::Owner), [others[0]]);
     // The agent was restarted and its target does not hold it: asked again.
-    note(&mut s, others[0], 1, Word::Unknown, now);
+    note(&mut s, others[0], 1, FlowStatus::Unknown, now);
     assert_eq!(packet(&mut s, data(1, 1_011, 77, 10), now).asked(), home);
 }
 
@@ -89,25 +89,25 @@
 #[test]
 fn lost_flow_reset() {
     let now = Instant::now();
-    for (sees, words, lost) in [
-        (true, [Word::Unknown, Word::Unknown, Word::Unknown], true),
-        (true, [Word::Unknown, Word::Unsure, Word::Unknown], false),
-        (false, [Word::Unknown, Word::Unknown, Word::Unknown], false),
+    for (sees, statuses, lost) in [
+        (true, [FlowStatus::Unknown, FlowStatus::Unknown, FlowStatus::Unknown], true),
+        (true, [FlowStatus::Unknown, FlowStatus::Unverified, FlowStatus::Unknown], false),
+        (false, [FlowStatus::Unknown, FlowStatus::Unknown, FlowStatus::Unknown], false),
     ] {
         let mut s = steer(3, now);
         s.see(sees, now);
         packet(&mut s, data(1, 1_001, 77, 10), now);
         let mut resets = Vec::new();
-        for (n, word) in words.into_iter().enumerate() {
-            resets.extend(note(&mut s, agent(n as u8 + 1), 1, word, now).resets);
+        for (n, status) in statuses.into_iter().enumerate() {
+            resets.extend(note(&mut s, agent(n as u8 + 1), 1, status, now).resets);
         }
         let want = if lost { vec![(flow(1), 77)] } else { vec![] };
-        assert_eq!(resets, want, "{sees} {words:?}");
+        assert_eq!(resets, want, "{sees} {statuses:?}");
     }
     let mut s = steer(3, now);
     packet(&mut s, data(1, 1_001, 77, 10), now);
-    note(&mut s, agent(1), 1, Word::Unknown, now);
-    note(&mut s, agent(2), 1, Word::Unknown, now);
+    note(&mut s, agent(1), 1, FlowStatus::Unknown, now);
+    note(&mut s, agent(2), 1, FlowStatus::Unknown, now);
     assert!(tick(&mut s, now + 60 * MS).resets.is_empty(), "one agent is silent");
 }
 
@@ -124,7 +124,7 @@
         let at = now + round * 200 * MS;
         packet(&mut s, data(1, 1_001, 77, 10), at);
         for n in 1..=4 {
-            tried.extend(note(&mut s, agent(n), 1, Word::Unsure, at).carried(Mode::Try));
+            tried.extend(note(&mut s, agent(n), 1, FlowStatus::Unverified, at).carried(Mode::Try));
         }
     }
     tried.sort();
@@ -134,14 +134,14 @@
     packet(&mut s, data(1, 1_001, 77, 10), at);
     let mut more = Vec::new();
     for n in 1..=4 {
-        more.extend(note(&mut s, agent(n), 1, Word::Unsure, at).carried(Mode::Try));
+        more.extend(note(&mut s, agent(n), 1, FlowStatus::Unverified, at).carried(Mode::Try));
     }
     assert_eq!(more.len(), 0, "after a pause");
 }
 
 /// What an agent says that has not heard of flow 1.
-fn unsure(s: &mut Steer, n: u8, at: Instant) -> Vec<SocketAddrV4> {
-    note(s, agent(n), 1, Word::Unsure, at).carried(Mode::Try)
+fn unverified(s: &mut Steer, n: u8, at: Instant) -> Vec<SocketAddrV4> {
+    note(s, agent(n), 1, FlowStatus::Unverified, at).carried(Mode::Try)
 }
 
 /// Agents that restart: the flow's own may be the one that is silent, so no
@@ -153,13 +153,13 @@
     let at = now + 100 * MS;
     packet(&mut s, data(1, 1_001, 77, 10), at);
     for n in 1..=3 {
-        assert!(unsure(&mut s, n, at).is_empty());
+        assert!(unverified(&mut s, n, at).is_empty());
     }
     assert!(tick(&mut s, at + 41 * MS).carried(Mode::Try).is_empty(), "agent 4 is silent");
     // The caller's next copy; agent 4 is back.
     let at = at + 600 * MS;
     packet(&mut s, data(1, 1_001, 77, 10), at);
-    let tried: Vec<_> = (1..=4).flat_map(|n| unsure(&mut s, n, at)).collect();
+    let tried: Vec<_> = (1..=4).flat_map(|n| unverified(&mut s, n, at)).collect();
     assert_eq!(tried.len(), 2);
     // One that stays away does not hold up the others for ever.
     let mut s = steer(4, now);
@@ -167,7 +167,7 @@
     for round in 0..4 {
         let at = now + 100 * MS + round * 500 * MS;
         packet(&mut s, data(1, 1_001, 77, 10), at);
-        (1..=3).for_each(|n| assert!(unsure(&mut s, n, at).is_empty()));
+        (1..=3).for_each(|n| assert!(unverified(&mut s, n, at).is_empty()));
         tried.push(tick(&mut s, at + 41 * MS).carried(Mode::Try).len());
     }
     assert_eq!(tried, [0, 0, 0, 2]);
@@ -181,16 +181,16 @@
     let now = Instant::now();
     let mut s = steer(5, now);
     packet(&mut s, data(1, 1_001, 77, 10), now);
-    let first: Vec<_> = (1..=5).flat_map(|n| unsure(&mut s, n, now)).collect();
+    let first: Vec<_> = (1..=5).flat_map(|n| unverified(&mut s, n, now)).collect();
     assert_eq!(first.len(), 2);
-    let w = note(&mut s, first[0], 1, Word::Foreign, now);
+    let w = note(&mut s, first[0], 1, FlowStatus::NotOwner, now);
     assert!(w.carried(Mode::Try).is_empty(), "one of the two has not answered");
-    let w = note(&mut s, first[1], 1, Word::Foreign, now);
+    let w = note(&mut s, first[1], 1, FlowStatus::NotOwner, now);
     let rest = w.carried(Mode::Try);
     assert_eq!(rest.len(), 3);
     assert!(rest.iter().all(|a| !first.contains(a)));
     let resets: Vec<_> =
-        rest.iter().map(|a| note(&mut s, *a, 1, Word::Foreign, now).resets.len()).collect();
+        rest.iter().map(|a| note(&mut s, *a, 1, FlowStatus::NotOwner, now).resets.len()).collect();
     assert_eq!(resets, [0, 0, 1]);
 }
 
@@ -203,15 +203,15 @@
     s.see(false, now);
     s.see(true, now);
     packet(&mut s, data(1, 1_001, 77, 10), now);
-    note(&mut s, agent(1), 1, Word::Foreign, now);
-    note(&mut s, agent(2), 1, Word::Foreign, now);
-    let tried: Vec<_> = (3..=5).flat_map(|n| unsure(&mut s, n, now)).collect();
+    note(&mut s, agent(1), 1, FlowStatus::NotOwner, now);
+    note(&mut s, agent(2), 1, FlowStatus::NotOwner, now);
+    let tried: Vec<_> = (3..=5).flat_map(|n| unverified(&mut s, n, now)).collect();
     assert!(tried.is_empty(), "the store has just come back: {tried:?}");
     let at = now + 3_000 * MS;
     packet(&mut s, data(1, 1_001, 77, 10), at);
-    note(&mut s, agent(1), 1, Word::Foreign, at);
-    note(&mut s, agent(2), 1, Word::Foreign, at);
-    let tried: Vec<_> = (3..=5).flat_map(|n| unsure(&mut s, n, at)).collect();
+    note(&mut s, agent(1), 1, FlowStatus::NotOwner, at);
+    note(&mut s, agent(2), 1, FlowStatus::NotOwner, at);
+    let tried: Vec<_> = (3..=5).flat_map(|n| unverified(&mut s, n, at)).collect();
     assert_eq!(tried.len(), 3, "the list is current: the flow's own is among these");
 }
 
@@ -225,7 +225,7 @@
     assert_eq!(packet(&mut s, other, now).resets.len(), 1, "no route");
     let mut s = steer(2, now);
     packet(&mut s, syn(3), now);
-    let full = Word::Refused(Refusal::Full);
+    let full = FlowStatus::Refused(Refusal::Full);
     assert_eq!(note(&mut s, agent(1), 3, full, now).resets.len(), 1, "all are full");
 }
 
@@ -240,7 +240,7 @@
     assert!(packet(&mut s, syn(1), now).resets.is_empty());
     s.roster.update(&[announced(1)], now + 50 * MS);
     assert_eq!(tick(&mut s, now + 101 * MS).opens(), [agent(1)]);
-    let none = Word::Refused(Refusal::NoTarget);
+    let none = FlowStatus::Refused(Refusal::NoTarget);
     assert!(note(&mut s, agent(1), 1, none, now + 102 * MS).resets.is_empty());
     assert_eq!(tick(&mut s, now + 203 * MS).opens(), [agent(1)]);
     let late = note(&mut s, agent(1), 1, none, now + 1_400 * MS);
@@ -257,7 +257,7 @@
     let mut offers = 0;
     while let Some(to) = w.opens().first().copied() {
         offers += 1;
-        w = note(&mut s, to, 1, Word::Refused(Refusal::Busy), now);
+        w = note(&mut s, to, 1, FlowStatus::Refused(Refusal::Busy), now);
     }
     assert!(offers <= 2, "{offers} offers in one round");
     assert!(w.resets.is_empty());
@@ -346,7 +346,9 @@
         assert_eq!(asked, [offered], "its home is where it was offered first");
         let mut tried = Vec::new();
         for n in 1..=7 {
-            tried.extend(note(&mut after, agent(n), port, Word::Unsure, now).carried(Mode::Try));
+            tried.extend(
+                note(&mut after, agent(n), port, FlowStatus::Unverified, now).carried(Mode::Try),
+            );
         }
         assert_eq!(tried.len(), 2);
         found += u32::from(tried.contains(&offered));
@@ -381,7 +383,7 @@
         let at = now + 50 * MS + silent * MS;
         packet(&mut s, data(1, 1_001, 77, 10), at);
         for n in 1..=others {
-            assert!(note(&mut s, agent(n), 1, Word::Unknown, at).resets.is_empty());
+            assert!(note(&mut s, agent(n), 1, FlowStatus::Unknown, at).resets.is_empty());
         }
         let resets = tick(&mut s, at + 41 * MS).resets;
         assert_eq!(resets.len(), usize::from(lost), "{silent} ms, {others} others");
@@ -389,7 +391,7 @@
     // Also where the balancer remembers it as the flow's agent.
     let mut s = steer(3, now);
     packet(&mut s, syn(1), now);
-    note(&mut s, agent(3), 1, Word::Held, now);
+    note(&mut s, agent(3), 1, FlowStatus::Held, now);
     s.roster.missed(agent(3), now + 50 * MS);
     let at = now + 4_100 * MS;
     let w = packet(&mut s, data(1, 1_001, 77, 10), at);
