--- a/src/bench/call.rs
+++ b/src/bench/call.rs
@@ -8,7 +8,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
-use super::Tally;
+use super::Stats;
 use crate::settings::Service;
 
 /// Bytes of one upload.
@@ -55,11 +55,11 @@
 }
 
 /// Sends one short request and counts what became of it.
-pub(super) async fn request(addr: SocketAddr, service: Service, id: &str, tally: &RefCell<Tally>) {
+pub(super) async fn request(addr: SocketAddr, service: Service, id: &str, stats: &RefCell<Stats>) {
     let (method, path, body) = path(service, id);
     let start = Instant::now();
     let res = exchange(addr, method, &path, &body).await;
-    let mut t = tally.borrow_mut();
+    let mut t = stats.borrow_mut();
     t.row.flows += 1;
     let Ok(bytes) = res else {
         t.row.failed += 1;
--- a/src/bench/feed.rs
+++ b/src/bench/feed.rs
@@ -7,7 +7,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
-use super::Tally;
+use super::Stats;
 use super::call::header;
 use crate::settings::Service;
 
@@ -19,16 +19,16 @@
     addr: SocketAddr,
     service: Service,
     run: Duration,
-    tally: &RefCell<Tally>,
+    stats: &RefCell<Stats>,
 ) {
     {
-        let mut t = tally.borrow_mut();
+        let mut t = stats.borrow_mut();
         t.row.flows += 1;
         t.row.feeds += 1;
     }
-    let ok = hold_feed(addr, service, run, tally).await;
+    let ok = hold_feed(addr, service, run, stats).await;
     if !ok {
-        tally.borrow_mut().row.broken += 1;
+        stats.borrow_mut().row.broken += 1;
     }
 }
 
@@ -36,7 +36,7 @@
     addr: SocketAddr,
     service: Service,
     run: Duration,
-    tally: &RefCell<Tally>,
+    stats: &RefCell<Stats>,
 ) -> bool {
     let Ok(mut s) = TcpStream::connect(addr).await else { return false };
     let head = format!("GET /feed HTTP/1.1\r\nHost: {addr}\r\n\r\n");
@@ -61,18 +61,18 @@
             if !text.starts_with("HTTP/1.1 200") {
                 return false;
             }
-            count_feed(&text, service, &mut tally.borrow_mut());
+            count_feed(&text, service, &mut stats.borrow_mut());
             seen.drain(..head.len() + 4);
             counted = true;
         }
         if !lines.take(&mut seen) {
-            tally.borrow_mut().row.wrong += 1;
+            stats.borrow_mut().row.wrong += 1;
             return true;
         }
     }
 }
 
-fn count_feed(text: &str, service: Service, t: &mut Tally) {
+fn count_feed(text: &str, service: Service, t: &mut Stats) {
     if header(text, "X-Service").is_some_and(|v| v != service.to_string()) {
         t.row.foreign += 1;
     }
--- a/src/bench/mod.rs
+++ b/src/bench/mod.rs
@@ -91,7 +91,7 @@
 
 /// What one profile's callers have seen so far.
 #[derive(Default)]
-struct Tally {
+struct Stats {
     row: Row,
     times: Option<Histogram<u64>>,
     refused: Vec<String>,
@@ -101,10 +101,10 @@
 }
 
 async fn profile(settings: &Settings, load: &Load, p: &ProfileSettings) -> Row {
-    let tally = Rc::new(RefCell::new(Tally::default()));
-    tally.borrow_mut().row.profile = p.name.to_string();
-    tally.borrow_mut().times = Histogram::new_with_bounds(1, SLOWEST_US, 3).ok();
-    tally.borrow_mut().began = Some(Instant::now());
+    let stats = Rc::new(RefCell::new(Stats::default()));
+    stats.borrow_mut().row.profile = p.name.to_string();
+    stats.borrow_mut().times = Histogram::new_with_bounds(1, SLOWEST_US, 3).ok();
+    stats.borrow_mut().began = Some(Instant::now());
     let run = Duration::from_secs(load.secs);
     let has_feed = matches!(p.service, Service::Meter | Service::Calculadora);
     let mut tasks = Vec::new();
@@ -112,7 +112,7 @@
         // Feeds open over the first quarter of the run and last to its end.
         let gap = run.div_f64(4.0 * f64::from(load.feeds.max(1)));
         for i in 0..load.feeds {
-            let (t, addr, svc) = (tally.clone(), p.listen, p.service);
+            let (t, addr, svc) = (stats.clone(), p.listen, p.service);
             let after = gap * i;
             tasks.push(tokio::task::spawn_local(async move {
                 tokio::time::sleep(after).await;
@@ -125,7 +125,7 @@
     for i in 0..load.requests {
         let at = start + gap * i;
         tokio::time::sleep_until(at.into()).await;
-        let (t, addr, svc) = (tally.clone(), p.listen, p.service);
+        let (t, addr, svc) = (stats.clone(), p.listen, p.service);
         let id = format!("{}-{i}-{:x}", p.name, rand::random::<u32>());
         tasks
             .push(tokio::task::spawn_local(async move { call::request(addr, svc, &id, &t).await }));
@@ -134,20 +134,20 @@
         let _ = t.await;
     }
     let names: Vec<_> = settings.targets.iter().filter(|t| t.service == p.service).collect();
-    let mut tally = tally.take();
-    if let Some(times) = &tally.times {
-        tally.row.p50_ms = times.value_at_quantile(0.5) as f64 / 1_000.0;
-        tally.row.p99_ms = times.value_at_quantile(0.99) as f64 / 1_000.0;
+    let mut stats = stats.take();
+    if let Some(times) = &stats.times {
+        stats.row.p50_ms = times.value_at_quantile(0.5) as f64 / 1_000.0;
+        stats.row.p99_ms = times.value_at_quantile(0.99) as f64 / 1_000.0;
     }
-    tally.row.imbalance =
-        imbalance(names.iter().map(|t| tally.requests.get(&*t.name).copied().unwrap_or(0)));
-    tally.row.feed_imbalance =
-        imbalance(names.iter().map(|t| tally.feeds.get(&*t.name).copied().unwrap_or(0)));
-    tally.row.served = tally.requests.iter().map(|(k, v)| (k.clone(), *v)).collect();
+    stats.row.imbalance =
+        imbalance(names.iter().map(|t| stats.requests.get(&*t.name).copied().unwrap_or(0)));
+    stats.row.feed_imbalance =
+        imbalance(names.iter().map(|t| stats.feeds.get(&*t.name).copied().unwrap_or(0)));
+    stats.row.served = stats.requests.iter().map(|(k, v)| (k.clone(), *v)).collect();
     let runs = call::runs(names.iter().map(|t| t.addr)).await;
-    tally.row.doubled = runs.values().filter(|&&n| n > 1).count() as u32;
-    tally.row.lied = tally.refused.iter().filter(|id| runs.contains_key(*id)).count() as u32;
-    tally.row
+    stats.row.doubled = runs.values().filter(|&&n| n > 1).count() as u32;
+    stats.row.lied = stats.refused.iter().filter(|id| runs.contains_key(*id)).count() as u32;
+    stats.row
 }
 
 /// Most loaded over mean; 0 when nothing was counted.
--- a/src/experiment/mod.rs
+++ b/src/experiment/mod.rs
@@ -13,7 +13,7 @@
 pub use summary::{Spread, Summary};
 pub use variant::Variant;
 
-use crate::model::{Pattern, Tally, pattern, play};
+use crate::model::{Pattern, Stats, pattern, play};
 use crate::policy::Mechanism;
 
 /// Arguments of `jujubepost experiment`.
@@ -90,14 +90,14 @@
         }
     }
     let count = jobs.len() as u64;
-    let tallies: Vec<Tally> = jobs
+    let tallies: Vec<Stats> = jobs
         .par_iter()
         .progress_count(count)
         .map(|j| play(j.pattern, &j.variant.policy, j.seed))
         .collect();
     let mut rows = Vec::new();
     for pattern in &patterns {
-        let of = |variant: &Variant| -> Vec<&Tally> {
+        let of = |variant: &Variant| -> Vec<&Stats> {
             let ours = |j: &Job<'_>| j.pattern.name == pattern.name && j.variant == variant;
             jobs.iter().zip(&tallies).filter(|(j, _)| ours(j)).map(|(_, t)| t).collect()
         };
--- a/src/experiment/summary.rs
+++ b/src/experiment/summary.rs
@@ -2,7 +2,7 @@
 
 use serde::Serialize;
 
-use crate::model::Tally;
+use crate::model::Stats;
 
 /// Median, least and most over seeds.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Serialize)]
@@ -62,23 +62,23 @@
     pub fn new(
         pattern: &'static str,
         variant: String,
-        runs: &[&Tally],
-        baseline: &[&Tally],
+        runs: &[&Stats],
+        baseline: &[&Stats],
     ) -> Self {
-        let of = |f: &dyn Fn(&Tally) -> f64| Spread::of(runs.iter().map(|t| f(t)));
-        let part = |n: u32, t: &Tally| f64::from(n) / f64::from(t.owed().max(1));
+        let of = |f: &dyn Fn(&Stats) -> f64| Spread::of(runs.iter().map(|t| f(t)));
+        let part = |n: u32, t: &Stats| f64::from(n) / f64::from(t.owed().max(1));
         let pairs = runs.iter().zip(baseline);
         Self {
             pattern,
             variant,
-            served: of(&Tally::part),
+            served: of(&Stats::part),
             gain: Spread::of(pairs.map(|(a, b)| a.part() - b.part())),
             late: of(&|t| part(t.late, t)),
             refused: of(&|t| part(t.refused, t)),
             lost: of(&|t| part(t.lost, t)),
             p50: of(&|t| t.quantile_ms(0.5) as f64),
             p99: of(&|t| t.quantile_ms(0.99) as f64),
-            messages: of(&Tally::per_flow),
+            messages: of(&Stats::per_flow),
             wrong: runs.iter().map(|t| t.broken + t.misrouted + t.doubled).sum(),
         }
     }
--- a/src/model/ask.rs
+++ b/src/model/ask.rs
@@ -6,8 +6,8 @@
 use rand::Rng;
 
 use super::caller::{COPIES, Caller, OPEN_LIMIT, RETRIES, RETRY_PAUSE, Stage};
-use super::site::Habit;
-use super::tally::End;
+use super::site::Behavior;
+use super::stats::End;
 use super::world::{Event, Step, World, vip};
 use crate::flow::Flow;
 use crate::platform::packet;
@@ -24,7 +24,7 @@
     }
 
     pub(super) fn fresh(&mut self, class: usize) {
-        let Habit::Fresh { rate } = self.site.classes[class].habit else { return };
+        let Behavior::Fresh { rate } = self.site.classes[class].behavior else { return };
         if self.now >= self.start + self.site.length {
             return;
         }
@@ -33,11 +33,11 @@
         self.open(caller);
         let gap: f64 = -self.rng.random_range(f64::MIN_POSITIVE..1.0_f64).ln();
         let at = self.now + Duration::from_secs_f64(gap / (rate * self.burst));
-        self.calendar.put(at, Event::Fresh(class));
+        self.events.put(at, Event::Fresh(class));
     }
 
     fn open(&mut self, mut caller: Caller) {
-        self.tally.flows += 1;
+        self.stats.flows += 1;
         caller.turn += 1;
         caller.stage = Stage::Opening(0);
         let (addr, turn, zone) = (caller.flow.caller, caller.turn, caller.zone);
@@ -46,10 +46,10 @@
         self.callers.insert(addr, caller);
         self.send(zone, &syn, 0);
         for (n, pause) in (1..).zip(COPIES) {
-            self.calendar.put(self.now + pause, Event::Caller(addr, turn, Step::Copy(n)));
+            self.events.put(self.now + pause, Event::Caller(addr, turn, Step::Copy(n)));
         }
         let at = (self.now + OPEN_LIMIT).min(limit.max(self.now));
-        self.calendar.put(at, Event::Caller(addr, turn, Step::GiveUp));
+        self.events.put(at, Event::Caller(addr, turn, Step::GiveUp));
     }
 
     pub(super) fn step(&mut self, addr: SocketAddrV4, turn: u32, step: Step) {
@@ -82,7 +82,7 @@
         let pause =
             if c.sending.heard_since(self.now - waited) { waited } else { c.sending.again() };
         let turn = c.turn;
-        self.calendar.put(self.now + pause, Event::Caller(addr, turn, Step::Resend));
+        self.events.put(self.now + pause, Event::Caller(addr, turn, Step::Resend));
         self.push_request(addr);
     }
 
@@ -117,8 +117,8 @@
         c.ask(class.request, class.answer);
         let (turn, limit) = (c.turn, (c.since + class.limit).max(self.now));
         let resend = self.now + c.sending.pause();
-        self.calendar.put(resend, Event::Caller(addr, turn, Step::Resend));
-        self.calendar.put(limit, Event::Caller(addr, turn, Step::Limit));
+        self.events.put(resend, Event::Caller(addr, turn, Step::Resend));
+        self.events.put(limit, Event::Caller(addr, turn, Step::Limit));
         self.push_request(addr);
     }
 
@@ -136,7 +136,7 @@
             let opening = matches!(c.stage, Stage::Opening(_));
             let (stage, flow) = (c.stage, c.flow);
             if !opening && self.agents.iter().any(|a| a.holds(flow)) {
-                self.tally.broken += 1;
+                self.stats.broken += 1;
             }
             match stage {
                 Stage::Resting => {
@@ -207,21 +207,21 @@
         let Some(c) = self.callers.get_mut(&addr) else { return };
         let class = &self.site.classes[c.class];
         let from = c.since.duration_since(self.start);
-        self.tally.end(c.class, from, self.now.duration_since(c.since), end);
+        self.stats.end(c.class, from, self.now.duration_since(c.since), end);
         c.turn += 1;
         c.stage = Stage::Resting;
         let answered = matches!(end, End::Served | End::Late);
         let (turn, zone, fin) = (c.turn, c.zone, c.finish());
-        match class.habit {
-            Habit::Feed { pause, .. } => {
+        match class.behavior {
+            Behavior::Feed { pause, .. } => {
                 let at = pause.mul_f64(self.rng.random_range(0.5..1.5));
                 if answered {
-                    self.calendar.put(self.now + at, Event::Caller(addr, turn, Step::Ask));
+                    self.events.put(self.now + at, Event::Caller(addr, turn, Step::Ask));
                 } else {
                     self.renew_after(addr, at);
                 }
             }
-            Habit::Fresh { .. } => {
+            Behavior::Fresh { .. } => {
                 self.send(zone, &fin, 0);
                 self.callers.remove(&addr);
             }
@@ -229,8 +229,8 @@
     }
 
     fn renew(&mut self, addr: SocketAddrV4) {
-        let pause = match self.callers.get(&addr).map(|c| self.site.classes[c.class].habit) {
-            Some(Habit::Feed { pause, .. }) => pause.mul_f64(self.rng.random_range(0.5..1.5)),
+        let pause = match self.callers.get(&addr).map(|c| self.site.classes[c.class].behavior) {
+            Some(Behavior::Feed { pause, .. }) => pause.mul_f64(self.rng.random_range(0.5..1.5)),
             _ => RETRY_PAUSE,
         };
         self.renew_after(addr, pause);
@@ -250,6 +250,6 @@
         next.tries = if old.stage == Stage::Resting { 0 } else { old.tries };
         let (addr, turn) = (next.flow.caller, next.turn);
         self.callers.insert(addr, next);
-        self.calendar.put(at, Event::Caller(addr, turn, Step::Again));
+        self.events.put(at, Event::Caller(addr, turn, Step::Again));
     }
 }
--- a/src/model/build.rs
+++ b/src/model/build.rs
@@ -7,10 +7,10 @@
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
-use super::calendar::Calendar;
 use super::host::Host;
-use super::site::{Class, Habit, Site};
-use super::tally::Tally;
+use super::queue::EventQueue;
+use super::site::{Behavior, Class, Site};
+use super::stats::Stats;
 use super::target::Target;
 use super::world::{
     AGENT_MBPS, Agent, Balancer, Event, PROBE, REPORT, Step, World, agent_addr, balancer_addr, vip,
@@ -28,7 +28,7 @@
             policy: policy.clone(),
             now,
             start: now,
-            calendar: Calendar::default(),
+            events: EventQueue::default(),
             rng: StdRng::seed_from_u64(seed),
             balancers: Vec::new(),
             agents: Vec::new(),
@@ -39,7 +39,7 @@
             loss: 0.0,
             burst: 1.0,
             store: true,
-            tally: Tally::default(),
+            stats: Stats::default(),
         };
         world.build();
         world
@@ -67,7 +67,7 @@
                 self.agents.push(agent);
                 let n = self.agents.len() - 1;
                 let first = REPORT.mul_f64(self.rng.random());
-                self.calendar.put(self.now + first, Event::Report(n, 1));
+                self.events.put(self.now + first, Event::Report(n, 1));
             }
         }
         for zone in 0..site.zones {
@@ -82,22 +82,22 @@
         for (class, c) in site.classes.iter().enumerate() {
             self.begin(class, c);
         }
-        self.calendar.put(self.now + PROBE, Event::Probe);
+        self.events.put(self.now + PROBE, Event::Probe);
     }
 
     fn begin(&mut self, class: usize, c: &Class) {
-        match c.habit {
-            Habit::Feed { users, pause } => {
+        match c.behavior {
+            Behavior::Feed { users, pause } => {
                 for user in 0..users {
                     let zone = (user % u32::from(self.site.zones)) as u8;
                     let at = self.now + pause.mul_f64(self.rng.random());
                     let caller = self.caller(class, zone, at);
                     let addr = caller.flow.caller;
                     self.callers.insert(addr, caller);
-                    self.calendar.put(at, Event::Caller(addr, 0, Step::Again));
+                    self.events.put(at, Event::Caller(addr, 0, Step::Again));
                 }
             }
-            Habit::Fresh { .. } => self.calendar.put(self.now, Event::Fresh(class)),
+            Behavior::Fresh { .. } => self.events.put(self.now, Event::Fresh(class)),
         }
     }
 
--- a/src/model/mod.rs
+++ b/src/model/mod.rs
@@ -8,22 +8,22 @@
 
 mod ask;
 mod build;
-pub mod calendar;
 pub mod caller;
 pub mod host;
 pub mod link;
 mod net;
 pub mod pattern;
+pub mod queue;
 mod serve;
 pub mod site;
+pub mod stats;
 pub mod stream;
-pub mod tally;
 pub mod target;
 mod trouble;
 mod wires;
 mod world;
 
 pub use pattern::{Change, Pattern};
-pub use site::{Class, Habit, Service, Site, Spread};
-pub use tally::{Earned, End, Tally, Window};
+pub use site::{Behavior, Class, Service, Site, Spread};
+pub use stats::{Benefit, End, Stats, Window};
 pub use world::play;
--- a/src/model/net.rs
+++ b/src/model/net.rs
@@ -30,8 +30,8 @@
 
     fn count(&mut self, carries: bool, bytes: usize) {
         if !carries {
-            self.tally.messages += 1;
-            self.tally.message_bytes += bytes as u64;
+            self.stats.messages += 1;
+            self.stats.message_bytes += bytes as u64;
         }
     }
 
@@ -57,13 +57,13 @@
                 let link = &mut self.balancers[n].host.outward;
                 if let Some(left) = link.send(bytes.len(), self.loss, at, &mut self.rng) {
                     let arrives = left + Self::delay(zone, self.zone(to));
-                    self.calendar.put(arrives, Event::ToPeer(to, balancer_addr(n), bytes));
+                    self.events.put(arrives, Event::ToPeer(to, balancer_addr(n), bytes));
                 }
             }
             Sent::Reset(bytes) => {
                 let link = &mut self.balancers[n].host.outward;
                 if let Some(left) = link.send(bytes.len(), self.loss, at, &mut self.rng) {
-                    self.calendar.put(left + CLIENT, Event::ToCaller(bytes));
+                    self.events.put(left + CLIENT, Event::ToCaller(bytes));
                 }
             }
             Sent::Target(_) | Sent::Caller(_) => {}
@@ -78,10 +78,10 @@
                 let link = &mut self.agents[n].host.outward;
                 if let Some(left) = link.send(bytes.len(), self.loss, at, &mut self.rng) {
                     let arrives = left + Self::delay(zone, self.zone(to));
-                    self.calendar.put(arrives, Event::ToPeer(to, agent_addr(n), bytes));
+                    self.events.put(arrives, Event::ToPeer(to, agent_addr(n), bytes));
                 }
             }
-            Sent::Target(packet) => self.calendar.put(at + LOCAL, Event::ToTarget(n, packet)),
+            Sent::Target(packet) => self.events.put(at + LOCAL, Event::ToTarget(n, packet)),
             Sent::Caller(packet) | Sent::Reset(packet) => self.leave(n, packet, at),
         }
     }
@@ -89,7 +89,7 @@
     fn leave(&mut self, n: usize, packet: Vec<u8>, at: Instant) {
         let link = &mut self.agents[n].host.outward;
         if let Some(left) = link.send(packet.len(), self.loss, at, &mut self.rng) {
-            self.calendar.put(left + CLIENT, Event::ToCaller(packet));
+            self.events.put(left + CLIENT, Event::ToCaller(packet));
         }
     }
 
@@ -118,7 +118,7 @@
         let link = &mut self.balancers[n].host.inward;
         let at = self.now + CLIENT;
         if let Some(at) = link.send(bytes.len(), self.loss, at, &mut self.rng) {
-            self.calendar.put(at, Event::ToBalancer(n, bytes));
+            self.events.put(at, Event::ToBalancer(n, bytes));
         }
     }
 
--- a/src/model/calendar.rs
+++ b/src/model/queue.rs
@@ -40,18 +40,18 @@
 
 /// Events to come.
 #[derive(Debug)]
-pub struct Calendar<E> {
+pub struct EventQueue<E> {
     heap: BinaryHeap<Reverse<Entry<E>>>,
     seq: u64,
 }
 
-impl<E> Default for Calendar<E> {
+impl<E> Default for EventQueue<E> {
     fn default() -> Self {
         Self { heap: BinaryHeap::new(), seq: 0 }
     }
 }
 
-impl<E> Calendar<E> {
+impl<E> EventQueue<E> {
     /// Puts `event` in at its time.
     pub fn put(&mut self, at: Instant, event: E) {
         self.seq += 1;
--- a/src/model/serve.rs
+++ b/src/model/serve.rs
@@ -4,7 +4,7 @@
 
 use rand::Rng;
 
-use super::target::{Admitted, Came, SHED, Timer};
+use super::target::{Admitted, Effect, SHED, Timer};
 use super::world::{Event, LOCAL, Misrouted, World, class_of};
 use crate::flow::{Flow, Segment};
 use crate::platform::packet;
@@ -27,24 +27,24 @@
         let flow = seg.by_caller();
         let request = self.site.classes[class_of(flow)].request;
         let mut out = Vec::new();
-        let came = self.agents[n].target.packet(&seg, request, self.now, &mut out);
-        if came == Came::Back {
+        let effect = self.agents[n].target.packet(&seg, request, self.now, &mut out);
+        if effect == Effect::Back {
             self.stray(&seg);
             let mut back = bytes.to_vec();
             packet::set_bounced(&mut back);
-            self.calendar.put(self.now + LOCAL, Event::FromTarget(n, back));
+            self.events.put(self.now + LOCAL, Event::FromTarget(n, back));
             return;
         }
         self.misrouted.remove(&flow);
         let after = if seg.opens() { HANDSHAKE } else { LOCAL };
         for seg in out {
             let bytes = packet::encode(&seg, &[]);
-            self.calendar.put(self.now + after, Event::FromTarget(n, bytes));
+            self.events.put(self.now + after, Event::FromTarget(n, bytes));
         }
-        match came {
-            Came::Request => self.request(n, flow),
-            Came::Room => self.push_answer(n, flow),
-            Came::Back | Came::Noted => {}
+        match effect {
+            Effect::Request => self.request(n, flow),
+            Effect::Room => self.push_answer(n, flow),
+            Effect::Back | Effect::Noted => {}
         }
     }
 
@@ -63,7 +63,7 @@
             misrouted.count += 1;
             let long = now.duration_since(misrouted.first) >= MISROUTED_FOR;
             if misrouted.count >= MISROUTED && long {
-                self.tally.misrouted += u32::from(!misrouted.told);
+                self.stats.misrouted += u32::from(!misrouted.told);
                 misrouted.told = true;
             }
         }
@@ -88,14 +88,14 @@
         if !class.idempotent {
             let runs = self.runs.entry(flow.caller).or_default();
             *runs += 1;
-            self.tally.doubled += u32::from(*runs == 2);
+            self.stats.doubled += u32::from(*runs == 2);
         }
         let x = self.rng.random_range(0.5..1.5);
         let a = &self.agents[n];
         let took = a.target.work(class.work, x, self.now);
         let answer = a.target.flows.get(&flow).map_or(0, |s| s.answers);
         let timer = Timer { flow, boot: a.target.boot, answer, since: self.now };
-        self.calendar.put(self.now + took, Event::Done(n, timer));
+        self.events.put(self.now + took, Event::Done(n, timer));
     }
 
     pub(super) fn done(&mut self, n: usize, timer: Timer) {
@@ -126,14 +126,14 @@
         s.packets(flow, &mut out);
         let Some(sending) = s.sending.filter(|s| !s.done()) else { return };
         let timer = Timer { flow, boot, answer: s.answers, since: self.now };
-        self.calendar.put(self.now + sending.pause(), Event::Resend(n, timer));
+        self.events.put(self.now + sending.pause(), Event::Resend(n, timer));
         self.put_packets(n, out);
     }
 
     fn put_packets(&mut self, n: usize, out: Vec<(Segment, u32)>) {
         for (seg, len) in out {
             let bytes = packet::encode(&seg, &vec![0; len as usize]);
-            self.calendar.put(self.now + LOCAL, Event::FromTarget(n, bytes));
+            self.events.put(self.now + LOCAL, Event::FromTarget(n, bytes));
         }
     }
 
@@ -154,7 +154,7 @@
         let mut out = Vec::new();
         s.packets(timer.flow, &mut out);
         let again = Timer { since: self.now, ..timer };
-        self.calendar.put(self.now + pause, Event::Resend(n, again));
+        self.events.put(self.now + pause, Event::Resend(n, again));
         self.put_packets(n, out);
     }
 }
--- a/src/model/site.rs
+++ b/src/model/site.rs
@@ -28,7 +28,7 @@
 
 /// How callers of one class come.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub enum Habit {
+pub enum Behavior {
     /// Users who hold a flow open and ask again after a pause.
     Feed {
         /// Number of users in all.
@@ -49,7 +49,7 @@
     /// Which of the site's services it asks.
     pub service: usize,
     /// How its callers come.
-    pub habit: Habit,
+    pub behavior: Behavior,
     /// Mean work of a target; between half and one and a half of it.
     pub work: Duration,
     /// Bytes of a request.
@@ -138,7 +138,7 @@
     pub fn dense() -> Self {
         let [feed, filing, download] = Self::classes(3_500, 375.0, 113.0);
         let feed = Class {
-            habit: Habit::Feed { users: 3_500, pause: 2_600 * MS },
+            behavior: Behavior::Feed { users: 3_500, pause: 2_600 * MS },
             work: 40 * MS,
             answer: 2_000,
             aim: 300 * MS,
@@ -176,12 +176,12 @@
         let dense = Self::dense();
         let mut classes = dense.classes.clone();
         let asked = [
-            (Habit::Feed { users: 2_900, pause: 2_600 * MS }, 500, 4_000),
-            (Habit::Fresh { rate: 306.0 }, 500, 5_000),
-            (Habit::Fresh { rate: 92.0 }, 1_200, 10_000),
+            (Behavior::Feed { users: 2_900, pause: 2_600 * MS }, 500, 4_000),
+            (Behavior::Fresh { rate: 306.0 }, 500, 5_000),
+            (Behavior::Fresh { rate: 92.0 }, 1_200, 10_000),
         ];
-        for (class, (habit, aim, limit)) in classes.iter_mut().zip(asked) {
-            (class.habit, class.aim, class.limit) = (habit, aim * MS, limit * MS);
+        for (class, (behavior, aim, limit)) in classes.iter_mut().zip(asked) {
+            (class.behavior, class.aim, class.limit) = (behavior, aim * MS, limit * MS);
         }
         Self {
             zones: 5,
@@ -199,7 +199,7 @@
     fn classes(users: u32, filings: f64, downloads: f64) -> [Class; 3] {
         let feed = Class {
             service: 0,
-            habit: Habit::Feed { users, pause: 900 * MS },
+            behavior: Behavior::Feed { users, pause: 900 * MS },
             work: 55 * MS,
             request: 120,
             answer: 4_000,
@@ -208,7 +208,7 @@
             idempotent: true,
         };
         let filing = Class {
-            habit: Habit::Fresh { rate: filings },
+            behavior: Behavior::Fresh { rate: filings },
             work: 72 * MS,
             request: 900,
             answer: 600,
@@ -219,7 +219,7 @@
         };
         let download = Class {
             service: 1,
-            habit: Habit::Fresh { rate: downloads },
+            behavior: Behavior::Fresh { rate: downloads },
             work: 5 * MS,
             answer: 80_000,
             aim: 500 * MS,
@@ -240,12 +240,12 @@
     #[must_use]
     pub fn load(mut self, x: f64) -> Self {
         for class in &mut self.classes {
-            class.habit = match class.habit {
+            class.behavior = match class.behavior {
                 // Positive and far below the type's limit.
-                Habit::Feed { users, pause } => {
-                    Habit::Feed { users: (f64::from(users) * x).round() as u32, pause }
+                Behavior::Feed { users, pause } => {
+                    Behavior::Feed { users: (f64::from(users) * x).round() as u32, pause }
                 }
-                Habit::Fresh { rate } => Habit::Fresh { rate: rate * x },
+                Behavior::Fresh { rate } => Behavior::Fresh { rate: rate * x },
             };
         }
         self
--- a/src/model/tally.rs
+++ b/src/model/stats.rs
@@ -30,7 +30,7 @@
 
 /// Requests of one class.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
-pub struct Earned {
+pub struct Benefit {
     /// All of them.
     pub owed: u32,
     /// Those answered within their aim.
@@ -39,7 +39,7 @@
     pub late: u32,
 }
 
-impl Earned {
+impl Benefit {
     /// Part of what the requests are worth to their callers that the answers
     /// were worth.
     #[must_use]
@@ -70,7 +70,7 @@
 
 /// Totals of one run.
 #[derive(Clone, Debug)]
-pub struct Tally {
+pub struct Stats {
     /// Requests answered within their aim.
     pub served: u32,
     /// Requests answered later.
@@ -84,7 +84,7 @@
     /// By the time at which requests began.
     pub windows: Vec<Window>,
     /// By class.
-    pub classes: Vec<Earned>,
+    pub classes: Vec<Benefit>,
     /// Flows that callers opened or tried to open.
     pub flows: u32,
     /// Messages between balancers and agents, but for those that carry a packet
@@ -101,7 +101,7 @@
     pub doubled: u32,
 }
 
-impl Default for Tally {
+impl Default for Stats {
     fn default() -> Self {
         // The bounds are constants of which the second is above twice the first.
         let times = Histogram::new_with_bounds(1, LONGEST_MS, 3)
@@ -124,7 +124,7 @@
     }
 }
 
-impl Tally {
+impl Stats {
     /// Counts a request of `class` that began `from` after the start and ended
     /// as `end` after `took`.
     pub fn end(&mut self, class: usize, from: Duration, took: Duration, end: End) {
--- a/src/model/target.rs
+++ b/src/model/target.rs
@@ -40,7 +40,7 @@
 
 /// What a packet did at the target.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Came {
+pub enum Effect {
     /// It is not held here, or cannot be accepted.
     Back,
     /// Nothing more than the packets that it put out.
@@ -116,17 +116,17 @@
         request: u32,
         now: Instant,
         out: &mut Vec<Segment>,
-    ) -> Came {
+    ) -> Effect {
         let flow = seg.by_caller();
         if !self.up {
-            return Came::Back;
+            return Effect::Back;
         }
         if seg.opens() {
             self.open(flow, seg, request, out);
-            return Came::Noted;
+            return Effect::Noted;
         }
         let Some(s) = self.flows.get_mut(&flow).filter(|s| s.holds(seg)) else {
-            return Came::Back;
+            return Effect::Back;
         };
         s.open = true;
         if seg.flags.fin {
@@ -137,16 +137,16 @@
                 s.next,
             ));
             self.flows.remove(&flow);
-            return Came::Noted;
+            return Effect::Noted;
         }
-        let mut came = Came::Noted;
+        let mut effect = Effect::Noted;
         if s.sending.as_mut().is_some_and(|sending| sending.acknowledge(seg.ack, now)) {
-            came = Came::Room;
+            effect = Effect::Room;
         }
         if seg.len > 0 {
-            came = s.data(flow, seg, request, came, out);
+            effect = s.data(flow, seg, request, effect, out);
         }
-        came
+        effect
     }
 
     fn open(&mut self, flow: Flow, seg: &Segment, request: u32, out: &mut Vec<Segment>) {
@@ -230,18 +230,18 @@
         flow: Flow,
         seg: &Segment,
         request: u32,
-        came: Came,
+        effect: Effect,
         out: &mut Vec<Segment>,
-    ) -> Came {
+    ) -> Effect {
         let len = u32::from(seg.len);
-        let mut result = came;
+        let mut result = effect;
         let fits = seg.seq == self.next && len <= self.missing;
         if fits {
             self.next = self.next.wrapping_add(len);
             self.missing -= len;
             self.unacked += 1;
             if self.missing == 0 {
-                result = Came::Request;
+                result = Effect::Request;
             }
         }
         let copy = !fits;
--- a/src/model/trouble.rs
+++ b/src/model/trouble.rs
@@ -64,7 +64,7 @@
             }
             self.wake_agent(n, self.now);
         }
-        self.calendar.put(self.now + pause, Event::Report(n, boot));
+        self.events.put(self.now + pause, Event::Report(n, boot));
     }
 
     fn probe(&mut self) {
@@ -77,7 +77,7 @@
                 b.rotation &= b.missed < 2;
             }
         }
-        self.calendar.put(self.now + PROBE, Event::Probe);
+        self.events.put(self.now + PROBE, Event::Probe);
     }
 
     /// A balancer that has started reads the store, or tries again.
@@ -88,7 +88,7 @@
         if self.store {
             self.read_store(n);
         } else {
-            self.calendar.put(self.now + LISTED, Event::Read(n, boot));
+            self.events.put(self.now + LISTED, Event::Read(n, boot));
         }
     }
 
@@ -98,7 +98,7 @@
         let host = &mut self.balancers[n].host;
         host.start(self.now);
         let boot = host.boot;
-        self.calendar.put(self.now + BOOT, Event::Read(n, boot));
+        self.events.put(self.now + BOOT, Event::Read(n, boot));
     }
 
     fn start_agent(&mut self, n: usize) {
@@ -125,7 +125,7 @@
         let target = &mut self.agents[n].target;
         target.start(self.now);
         let boot = target.boot;
-        self.calendar.put(self.now + REPORT_AGAIN, Event::Report(n, boot));
+        self.events.put(self.now + REPORT_AGAIN, Event::Report(n, boot));
     }
 
     /// The first `part` of `all`, at least one.
@@ -141,13 +141,13 @@
             Change::KillBalancers(part, _) => {
                 for n in 0..Self::some(part, self.balancers.len()) {
                     self.balancers[n].host.stop();
-                    self.calendar.put(ends, Event::StartBalancer(n));
+                    self.events.put(ends, Event::StartBalancer(n));
                 }
             }
             Change::KillAgents(part, _) => {
                 for n in 0..Self::some(part, self.agents.len()) {
                     self.agents[n].host.stop();
-                    self.calendar.put(ends, Event::StartAgent(n));
+                    self.events.put(ends, Event::StartAgent(n));
                 }
             }
             Change::RollBalancers(gap) => {
@@ -155,31 +155,31 @@
                     // A handful of balancers.
                     let at = self.now + gap * n as u32;
                     let boot = self.balancers[n].host.boot;
-                    self.calendar.put(at, Event::Stopped(n, boot));
+                    self.events.put(at, Event::Stopped(n, boot));
                 }
             }
             Change::JoinBalancers => {
                 for zone in 0..self.site.zones {
                     let n = self.add_balancer(zone);
-                    self.calendar.put(self.now + BOOT, Event::Read(n, 1));
+                    self.events.put(self.now + BOOT, Event::Read(n, 1));
                 }
             }
             Change::RollAgents(gap) => {
                 for n in 0..self.agents.len() {
                     // Some dozens of agents.
-                    self.calendar.put(self.now + gap * n as u32, Event::AgentStops(n));
+                    self.events.put(self.now + gap * n as u32, Event::AgentStops(n));
                 }
             }
             Change::Leave(part, gap) => {
                 for n in 0..Self::some(part, self.agents.len()) {
                     // Some dozens of agents.
-                    self.calendar.put(self.now + gap * n as u32, Event::Leaves(n));
+                    self.events.put(self.now + gap * n as u32, Event::Leaves(n));
                 }
             }
             Change::Crash(part, _) => {
                 for n in 0..Self::some(part, self.agents.len()) {
                     self.agents[n].target.crash();
-                    self.calendar.put(ends, Event::StartTarget(n));
+                    self.events.put(ends, Event::StartTarget(n));
                 }
             }
             Change::Slow(part, x, _) => self.slow(part, x),
@@ -188,7 +188,7 @@
             Change::Loss(part, _) => self.loss = part,
         }
         if change.lasts() > Duration::ZERO {
-            self.calendar.put(ends, Event::Ended(change));
+            self.events.put(ends, Event::Ended(change));
         }
     }
 
@@ -219,15 +219,15 @@
         for n in 0..self.balancers.len() {
             self.balancers[n].host.stop();
             let at = back + SCATTER.mul_f64(self.rng.random());
-            self.calendar.put(at, Event::StartBalancer(n));
+            self.events.put(at, Event::StartBalancer(n));
         }
         for n in 0..self.agents.len() {
             self.agents[n].host.stop();
             self.agents[n].target.crash();
             let at = back + SCATTER.mul_f64(self.rng.random());
-            self.calendar.put(at, Event::StartTarget(n));
+            self.events.put(at, Event::StartTarget(n));
             let at = back + SCATTER.mul_f64(self.rng.random());
-            self.calendar.put(at, Event::StartAgent(n));
+            self.events.put(at, Event::StartAgent(n));
         }
     }
 
@@ -240,10 +240,10 @@
         }
         if b.steer.ready() {
             b.steer.stop();
-            self.calendar.put(self.now + LINGER, Event::Stopped(n, boot));
+            self.events.put(self.now + LINGER, Event::Stopped(n, boot));
         } else {
             b.host.stop();
-            self.calendar.put(self.now + RESTART, Event::StartBalancer(n));
+            self.events.put(self.now + RESTART, Event::StartBalancer(n));
         }
     }
 
@@ -255,7 +255,7 @@
         }
         a.holder.stop();
         let boot = a.host.boot;
-        self.calendar.put(self.now + FINISH, Event::AgentEnds(n, boot));
+        self.events.put(self.now + FINISH, Event::AgentEnds(n, boot));
     }
 
     fn agent_ends(&mut self, n: usize, boot: u64) {
@@ -267,7 +267,7 @@
         a.holder.hand_over(agent_addr(n), &mut out);
         self.agent_sends(n, out, self.now);
         self.agents[n].host.stop();
-        self.calendar.put(self.now + RESTART, Event::StartAgent(n));
+        self.events.put(self.now + RESTART, Event::StartAgent(n));
     }
 
     /// A target says goodbye and ends, its agent takes its entry out of the store,
@@ -279,7 +279,7 @@
         a.target.crash();
         a.holder.crashed(&mut out);
         self.agent_sends(n, out, self.now);
-        self.calendar.put(self.now + STAY, Event::Left(n));
+        self.events.put(self.now + STAY, Event::Left(n));
         self.read_soon();
     }
 
@@ -287,7 +287,7 @@
     fn read_soon(&mut self) {
         for b in 0..self.balancers.len() {
             let boot = self.balancers[b].host.boot;
-            self.calendar.put(self.now + LISTED, Event::Read(b, boot));
+            self.events.put(self.now + LISTED, Event::Read(b, boot));
         }
     }
 }
--- a/src/model/world.rs
+++ b/src/model/world.rs
@@ -8,12 +8,12 @@
 
 use rand::rngs::StdRng;
 
-use super::calendar::Calendar;
 use super::caller::Caller;
 use super::host::{Batch, Host};
 use super::pattern::{Change, Pattern};
+use super::queue::EventQueue;
 use super::site::Site;
-use super::tally::Tally;
+use super::stats::Stats;
 use super::target::{Target, Timer};
 use super::wires::Wires;
 use crate::bus;
@@ -159,7 +159,7 @@
     pub(super) policy: Policy,
     pub(super) now: Instant,
     pub(super) start: Instant,
-    pub(super) calendar: Calendar<Event>,
+    pub(super) events: EventQueue<Event>,
     pub(super) rng: StdRng,
     pub(super) balancers: Vec<Balancer>,
     pub(super) agents: Vec<Agent>,
@@ -172,25 +172,25 @@
     pub(super) loss: f64,
     pub(super) burst: f64,
     pub(super) store: bool,
-    pub(super) tally: Tally,
+    pub(super) stats: Stats,
 }
 
 /// Plays a pattern under a policy.
 #[must_use]
-pub fn play(pattern: &Pattern, policy: &Policy, seed: u64) -> Tally {
+pub fn play(pattern: &Pattern, policy: &Policy, seed: u64) -> Stats {
     let mut world = World::new(&pattern.site, policy, seed);
     for (at, change) in &pattern.changes {
-        world.calendar.put(world.start + *at, Event::Change(*change));
+        world.events.put(world.start + *at, Event::Change(*change));
     }
     let until = world.start + pattern.site.length + TAIL;
-    while let Some((at, event)) = world.calendar.pop() {
+    while let Some((at, event)) = world.events.pop() {
         if at > until {
             break;
         }
         world.now = at;
         world.take(event);
     }
-    world.tally
+    world.stats
 }
 
 fn ip(a: u8, b: u8, n: usize) -> Ipv4Addr {
@@ -254,13 +254,13 @@
 
     pub(super) fn wake_balancer(&mut self, n: usize, at: Instant) {
         if let Some(at) = self.balancers[n].host.wake(at) {
-            self.calendar.put(at, Event::Balancer(n));
+            self.events.put(at, Event::Balancer(n));
         }
     }
 
     pub(super) fn wake_agent(&mut self, n: usize, at: Instant) {
         if let Some(at) = self.agents[n].host.wake(at) {
-            self.calendar.put(at, Event::Agent(n));
+            self.events.put(at, Event::Agent(n));
         }
     }
 
@@ -302,7 +302,7 @@
         if !a.probing && a.holder.doubtful(self.now) {
             a.probing = true;
             let at = self.now + Duration::from_millis(1);
-            self.calendar.put(at, Event::Port(n, a.host.boot));
+            self.events.put(at, Event::Port(n, a.host.boot));
         }
         let Batch { mut packets, messages } = a.host.read();
         let mut out = Wires::default();
--- a/src/steer/mod.rs
+++ b/src/steer/mod.rs
@@ -60,7 +60,7 @@
     /// The agents that the balancer believes in.
     pub roster: Roster,
     flows: Table<FlowState>,
-    due: Calendar,
+    due: DueQueue,
     policy: Steering,
     queries: Queries,
     /// How long agents take to answer.
@@ -88,7 +88,7 @@
             routes: None,
             roster: Roster::default(),
             flows: Table::new(idle),
-            due: Calendar::default(),
+            due: DueQueue::default(),
             policy: Steering::default(),
             queries: Queries::new(0.0, 0.0),
             rtt: Rtt::default(),
@@ -361,9 +361,9 @@
 
 /// Flows by when to look at them again.
 #[derive(Debug, Default)]
-struct Calendar(BinaryHeap<Reverse<(Instant, Flow)>>);
+struct DueQueue(BinaryHeap<Reverse<(Instant, Flow)>>);
 
-impl Calendar {
+impl DueQueue {
     fn put(&mut self, at: Instant, flow: Flow) {
         self.0.push(Reverse((at, flow)));
     }
--- a/tests/model.rs
+++ b/tests/model.rs
@@ -3,13 +3,13 @@
 
 use std::time::Duration;
 
-use jujubepost::model::{Change, Pattern, Site, Tally, pattern, play};
+use jujubepost::model::{Change, Pattern, Site, Stats, pattern, play};
 use jujubepost::policy::Policy;
 use rayon::prelude::*;
 
 const MS: Duration = Duration::from_millis(1);
 
-fn run(pattern: &Pattern, seed: u64) -> Tally {
+fn run(pattern: &Pattern, seed: u64) -> Stats {
     let t = play(pattern, &Policy::default(), seed);
     assert_eq!((t.broken, t.misrouted, t.doubled), (0, 0, 0), "{} seed {seed}", pattern.name);
     t
@@ -20,7 +20,7 @@
 }
 
 /// Part served in time from `after` past the end of the last cause on.
-fn later(p: &Pattern, t: &Tally, after: Duration) -> f64 {
+fn later(p: &Pattern, t: &Stats, after: Duration) -> f64 {
     t.between(p.over() + after, p.site.length)
 }
 
--- a/tests/narrow_links.rs
+++ b/tests/narrow_links.rs
@@ -20,7 +20,7 @@
 
 use std::time::Duration;
 
-use jujubepost::model::{Change, Pattern, Site, Tally, play};
+use jujubepost::model::{Change, Pattern, Site, Stats, play};
 use jujubepost::policy::Policy;
 
 const MS: Duration = Duration::from_millis(1);
@@ -32,7 +32,7 @@
 /// policy says.
 const LINK_PART: f64 = 0.1;
 
-fn run(p: &Pattern, seed: u64) -> Tally {
+fn run(p: &Pattern, seed: u64) -> Stats {
     let t = play(p, &Policy::default(), seed);
     assert_eq!((t.broken, t.misrouted, t.doubled), (0, 0, 0), "{} seed {seed}", p.name);
     t
