Names and comments: suspected agents, should_probe, constants without their tuning

policy::Doubt is Suspicion, doubt.gone suspicion.dead_after (the old settings are still read), Agent::doubtful is_suspected, Holder::doubtful should_probe, an opening's doubtful inconclusive; tests/doubt.rs is suspicion.rs. Comments that told how values were chosen are shortened to what they are for. Behaviour unchanged.

--- a/src/edge/entry.rs
+++ b/src/edge/entry.rs
@@ -36,9 +36,8 @@
 /// longer: meanwhile its data centre has one balancer less.
 const LINGER: Duration = Duration::from_millis(1_500);
 
-/// Pause between a change of the store and the question for the next: short
-/// against the 3 s in which a configuration is to be in force, long against
-/// the pause between the first reports of targets that start together (0.15 s).
+/// Pause between a change of the store and the question for the next, so that
+/// changes that come together are read in one call.
 const GATHER: Duration = Duration::from_millis(300);
 
 /// Longest sleep without a timer due, so that old flows are forgotten and pauses of the
--- a/src/edge/sidecar.rs
+++ b/src/edge/sidecar.rs
@@ -257,7 +257,7 @@
             heard_at = before;
             entry.check.notify_one();
         }
-        if probes.is_empty() && holder.borrow().doubtful(before) {
+        if probes.is_empty() && holder.borrow().should_probe(before) {
             probes.spawn_local(port::probe(wires.target));
         }
         let due = holder.borrow().next_due().filter(|_| probes.is_empty());
--- a/src/hold/demand.rs
+++ b/src/hold/demand.rs
@@ -9,8 +9,7 @@
 
 use crate::agent::place::SLOT;
 
-/// Over how long the mean is taken: long against one request (0.05 s), short
-/// against the life of a long flow (tens of seconds).
+/// Over how long the mean is taken: averages over several requests of a flow.
 const SPAN: Duration = Duration::from_secs(4);
 
 /// Waiting requests per open flow before anything was measured: one request
--- a/src/hold/life.rs
+++ b/src/hold/life.rs
@@ -126,7 +126,7 @@
     /// Whether the target has been silent for so long that its port should be
     /// tried.
     #[must_use]
-    pub fn doubtful(&self, now: Instant) -> bool {
+    pub fn should_probe(&self, now: Instant) -> bool {
         self.maybe_alive() && self.silent_since.is_some_and(|at| now >= at)
     }
 
--- a/src/model/world.rs
+++ b/src/model/world.rs
@@ -299,7 +299,7 @@
             return;
         }
         a.host.next = None;
-        if !a.probing && a.holder.doubtful(self.now) {
+        if !a.probing && a.holder.should_probe(self.now) {
             a.probing = true;
             let at = self.now + Duration::from_millis(1);
             self.events.put(at, Event::Port(n, a.host.boot));
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -12,7 +12,7 @@
 pub use holding::Holding;
 pub use mechanism::Mechanism;
 use serde::{Deserialize, Serialize};
-pub use steering::{Doubt, Steering};
+pub use steering::{Steering, Suspicion};
 
 /// What both go by.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
--- a/src/policy/steering.rs
+++ b/src/policy/steering.rs
@@ -14,8 +14,7 @@
 /// Part of a VM's link that questions may take.
 const LINK_PART: f64 = 0.1;
 
-/// Questions a second on a whole core that take a quarter of it: each costs
-/// two datagrams of 15 us at the balancer.
+/// Questions a second on a whole core: what they cost leaves most of it to callers.
 const CORE_ASKS: f64 = 8_000.0;
 
 /// What a balancer goes by. Times are in milliseconds in settings.
@@ -23,14 +22,11 @@
 #[serde(deny_unknown_fields, default)]
 pub struct Steering {
     /// How long agents have at least to say what became of an open or of a
-    /// flow: a handshake costs a target 0.3 ms and a round trip between data
-    /// centres 3 ms, twice with a compare of loads; callers send a copy after
-    /// 200 ms, before which another pair can be tried.
+    /// flow: another pair can be tried before the caller sends a copy.
     #[serde(with = "millis")]
     pub answer: Duration,
     /// How long they have at most, however slowly they have been answering and
-    /// however often an open was offered: callers send their last copy after
-    /// 600 ms.
+    /// however often an open was offered.
     #[serde(with = "millis")]
     pub slowest: Duration,
     /// Pause before an open is offered to the same agents again: their targets
@@ -59,8 +55,7 @@
     /// that is late by its queue is answered by more offers, which lengthen the
     /// queue.
     pub retry_share: f64,
-    /// See `retry_share`. A target of 5 slots and 50 ms work frees a hundred
-    /// slots a second, shared by ten balancers.
+    /// See `retry_share`: a second, for each agent known.
     pub retry_rate: f64,
     /// Further offers that may come at once.
     pub retry_burst: f64,
@@ -77,7 +72,7 @@
     /// Packets of one flow that are kept while its owner is asked for: what a
     /// caller has in flight at most.
     pub kept_packets: usize,
-    /// Bytes of all packets that are kept, 1 % of a VM's smallest memory.
+    /// Bytes of all packets that are kept.
     pub kept_bytes: usize,
     /// Whether a flow's home is told of an owner that it cannot know.
     pub hints: bool,
@@ -96,14 +91,14 @@
     /// the platform says about 2 s.
     #[serde(with = "millis")]
     pub relisted: Duration,
-    /// Most packets kept until a configuration is known: 0.5 s of a busy
-    /// balancer's opens, 0.6 MB at most.
+    /// Most packets kept until a configuration is known.
     pub parked: usize,
     /// How often it is looked whether a configuration has come.
     #[serde(with = "millis")]
     pub unpark: Duration,
-    /// When agents are doubted.
-    pub doubt: Doubt,
+    /// When agents are suspected.
+    #[serde(alias = "doubt")]
+    pub suspicion: Suspicion,
 }
 
 impl Default for Steering {
@@ -131,7 +126,7 @@
             relisted: Duration::from_millis(2_500),
             parked: 512,
             unpark: Duration::from_millis(20),
-            doubt: Doubt::default(),
+            suspicion: Suspicion::default(),
         }
     }
 }
@@ -145,7 +140,7 @@
         self.asks = self.asks.min(link).min(CORE_ASKS * cpu);
         // Positive and far below the type's limit.
         let pings = (self.asks * PING_PART).max(1.0) as u32;
-        self.doubt.pings = self.doubt.pings.min(pings);
+        self.suspicion.pings = self.suspicion.pings.min(pings);
         self
     }
 
@@ -156,7 +151,7 @@
             ("round", self.round),
             ("longest_round", self.longest_round),
             ("unpark", self.unpark),
-            ("doubt.ping", self.doubt.ping),
+            ("suspicion.ping", self.suspicion.ping),
         ];
         for (field, time) in times {
             if time.is_zero() {
@@ -180,8 +175,8 @@
                 bail!("field `policy.steer.{field}`: must be at least 1");
             }
         }
-        if self.doubt.pings == 0 {
-            bail!("field `policy.steer.doubt.pings`: must be at least 1");
+        if self.suspicion.pings == 0 {
+            bail!("field `policy.steer.suspicion.pings`: must be at least 1");
         }
         if self.waves.contains(&0) {
             bail!("field `policy.steer.waves`: each must be at least 1");
@@ -190,13 +185,13 @@
     }
 }
 
-/// Part of the questions' rate that questions to agents in doubt may take.
+/// Part of the questions' rate that questions to suspected agents may take.
 const PING_PART: f64 = 0.25;
 
-/// When a balancer doubts an agent.
+/// When a balancer suspects an agent to be dead.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
-pub struct Doubt {
+pub struct Suspicion {
     /// Pause between two questions to an agent that is not listed or did not
     /// answer.
     #[serde(with = "millis")]
@@ -214,7 +209,8 @@
     /// a process that is killed or stopped as planned is back within 1 s, and
     /// after 4 s the platform takes a VM that does not answer as out of touch.
     #[serde(with = "millis")]
-    pub gone: Duration,
+    #[serde(alias = "gone")]
+    pub dead_after: Duration,
     /// How long an agent's word that it can take nothing counts. It is asked
     /// again by being offered a flow, so this bounds offers that come to nothing.
     #[serde(with = "millis")]
@@ -225,13 +221,13 @@
     pub heard: Duration,
 }
 
-impl Default for Doubt {
+impl Default for Suspicion {
     fn default() -> Self {
         Self {
             ping: Duration::from_millis(300),
             pings: 500,
             keep: Duration::from_secs(3),
-            gone: Duration::from_secs(4),
+            dead_after: Duration::from_secs(4),
             unable: Duration::from_millis(500),
             heard: Duration::from_millis(40),
         }
--- a/src/steer/mod.rs
+++ b/src/steer/mod.rs
@@ -107,7 +107,7 @@
     pub fn policy(mut self, policy: Steering) -> Self {
         self.queries = Queries::new(policy.asks, policy.ask_burst);
         self.retries = Bucket::new(policy.retry_burst);
-        self.roster = Roster::new(policy.doubt.clone());
+        self.roster = Roster::new(policy.suspicion.clone());
         self.policy = policy;
         self
     }
--- a/src/steer/opens.rs
+++ b/src/steer/opens.rs
@@ -102,7 +102,7 @@
         if !o.offered.contains(&from) {
             return;
         }
-        o.doubtful |= matches!(reason, Refusal::NoTarget | Refusal::Busy);
+        o.inconclusive |= matches!(reason, Refusal::NoTarget | Refusal::Busy);
         let Some(FlowState::Opening(mut opening)) = self.flows.remove(flow) else { return };
         self.rtt.note(now.duration_since(opening.asked));
         let most =
@@ -110,7 +110,7 @@
         let more = opening.offered.len() < most;
         if more && self.offer(flow, &mut opening, None, now, out) {
             self.flows.insert(flow, FlowState::Opening(opening), now);
-        } else if more && !opening.doubtful && self.roster_current(now) {
+        } else if more && !opening.inconclusive && self.roster_current(now) {
             refuse(flow, reason, out);
         } else {
             self.again(flow, opening, reason, now, out);
@@ -149,7 +149,7 @@
             for agent in opening.offered.iter().rev().take(2) {
                 self.roster.missed(*agent, now);
             }
-            opening.doubtful = true;
+            opening.inconclusive = true;
             opening.unanswered += 1;
         }
         if !self.may_retry(now) {
--- a/src/steer/roster.rs
+++ b/src/steer/roster.rs
@@ -19,7 +19,7 @@
 use crate::bus::{FlowStatus, Message};
 use crate::flow::Flow;
 use crate::hold::Start;
-use crate::policy::Doubt;
+use crate::policy::Suspicion;
 
 /// An agent as the store lists it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -60,7 +60,7 @@
 }
 
 impl Agent {
-    fn doubtful(&self) -> bool {
+    fn is_suspected(&self) -> bool {
         self.unlisted.is_some() || self.silent.is_some()
     }
 
@@ -92,30 +92,30 @@
 /// The agents by address and by service.
 #[derive(Clone, Debug)]
 pub struct Roster {
-    doubt: Doubt,
+    suspicion: Suspicion,
     /// In the order of their addresses, so that questions go out in one order.
     agents: BTreeMap<SocketAddrV4, Agent>,
     services: HashMap<Arc<str>, Vec<SocketAddrV4>>,
-    /// When the next question is due; none while no agent is in doubt.
+    /// When the next question is due; none while no agent is in suspicion.
     due: Option<Instant>,
-    /// Questions to agents in doubt that may be asked.
+    /// Questions to suspected agents that may be asked.
     pings: Bucket,
 }
 
 impl Default for Roster {
     fn default() -> Self {
-        Self::new(Doubt::default())
+        Self::new(Suspicion::default())
     }
 }
 
 impl Roster {
-    /// No agents yet; they are doubted as `doubt` says.
+    /// No agents yet; they are suspected as `suspicion` says.
     #[must_use]
-    pub fn new(doubt: Doubt) -> Self {
+    pub fn new(suspicion: Suspicion) -> Self {
         // What comes in between two looks must not be lost.
-        let burst = f64::from(doubt.pings) * 2.0 * TURN.as_secs_f64();
+        let burst = f64::from(suspicion.pings) * 2.0 * TURN.as_secs_f64();
         Self {
-            doubt,
+            suspicion,
             agents: BTreeMap::new(),
             services: HashMap::new(),
             due: None,
@@ -160,7 +160,7 @@
         for a in announced {
             changed |= self.list(a, now);
         }
-        if self.agents.values().any(Agent::doubtful) {
+        if self.agents.values().any(Agent::is_suspected) {
             self.due = Some(now);
         }
         changed
@@ -260,7 +260,7 @@
     /// what becomes of every other flow of the service.
     #[must_use]
     pub fn gone(&self, addr: SocketAddrV4, now: Instant) -> bool {
-        self.over(addr) || self.silent_for(addr, self.doubt.gone, now)
+        self.over(addr) || self.silent_for(addr, self.suspicion.dead_after, now)
     }
 
     /// Whether the agent is silent and last said that its target had ended.
@@ -324,7 +324,7 @@
     /// An agent did not answer in time.
     pub fn missed(&mut self, addr: SocketAddrV4, now: Instant) {
         if let Some(a) = self.agents.get_mut(&addr)
-            && now.duration_since(a.heard) >= self.doubt.heard
+            && now.duration_since(a.heard) >= self.suspicion.heard
         {
             a.silent.get_or_insert(now);
             self.due.get_or_insert(now);
@@ -352,7 +352,7 @@
         now: Instant,
     ) -> Option<(SocketAddrV4, Option<SocketAddrV4>)> {
         let left: Vec<SocketAddrV4> = self.of(service).filter(|a| !except.contains(a)).collect();
-        let able = |a: &SocketAddrV4| self.agents[a].able(self.doubt.unable, now);
+        let able = |a: &SocketAddrV4| self.agents[a].able(self.suspicion.unable, now);
         let near = |a: &SocketAddrV4| &*self.agents[a].zone == zone;
         let first = first
             .or_else(|| preferred(&left, flow, |a| able(a) && near(a)))
@@ -392,7 +392,7 @@
         self.due
     }
 
-    /// Queries the agents that are in doubt, those that have waited longest first, as
+    /// Queries the agents that are in suspicion, those that have waited longest first, as
     /// far as the budget goes, and drops those that the store does not list and
     /// that had their turn and have not answered in time.
     pub fn ping(&mut self, now: Instant, out: &mut impl Out) {
@@ -402,17 +402,17 @@
         let dropped: Vec<SocketAddrV4> = self
             .agents
             .iter()
-            .filter(|(_, a)| !a.kept(self.doubt.keep, now))
+            .filter(|(_, a)| !a.kept(self.suspicion.keep, now))
             .map(|(addr, _)| *addr)
             .collect();
         for addr in dropped {
             self.remove(addr);
         }
-        self.pings.fill(self.doubt.pings.into(), now);
-        let pause = self.doubt.ping;
+        self.pings.fill(self.suspicion.pings.into(), now);
+        let pause = self.suspicion.ping;
         let due = |a: &Agent| a.pinged.is_none_or(|at| now.duration_since(at) >= pause);
         let mut waiting: Vec<_> =
-            self.agents.iter_mut().filter(|(_, a)| a.doubtful() && due(a)).collect();
+            self.agents.iter_mut().filter(|(_, a)| a.is_suspected() && due(a)).collect();
         waiting.sort_by_key(|(_, a)| a.pinged);
         let mut spent = false;
         for (addr, a) in waiting {
@@ -428,8 +428,8 @@
             a.asked = true;
             out.agent(*addr, &Message::Ping { listed: a.unlisted.is_none() }, &[]);
         }
-        let doubtful = self.agents.values().filter(|a| a.doubtful());
-        let next = doubtful.filter_map(|a| a.pinged).min().map(|at| at + pause);
+        let suspected = self.agents.values().filter(|a| a.is_suspected());
+        let next = suspected.filter_map(|a| a.pinged).min().map(|at| at + pause);
         self.due = if spent { Some(now + TURN) } else { next };
     }
 }
--- a/src/steer/state.rs
+++ b/src/steer/state.rs
@@ -74,7 +74,7 @@
     pub resting: bool,
     /// Some of them did not answer or had not heard their target yet, so a
     /// refusal by the others is not final.
-    pub doubtful: bool,
+    pub inconclusive: bool,
 }
 
 impl Opening {
@@ -95,7 +95,7 @@
             rounds: 0,
             due: since,
             resting: false,
-            doubtful: false,
+            inconclusive: false,
         }
     }
 }
--- a/tests/hold.rs
+++ b/tests/hold.rs
@@ -141,10 +141,10 @@
     opened(&mut h, 1, 5_000, now);
     let mut w = Wires::default();
     assert!(!h.gone(&Start { id: "i-1".into(), born: Some(1_000) }, now));
-    assert!(!h.doubtful(now + 5_000 * MS));
+    assert!(!h.should_probe(now + 5_000 * MS));
     assert!(!h.gone(&"i-1".into(), now));
     h.tick(now + 600 * MS, &mut w);
-    assert!(w.resets.is_empty() && h.doubtful(now + 600 * MS));
+    assert!(w.resets.is_empty() && h.should_probe(now + 600 * MS));
     h.slow(now + 600 * MS);
     assert_eq!(carry(&mut h, Mode::Owner, 1, 5_001, now + 700 * MS).target.len(), 1);
     assert!(h.gone(&Start { id: "i-1".into(), born: Some(2_000) }, now + 800 * MS));
@@ -178,8 +178,8 @@
     let mut h = holder(now);
     opened(&mut h, 1, 5_000, now);
     offer(&mut h, 2, false, now);
-    assert!(!h.doubtful(now + 50 * MS));
-    assert!(h.doubtful(now + 70 * MS), "an open without an answer");
+    assert!(!h.should_probe(now + 50 * MS));
+    assert!(h.should_probe(now + 70 * MS), "an open without an answer");
     let mut w = Wires::default();
     h.crashed(&mut w);
     assert_eq!(w.resets, [(flow(1), 5_001)]);
@@ -407,9 +407,9 @@
     let now = Instant::now();
     let mut h = Holder::new(SERVICE.into(), Duration::from_secs(60));
     assert_eq!(asked(&mut h, 1, 5_001, now).statuses(), [FlowStatus::Unverified]);
-    assert!(h.doubtful(now), "its port is to be tried");
+    assert!(h.should_probe(now), "its port is to be tried");
     h.crashed(&mut Wires::default());
-    assert!(!h.doubtful(now));
+    assert!(!h.should_probe(now));
     assert_eq!(asked(&mut h, 1, 5_001, now).statuses(), [FlowStatus::Ended]);
     // A target whose flows were not all known, and which has ended.
     assert!(h.report(report("i-1", 30, State::Ready), now));
--- a/tests/doubt.rs
+++ b/tests/suspicion.rs
@@ -1,4 +1,4 @@
-//! Agents in doubt: how often balancers ask them, whatever their number, and when
+//! Agents in suspicion: how often balancers ask them, whatever their number, and when
 //! they are dropped.
 
 mod common;
@@ -36,7 +36,7 @@
 fn lapse_of_all() {
     let now = Instant::now();
     let policy = Steering::default().fit(1_000.0, 0.25);
-    let rate = f64::from(policy.doubt.pings);
+    let rate = f64::from(policy.suspicion.pings);
     let mut s = steer_with(0, policy, now);
     let all = fleet(2_300);
     s.roster.update(&all, now);
