--- a/src/edge/relay.rs
+++ b/src/edge/relay.rs
@@ -19,7 +19,8 @@
 /// in full again after this; a change is to be in force within 5 s.
 const LEASE_MS: u64 = 2_000;
 
-/// Longest pause, drawn at random, X/// 300 of a data centre one or two write their key before the others see it.
+/// Longest pause, drawn at random, before a balancer campaigns to be the relay, so that
+/// few of a data centre write their keys before the others see one.
 const CAMPAIGN: Duration = Duration::from_millis(500);
 
 /// Pause before parts that could not be written are written again.
--- a/src/edge/sidecar.rs
+++ b/src/edge/sidecar.rs
@@ -272,7 +272,7 @@
         let mut holder = holder.borrow_mut();
         let mut out = Sender { wires, buf: &mut scratch };
         let now = Instant::now();
-        // Nothing is decided here by how long others were silent.
+        // Only logged: an agent decides nothing by how long others were silent.
         pause::note(before + wait, now);
         if let Some(found) = probed {
             port::note(&mut holder, found, wires.target, now, &mut out);
--- a/src/platform/kv.rs
+++ b/src/platform/kv.rs
@@ -157,8 +157,8 @@
                 None => req.send().await,
             }
         };
-        // The client's own timeout starts once it is connected, and is late after a
-        // standstill of the process.
+        // The client's own timeout starts once it is connected, and is late after
+        // the process was suspended.
         let answer = tokio::time::timeout(timeout, sent).await;
         let ok = matches!(&answer, Ok(Ok(res)) if res.status().is_success());
         let call = step.split(' ').next().unwrap_or_default();
--- a/src/steer/mod.rs
+++ b/src/steer/mod.rs
@@ -144,8 +144,8 @@
         self.sees_since = if answers { self.sees_since.or(Some(now)) } else { None };
     }
 
-    /// Goes on after the process did not run for `paused`. Until the store answers
-    /// again agents may run that are not in the roster.
+    /// Resumes after the process did not run for `paused`. Until the store answers
+    /// again, agents may run that are not in the roster.
     pub fn resume(&mut self, paused: Duration) {
         self.sees_since = None;
         self.roster.resume(paused);
--- a/src/steer/roster.rs
+++ b/src/steer/roster.rs
@@ -135,8 +135,8 @@
         self.agents.is_empty()
     }
 
-    /// Goes on after the process did not run for `paused`: nobody was asked
-    /// meanwhile, so that time is nobody's silence.
+    /// Resumes after the process did not run for `paused`: no agent was asked
+    /// meanwhile, so that time does not count as silence.
     pub fn resume(&mut self, paused: Duration) {
         for a in self.agents.values_mut() {
             for since in [&mut a.silent, &mut a.unlisted, &mut a.deferred] {
--- a/src/store/lease.rs
+++ b/src/store/lease.rs
@@ -56,7 +56,7 @@
     beat: Duration,
     check: &Notify,
 ) {
-    // Fixed, so that nothing else done meanwhile puts off the renewal.
+    // An instant, so that checks and new values do not postpone the renewal.
     let mut due = Instant::now() + beat;
     loop {
         tokio::select! {
--- a/src/store/mirror.rs
+++ b/src/store/mirror.rs
@@ -121,8 +121,8 @@
     /// Pause after a change before the next is asked for: changes that come
     /// together (many agents start at once) cost one call instead of many.
     pub gather: Duration,
-    /// Has the service asked at once, as the process did not run for a while and what
-    /// is on its way may be old.
+    /// Has the service read again at once: after a pause of the process, an answer on its
+    /// way may be old.
     pub refresh: Arc<Notify>,
 }
 
--- a/tests/frozen.rs
+++ b/tests/frozen.rs
@@ -1,5 +1,5 @@
-//! Processes that stand still for seconds and go on: what waits on a timer afterwards
-//! waits no longer than it asked for.
+//! Processes that are suspended for seconds and resume: a pause begun afterwards takes no
+//! longer than it asks for.
 
 use std::cell::Cell;
 use std::io::{Read, Write};
@@ -23,23 +23,23 @@
 /// How soon after the store's return entries that lapsed are back.
 const ENTRY_BACK: Duration = Duration::from_secs(2);
 
-/// How long processes stand still.
+/// How long the process is suspended.
 const FREEZE: Duration = Duration::from_secs(7);
 
-/// When this process stops, counted from a test's start.
+/// When the process is suspended, counted from a test's start.
 const BEGIN: Duration = Duration::from_millis(600);
 
-/// When the step of a test falls due: in the standstill.
+/// When the step of a test falls due: while the process is suspended.
 const STEP: Duration = Duration::from_millis(2_000);
 
-/// When another timer of the process falls due, as there always is one: in the
-/// standstill too.
+/// When another timer of the process falls due, as there always is one: while it is
+/// suspended, too.
 const OTHER: Duration = Duration::from_millis(2_300);
 
-/// One test at a time: each stops the whole process.
+/// One test at a time: each suspends the whole process.
 static TURN: Mutex<()> = Mutex::new(());
 
-/// Has this process stand still, all of its threads, from [`BEGIN`] on.
+/// Suspends this process, all of its threads, from [`BEGIN`] on.
 struct Freeze {
     started: Instant,
     shell: Child,
@@ -57,12 +57,12 @@
         Self { started: Instant::now(), shell, _turn: turn }
     }
 
-    /// Waits for the step of the test, which is due in the standstill; returns when the
-    /// process goes on, and tells since when it does.
+    /// Waits for the step of the test, which is due while the process is suspended;
+    /// returns when it resumed.
     async fn step(&self) -> Instant {
         tokio::time::sleep_until((self.started + STEP).into()).await;
         let resumed = Instant::now();
-        assert!(resumed.duration_since(self.started) > FREEZE, "the process did not stand still");
+        assert!(resumed.duration_since(self.started) > FREEZE, "the process was not suspended");
         resumed
     }
 }
@@ -73,12 +73,12 @@
     }
 }
 
-/// A store that answers its first call in the standstill, and no other.
+/// A store that answers its first call while the process is suspended, and no other.
 #[derive(Clone)]
 struct Store {
     freeze: Rc<Freeze>,
     resumed: Rc<Cell<Option<Instant>>>,
-    /// From the end of the standstill to the second call.
+    /// From the resumption to the second call.
     late: Rc<Cell<Option<Duration>>>,
 }
 
@@ -95,7 +95,7 @@
         self.resumed.set(Some(self.freeze.step().await));
     }
 
-    /// How long after the standstill the second call was made.
+    /// How long after the resumption the second call was made.
     async fn second_call(&self) -> Duration {
         loop {
             if let Some(late) = self.late.get() {
@@ -142,7 +142,7 @@
 }
 
 /// Guards against a change that is not in force in time because the pause before the
-/// next read of the store is prolonged by a standstill before it.
+/// next read of the store takes longer after the process was suspended.
 #[ntex::test]
 async fn watch_after_freeze() {
     let store = Store::new();
@@ -158,11 +158,11 @@
         late = store.second_call() => late,
         () = mirror::follow(&source, |_| None, |_| {}) => unreachable!(),
     };
-    assert!(late < IN_FORCE, "next read {late:?} after the standstill");
+    assert!(late < IN_FORCE, "next read {late:?} after the resumption");
 }
 
 /// Guards against an agent that is not listed again in time because the pause before
-/// the next try is prolonged by a standstill before it.
+/// the next try takes longer after the process was suspended.
 #[ntex::test]
 async fn lease_after_freeze() {
     let store = Store::new();
@@ -172,7 +172,7 @@
         late = store.second_call() => late,
         () = lease::hold(&store, "key", values, 10_000, &check) => unreachable!(),
     };
-    assert!(late < ENTRY_BACK, "next try {late:?} after the standstill");
+    assert!(late < ENTRY_BACK, "next try {late:?} after the resumption");
 }
 
 /// A store that answers one call and then nothing more on that connection.
@@ -189,8 +189,7 @@
     addr
 }
 
-/// Guards against a call that goes unanswered being given up late, by as long as the
-/// process stood still before it.
+/// Guards against an unanswered call that times out late after the process was suspended.
 #[ntex::test]
 async fn call_after_freeze() {
     let client = kv::Client::new(deaf_store(), 1_000 * MS, 1_000 * MS).await.unwrap();
@@ -199,5 +198,5 @@
     let resumed = freeze.step().await;
     assert!(client.get("key").await.is_err());
     let late = resumed.elapsed();
-    assert!(late < IN_FORCE, "given up {late:?} after the standstill");
+    assert!(late < IN_FORCE, "given up {late:?} after the resumption");
 }
--- a/tests/whole.rs
+++ b/tests/whole.rs
@@ -188,8 +188,8 @@
     end("store", t).await;
 }
 
-/// Guards against balancers that leave a change out of force after they stood still: one
-/// change is made meanwhile, the next right after.
+/// Guards against balancers on which a change is not in force in time after they were
+/// suspended: one change is made meanwhile, the next right after.
 #[ntex::test]
 async fn change_after_freeze() {
     let balancers = 8;
@@ -212,7 +212,7 @@
         assert!(total(&text, "store_age_ms") < 4_000.0, "{text}");
         paused += total(&text, "paused_ms");
     }
-    assert!(paused > 0.0, "no balancer noticed that it stood still");
+    assert!(paused > 0.0, "no balancer noticed that it was suspended");
     end("freeze", t).await;
 }
 
