--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -4,6 +4,8 @@
 
 pub mod wires;
 
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener};
 use std::path::PathBuf;
 
 use jujubepost::ctl::fleet;
@@ -22,6 +24,20 @@
     Site::start(&exe(), &path).await.unwrap()
 }
 
+/// A server that sends `answer` once it was asked something, and then nothing more.
+pub fn falls_silent(answer: &'static [u8]) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let addr = listener.local_addr().unwrap();
+    std::thread::spawn(move || {
+        let (mut stream, _) = listener.accept().unwrap();
+        let mut buf = [0; 1_024];
+        assert!(stream.read(&mut buf).unwrap() > 0);
+        stream.write_all(answer).unwrap();
+        while stream.read(&mut buf).is_ok_and(|n| n > 0) {}
+    });
+    addr
+}
+
 /// Invariants that the site's processes broke: as the living ones count them,
 /// and as any of them logged.
 pub async fn violations(site: &Site) -> u64 {
--- a/tests/frozen.rs
+++ b/tests/frozen.rs
@@ -1,9 +1,9 @@
 //! Processes that are suspended for seconds and resume: a pause begun afterwards takes no
 //! longer than it asks for.
 
+mod common;
+
 use std::cell::Cell;
-use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpListener};
 use std::process::{Child, Command};
 use std::rc::Rc;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -175,24 +175,14 @@
     assert!(late < ENTRY_BACK, "next try {late:?} after the resumption");
 }
 
-/// A store that answers one call and then nothing more on that connection.
-fn deaf_store() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    let addr = listener.local_addr().unwrap();
-    std::thread::spawn(move || {
-        let (mut stream, _) = listener.accept().unwrap();
-        let mut buf = [0; 1_024];
-        assert!(stream.read(&mut buf).unwrap() > 0);
-        stream.write_all(b"HTTP/1.1 404 Not Found\r\ncontent-length: 0\r\n\r\n").unwrap();
-        while stream.read(&mut buf).is_ok_and(|n| n > 0) {}
-    });
-    addr
-}
+/// The whole answer to the first call; nothing answers the next.
+const NOT_FOUND: &[u8] = b"HTTP/1.1 404 Not Found\r\ncontent-length: 0\r\n\r\n";
 
 /// Guards against an unanswered call that times out late after the process was suspended.
 #[ntex::test]
 async fn call_after_freeze() {
-    let client = kv::Client::new(deaf_store(), 1_000 * MS, 1_000 * MS).await.unwrap();
+    let client =
+        kv::Client::new(common::falls_silent(NOT_FOUND), 1_000 * MS, 1_000 * MS).await.unwrap();
     assert!(client.get("key").await.unwrap().is_none());
     let freeze = Freeze::new();
     let resumed = freeze.step().await;
