--- a/src/events/mod.rs
+++ b/src/events/mod.rs
@@ -106,7 +106,7 @@
 pub const OPEN_DECLINED: &str = "E717";
 /// The agents of a service were asked for a flow's owner.
 pub const OWNER_ASKED: &str = "E718";
-/// No agent said that it holds a flow, and some did not answer or were unsure.
+/// No agent said that it holds a flow, and some did not answer or could not verify it.
 pub const OWNER_UNKNOWN: &str = "E724";
 /// A packet of a flow that no agent knew was tried at a target.
 pub const FLOW_TRIED: &str = "E719";
--- a/src/hold/asked.rs
+++ b/src/hold/asked.rs
@@ -49,7 +49,7 @@
         FlowStatus::Unverified
     }
 
-    /// The word that denies a flow which the agent does not know; none where its
+    /// The status that denies a flow which the agent does not know; none where its
     /// target may hold it.
     pub(super) fn denial(&mut self) -> Option<FlowStatus> {
         if self.absent {
--- a/src/steer/roster.rs
+++ b/src/steer/roster.rs
@@ -96,7 +96,7 @@
     /// In the order of their addresses, so that questions go out in one order.
     agents: BTreeMap<SocketAddrV4, Agent>,
     services: HashMap<Arc<str>, Vec<SocketAddrV4>>,
-    /// When the next question is due; none while no agent is in suspicion.
+    /// When the next question is due; none while no agent is suspected.
     due: Option<Instant>,
     /// Questions to suspected agents that may be asked.
     pings: Bucket,
@@ -298,7 +298,7 @@
         }
     }
 
-    /// An agent said `word` of a flow.
+    /// An agent answered `status` of a flow.
     pub fn said(&mut self, addr: SocketAddrV4, status: FlowStatus) {
         if let Some(a) = self.agents.get_mut(&addr) {
             match status {
@@ -392,7 +392,7 @@
         self.due
     }
 
-    /// Queries the agents that are in suspicion, those that have waited longest first, as
+    /// Asks the suspected agents, those that have waited longest first, as
     /// far as the budget goes, and drops those that the store does not list and
     /// that had their turn and have not answered in time.
     pub fn ping(&mut self, now: Instant, out: &mut impl Out) {
