Evacuations: an evacuated data centre gets no new flows

Cause: nothing read the operators' evacuation orders.

Balancers read them from the store with the watch they hold anyway, so no call is added. A balancer that watches only a configuration's parts gets the list in the index of the parts, which its data centre's relay writes; it narrows its watch only when the index has the list in force. The newer list is in force; an order that ended does not come back. No open is offered to an agent there: not as the last resort when no other accepts, not when a caller repeats its SYN. Open flows stay; searches go on as before. Without a candidate the caller is refused at once, reason 'evacuated'.

The guard stands at balancers alone: both agents of an offer are chosen by the balancer, and an agent could learn of an evacuation only from balancers or by watching the store, which 23,000 of them do not.

The own interface has orders by data centre: ctl evacuate, ctl restore.

--- a/examples/fleet.rs
+++ b/examples/fleet.rs
@@ -10,7 +10,7 @@
 use jujubepost::edge::SnapshotReader;
 use jujubepost::platform::config;
 use jujubepost::relay::Relay;
-use jujubepost::steering::{FlowSteering, ListedAgent};
+use jujubepost::steering::{EvacuationList, FlowSteering, ListedAgent};
 use jujubepost::store::{Change, Kv, Snapshot};
 use serde_json::json;
 
@@ -69,7 +69,11 @@
         routes.version += 1;
         let route = routes.by_address.values_mut().next().unwrap();
         route.request_timeout = Duration::from_millis(1_000 + u64::try_from(rev).unwrap());
-        let puts = relay.pending_transaction(&snapshot, &routes).unwrap().unwrap().puts;
+        let puts = relay
+            .pending_transaction(&snapshot, &routes, &EvacuationList::default())
+            .unwrap()
+            .unwrap()
+            .puts;
         let bytes = puts.iter().map(|(_, value)| value.len().div_ceil(3) * 4).sum();
         let keys = puts.len();
         let changes = puts
--- a/src/balancer/view_builder.rs
+++ b/src/balancer/view_builder.rs
@@ -21,6 +21,8 @@
     Target(record::Target),
     /// A drain order for the target of this name.
     Drain(Arc<str>),
+    /// An order to evacuate the data centre of this name.
+    Evacuation(Arc<str>),
     /// A key that the view does not use, or whose value cannot be parsed.
     Other,
 }
@@ -81,10 +83,12 @@
     fn update_pools(&mut self, now: Instant) {
         let mut services = HashSet::new();
         let mut draining = HashSet::new();
+        let mut evacuated = HashSet::new();
         for r in self.records() {
             match r {
                 Record::Profile(profile) => drop(services.insert(profile.service)),
                 Record::Drain(name) => drop(draining.insert(name.clone())),
+                Record::Evacuation(zone) => drop(evacuated.insert(zone.clone())),
                 Record::Target(_) | Record::Other => {}
             }
         }
@@ -93,7 +97,7 @@
             let serving: Vec<(Arc<str>, SocketAddrV4)> = self
                 .registry
                 .serving(service, now)
-                .filter(|t| !draining.contains(&t.name))
+                .filter(|t| !draining.contains(&t.name) && !evacuated.contains(&t.zone))
                 .filter_map(|t| Some((t.name.clone(), ipv4_addr(t.agent)?)))
                 .collect();
             let owners = self.registry.owners(service).filter_map(|t| ipv4_addr(t.agent)).collect();
@@ -119,6 +123,7 @@
             serde_json::from_slice(&kv.value).map_or(Record::Other, Record::Target)
         }
         Some(("drain", name)) => Record::Drain(name.into()),
+        Some(("evacuate", zone)) => Record::Evacuation(zone.into()),
         _ => Record::Other,
     }
 }
--- a/src/ctl/mod.rs
+++ b/src/ctl/mod.rs
@@ -59,6 +59,16 @@
         /// The target's name.
         target: String,
     },
+    /// Evacuates a data centre: its targets get no new flows and keep the open ones.
+    Evacuate {
+        /// The data centre's name.
+        zone: String,
+    },
+    /// Ends the evacuation of a data centre.
+    Restore {
+        /// The data centre's name.
+        zone: String,
+    },
     /// Prints profiles with their revisions, targets and drains from the store, then
     /// the status and counters of each process.
     Status,
@@ -137,6 +147,8 @@
         Command::Beliefs { .. } => Ok(()),
         Command::Drain { target } => drain_target(&settings, &target).await,
         Command::Resume { target } => resume_target(&settings, &target).await,
+        Command::Evacuate { zone } => evacuate_zone(&settings, &zone).await,
+        Command::Restore { zone } => restore_zone(&settings, &zone).await,
         Command::Status => {
             // The processes respond even when the store is down.
             let stored = print_store(&store, &keys).await;
@@ -190,8 +202,7 @@
 pub async fn drain_target(s: &Settings, target: &str) -> anyhow::Result<()> {
     s.target(target)?;
     let (store, keys) = open_store(s).await;
-    let since_ms = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_millis() as u64);
-    let value = serde_json::to_vec(&record::Drain { since_ms })?;
+    let value = serde_json::to_vec(&record::Drain { since_ms: unix_ms() })?;
     store.put(&keys.drain_order(target), &value, 0).await?;
     log::info!("{} drain order for target {target} written", events::CTL_WRITTEN);
     Ok(())
@@ -210,6 +221,46 @@
     Ok(())
 }
 
+/// Writes an order to evacuate a data centre.
+///
+/// # Errors
+///
+/// Fails when no target of the settings is in the data centre or the store cannot be
+/// reached.
+pub async fn evacuate_zone(s: &Settings, zone: &str) -> anyhow::Result<()> {
+    check_zone(s, zone)?;
+    let (store, keys) = open_store(s).await;
+    let value = serde_json::to_vec(&record::Evacuation { since_ms: unix_ms() })?;
+    store.put(&keys.evacuation_order(zone), &value, 0).await?;
+    log::info!("{} evacuation order for data centre {zone} written", events::CTL_WRITTEN);
+    Ok(())
+}
+
+/// Deletes the order to evacuate a data centre, whose targets get new flows again.
+///
+/// # Errors
+///
+/// As [`evacuate_zone`].
+pub async fn restore_zone(s: &Settings, zone: &str) -> anyhow::Result<()> {
+    check_zone(s, zone)?;
+    let (store, keys) = open_store(s).await;
+    store.delete(&keys.evacuation_order(zone)).await?;
+    log::info!("{} evacuation order for data centre {zone} deleted", events::CTL_WRITTEN);
+    Ok(())
+}
+
+fn check_zone(s: &Settings, zone: &str) -> anyhow::Result<()> {
+    if s.targets.iter().any(|t| *t.zone == *zone) {
+        return Ok(());
+    }
+    bail!("ctl: no target of the settings is in data centre `{zone}`")
+}
+
+/// Milliseconds since the Unix epoch.
+fn unix_ms() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_millis() as u64)
+}
+
 /// Sets the flow limit of a profile in the store.
 ///
 /// # Errors
@@ -301,7 +352,13 @@
     for kv in kvs {
         let Some((kind, name)) = keys.split(&kv.key) else { continue };
         let lease = if kv.lease == 0 { String::new() } else { format!(" lease {}", kv.lease) };
-        println!("{kind:<10} {name:<16} rev {}{lease}", kv.rev);
+        let since = match serde_json::from_slice::<record::Evacuation>(&kv.value) {
+            Ok(order) if kind == "evacuate" => {
+                format!(" for {} s", unix_ms().saturating_sub(order.since_ms) / 1_000)
+            }
+            _ => String::new(),
+        };
+        println!("{kind:<10} {name:<16} rev {}{lease}{since}", kv.rev);
     }
     Ok(())
 }
--- a/src/edge/entry.rs
+++ b/src/edge/entry.rs
@@ -151,7 +151,9 @@
         let mut store_lost = false;
         let mut reader = SnapshotReader::default();
         let narrow_prefix = |snapshot: &Snapshot| {
-            let prefix = relay.narrow_prefix(snapshot, steering.borrow().config_version());
+            let steering = steering.borrow();
+            let evacuations = steering.roster.evacuations.list();
+            let prefix = relay.narrow_prefix(snapshot, steering.config_version(), evacuations);
             metrics::set_state("follows_parts", prefix.is_some().into());
             prefix
         };
--- a/src/edge/relay.rs
+++ b/src/edge/relay.rs
@@ -105,9 +105,11 @@
     steering: &RefCell<FlowSteering>,
     snapshot: &Snapshot,
 ) -> anyhow::Result<()> {
-    let (pending, version) = match steering.borrow().routes() {
-        Some(routes) => (relay.pending_transaction(snapshot, routes)?, routes.version),
-        None => return Ok(()),
+    let (pending, version) = {
+        let steering = steering.borrow();
+        let Some(routes) = steering.routes() else { return Ok(()) };
+        let evacuations = steering.roster.evacuations.list();
+        (relay.pending_transaction(snapshot, routes, evacuations)?, routes.version)
     };
     let Some(transaction) = pending else { return Ok(()) };
     let committed = store
--- a/src/edge/snapshot.rs
+++ b/src/edge/snapshot.rs
@@ -8,8 +8,8 @@
 use std::time::Instant;
 
 use super::AGENT_PREFIX;
-use crate::relay::{self, Part};
-use crate::steering::{FlowSteering, ListedAgent, Routes};
+use crate::relay::{self, Index, Part};
+use crate::steering::{EvacuationList, FlowSteering, ListedAgent, Routes};
 use crate::store::{Kv, Snapshot};
 use crate::{events, metrics, platform};
 
@@ -23,15 +23,20 @@
 }
 
 impl SnapshotReader {
-    /// Applies the changes since the last snapshot to `steering`.
+    /// Applies the changes since the last snapshot to `steering`: evacuations first, so
+    /// that no flow is offered to a new agent of an evacuated data centre.
     pub fn apply_snapshot(&mut self, steering: &mut FlowSteering, snapshot: &Snapshot) {
+        let index = relay::read_index(snapshot);
+        apply_evacuations(steering, snapshot, index.as_ref().map(|(index, _)| index));
         if let Some(kv) = snapshot.keys.get(platform::config::CONFIG_KEY)
             && kv.rev != self.config_rev
         {
             self.config_rev = kv.rev;
             apply_config(steering, kv);
         }
-        self.apply_parts(steering, snapshot);
+        if let Some((index, rev)) = &index {
+            self.apply_parts(steering, snapshot, index, *rev);
+        }
         if self.decode_agents(snapshot) {
             let agents: Vec<ListedAgent> =
                 self.agents.values().filter_map(|(_, a)| a.clone()).collect();
@@ -47,19 +52,23 @@
 
     /// Applies the configuration that a relay published in parts, if it is newer
     /// than the one in force.
-    fn apply_parts(&mut self, steering: &mut FlowSteering, snapshot: &Snapshot) {
-        let Some((index, rev)) =
-            relay::read_index(snapshot).filter(|(_, rev)| *rev != self.index_rev)
-        else {
+    fn apply_parts(
+        &mut self,
+        steering: &mut FlowSteering,
+        snapshot: &Snapshot,
+        index: &Index,
+        rev: i64,
+    ) {
+        if rev == self.index_rev {
             return;
-        };
+        }
         if steering.config_version() >= Some(index.version) {
             self.index_rev = rev;
             return;
         }
         // A listing may hold an index newer than its parts; the watch that follows
         // delivers the rest.
-        let Some(kvs) = relay::consistent_parts(snapshot, &index) else { return };
+        let Some(kvs) = relay::consistent_parts(snapshot, index) else { return };
         let mut parts = BTreeMap::new();
         let mut decoded = 0;
         for kv in kvs {
@@ -80,7 +89,7 @@
             parts.insert(kv.key.clone(), (kv.rev, part));
         }
         self.index_rev = rev;
-        let routes = relay::parts::join(&index, parts.values().map(|(_, part)| part));
+        let routes = relay::parts::join(index, parts.values().map(|(_, part)| part));
         self.parts = parts;
         apply_routes(steering, routes, rev, decoded);
     }
@@ -105,6 +114,23 @@
     }
 }
 
+/// Applies the evacuations that operators ordered, from their keys or, if those are not
+/// watched, from the index that a relay published: the newer list is in force.
+fn apply_evacuations(steering: &mut FlowSteering, snapshot: &Snapshot, index: Option<&Index>) {
+    let now = Instant::now();
+    let prefix = platform::config::EVACUATION_PREFIX;
+    let from = (Bound::Included(prefix), Bound::Unbounded);
+    let ordered = snapshot
+        .keys
+        .range::<str, _>(from)
+        .map_while(|(key, kv)| key.strip_prefix(prefix).map(|zone| (Arc::from(zone), kv.rev)));
+    let list = EvacuationList { as_of: snapshot.complete_rev, zones: ordered.collect() };
+    steering.apply_evacuations(list, now);
+    if let Some(list) = index.and_then(|index| index.evacuations.clone()) {
+        steering.apply_evacuations(list, now);
+    }
+}
+
 /// Decodes an agent's registration. One that is invalid, or names another VM than
 /// its key, is ignored.
 fn decode_agent(kv: &Kv) -> Option<ListedAgent> {
--- a/src/events/mod.rs
+++ b/src/events/mod.rs
@@ -89,6 +89,8 @@
 pub const EDGE_TARGET: &str = "E706";
 /// A balancer started or stopped publishing the configuration in parts.
 pub const EDGE_RELAY: &str = "E707";
+/// A data centre's evacuation began or ended, as known to this process.
+pub const EVACUATION: &str = "E709";
 /// The process was not scheduled for a while.
 pub const EDGE_PAUSED: &str = "E708";
 /// A new flow was refused before a target received any of it.
--- a/src/metrics/mod.rs
+++ b/src/metrics/mod.rs
@@ -63,6 +63,9 @@
     #[display("silent")]
     #[serde(rename = "Silent")]
     AckTimeout,
+    /// All targets of the service are in evacuated data centres.
+    #[display("evacuated")]
+    Evacuated,
 }
 
 /// Why a step was retried.
--- a/src/model/lifecycle.rs
+++ b/src/model/lifecycle.rs
@@ -187,6 +187,10 @@
                 }
             }
             Change::SlowTargets(share, factor, _) => self.set_slowdown(share, factor),
+            Change::EvacuateZone(_) => {
+                self.evacuated_at = Some(self.now);
+                self.schedule_store_reads();
+            }
             Change::StoreOutage(_) => self.set_store_up(false, self.now),
             Change::LoadBurst(factor, _) => self.load_factor = factor,
             Change::PacketLoss(rate, _) => self.loss_rate = rate,
@@ -199,6 +203,10 @@
     fn end_change(&mut self, change: Change) {
         match change {
             Change::SlowTargets(share, _, _) => self.set_slowdown(share, 1.0),
+            Change::EvacuateZone(_) => {
+                self.evacuated_at = None;
+                self.schedule_store_reads();
+            }
             Change::StoreOutage(_) => self.set_store_up(true, self.now),
             Change::LoadBurst(..) => self.load_factor = 1.0,
             Change::PacketLoss(..) => self.loss_rate = 0.0,
--- a/src/model/pattern.rs
+++ b/src/model/pattern.rs
@@ -28,6 +28,8 @@
     CrashTargets(f64, Duration),
     /// This share of the targets is slower by a factor for the given time.
     SlowTargets(f64, f64, Duration),
+    /// The first data centre is evacuated for the given time.
+    EvacuateZone(Duration),
     /// The store does not answer for the given time.
     StoreOutage(Duration),
     /// The arrival rate of open-loop requests is multiplied by a factor for the
@@ -48,6 +50,7 @@
             | Self::KillAgents(_, d)
             | Self::CrashTargets(_, d)
             | Self::SlowTargets(_, _, d)
+            | Self::EvacuateZone(d)
             | Self::StoreOutage(d)
             | Self::LoadBurst(_, d)
             | Self::PacketLoss(_, d) => *d,
@@ -250,6 +253,17 @@
                 (s(3), Change::RestartBalancers(ms(500))),
             ],
         },
+        Pattern {
+            name: "evacuation",
+            description: "One of four data centres is evacuated for 9 s while half of the \
+                          balancers are killed and all others' flows move: the other targets \
+                          take its load.",
+            site: Site::dense().scale_load(0.8),
+            changes: vec![
+                (s(2), Change::EvacuateZone(s(9))),
+                (s(5), Change::KillBalancers(0.5, ms(500))),
+            ],
+        },
         Pattern {
             name: "lossy",
             description: "Five percent of all datagrams are lost for 5 s.",
--- a/src/model/setup.rs
+++ b/src/model/setup.rs
@@ -10,14 +10,14 @@
 use super::event_queue::EventQueue;
 use super::host::Host;
 use super::simulation::{
-    AGENT_MBPS, Agent, Balancer, CallerAction, Event, PROBE_INTERVAL, REPORT_INTERVAL, Simulation,
-    agent_addr, balancer_addr, vip, zone_name,
+    AGENT_MBPS, Agent, Balancer, CallerAction, EVACUATED_ZONE, Event, PROBE_INTERVAL,
+    REPORT_INTERVAL, Simulation, agent_addr, balancer_addr, vip, zone_name,
 };
 use super::site::{RequestClass, Site, Workload};
 use super::stats::Stats;
 use super::target::Target;
 use crate::policy::Policy;
-use crate::steering::{FlowSteering, ListedAgent, Route, Routes, WeightedService};
+use crate::steering::{EvacuationList, FlowSteering, ListedAgent, Route, Routes, WeightedService};
 use crate::tracker::{FlowTracker, Incarnation, Report, TargetState};
 
 impl Simulation {
@@ -39,6 +39,7 @@
             loss_rate: 0.0,
             load_factor: 1.0,
             store_up: true,
+            evacuated_at: None,
             stats: Stats::default(),
         };
         sim.populate();
@@ -153,6 +154,14 @@
         Routes { version: 1, by_address: routes.collect(), idle_timeout: Duration::from_secs(15) }
     }
 
+    /// The list of evacuated data centres; the time serves as the store's revision.
+    fn evacuations(&self) -> EvacuationList {
+        // A run takes far less than `i64::MAX` microseconds.
+        let rev = |at: Instant| at.duration_since(self.start).as_micros() as i64;
+        let zones = self.evacuated_at.map(|at| (zone_name(EVACUATED_ZONE), rev(at)));
+        EvacuationList { as_of: rev(self.now), zones: zones.into_iter().collect() }
+    }
+
     /// A balancer reads routes and agents from the store.
     pub(super) fn read_store(&mut self, n: usize) {
         let listed: Vec<ListedAgent> = self
@@ -170,7 +179,9 @@
             })
             .collect();
         let routes = self.routes();
+        let evacuations = self.evacuations();
         let steering = &mut self.balancers[n].steering;
+        steering.apply_evacuations(evacuations, self.now);
         steering.apply_routes(routes);
         steering.roster.update(&listed, self.now);
         steering.set_store_reachable(true, self.now);
--- a/src/model/simulation.rs
+++ b/src/model/simulation.rs
@@ -43,6 +43,12 @@
 /// Delay from the start of a balancer until it has first read the store.
 pub(super) const FIRST_READ_DELAY: Duration = Duration::from_millis(60);
 
+/// The data centre that [`Change::EvacuateZone`] evacuates.
+pub(super) const EVACUATED_ZONE: u8 = 0;
+
+/// How long after an evacuation was ordered its targets may still get new flows.
+pub(super) const EVACUATION_BOUND: Duration = Duration::from_secs(5);
+
 /// Link bandwidth of an agent's VM, in Mbit/s.
 pub(super) const AGENT_MBPS: f64 = 1_000.0;
 
@@ -192,6 +198,8 @@
     pub(super) load_factor: f64,
     /// Whether the store answers.
     pub(super) store_up: bool,
+    /// When the evacuation of the first data centre was ordered, while it is in effect.
+    pub(super) evacuated_at: Option<Instant>,
     pub(super) stats: Stats,
 }
 
--- a/src/model/stats.rs
+++ b/src/model/stats.rs
@@ -100,6 +100,9 @@
     pub misrouted: u32,
     /// Non-idempotent requests that were executed more than once.
     pub duplicated: u32,
+    /// New flows at targets of a data centre that had been evacuated for longer than the
+    /// bound.
+    pub in_evacuated: u32,
 }
 
 impl Default for Stats {
@@ -121,6 +124,7 @@
             broken: 0,
             misrouted: 0,
             duplicated: 0,
+            in_evacuated: 0,
         }
     }
 }
--- a/src/model/target_events.rs
+++ b/src/model/target_events.rs
@@ -4,7 +4,9 @@
 
 use rand::Rng;
 
-use super::simulation::{Event, LOCAL_DELAY, Misrouted, Simulation, class_of};
+use super::simulation::{
+    EVACUATED_ZONE, EVACUATION_BOUND, Event, LOCAL_DELAY, Misrouted, Simulation, class_of,
+};
 use super::target::{Admission, PacketResult, SHED_RESPONSE_BYTES, Timer};
 use crate::flow::{Flow, Segment};
 use crate::platform::packet;
@@ -25,6 +27,9 @@
         let flow = seg.flow_from_caller();
         let request_len = self.site.classes[class_of(flow)].request_bytes;
         let mut out = Vec::new();
+        if seg.opens_flow() {
+            self.check_evacuation(n);
+        }
         let result = self.agents[n].target.receive(&seg, request_len, self.now, &mut out);
         if result == PacketResult::Bounced {
             self.count_misrouted(&seg);
@@ -46,6 +51,15 @@
         }
     }
 
+    /// Counts a new flow at a target of an evacuated data centre.
+    fn check_evacuation(&mut self, n: usize) {
+        let over_bound =
+            self.evacuated_at.is_some_and(|at| self.now.duration_since(at) > EVACUATION_BOUND);
+        if over_bound && self.agents[n].zone == EVACUATED_ZONE {
+            self.stats.in_evacuated += 1;
+        }
+    }
+
     /// Records a packet that reached a target which does not hold its flow, and counts
     /// the flow as misrouted once the thresholds are passed.
     fn count_misrouted(&mut self, seg: &Segment) {
--- a/src/platform/config.rs
+++ b/src/platform/config.rs
@@ -17,6 +17,9 @@
 /// Key of the configuration.
 pub const CONFIG_KEY: &str = "op/config";
 
+/// Prefix of the keys that order the evacuation of a data centre, whose name follows.
+pub const EVACUATION_PREFIX: &str = "op/evacuate/";
+
 /// Idle timeout of a flow if the configuration sets none.
 const DEFAULT_IDLE_TIMEOUT_MS: u64 = 15_000;
 
--- a/src/record/mod.rs
+++ b/src/record/mod.rs
@@ -43,6 +43,14 @@
     pub since_ms: u64,
 }
 
+/// An order to evacuate a data centre, written by an operator: its targets get no new
+/// flows and keep the open ones.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Evacuation {
+    /// Time of the order, in milliseconds since the Unix epoch.
+    pub since_ms: u64,
+}
+
 /// A balancer's registration, written under a lease.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Balancer {
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -13,7 +13,7 @@
 
 pub use parts::{Index, PART_COUNT, Part};
 
-use crate::steering::Routes;
+use crate::steering::{EvacuationList, Routes};
 use crate::store::{Kv, Snapshot};
 
 /// Prefix of the keys that jujubepost writes itself. Watching it is enough while
@@ -97,20 +97,26 @@
 
     /// Returns a prefix that is enough to watch, or `None` if all keys must be
     /// watched. The prefix is enough while another balancer of this data centre
-    /// is the relay and the parts are not older than `version`, the one in
-    /// force here.
+    /// is the relay, the parts are not older than `version`, the one in force here,
+    /// and the index lists the data centres of `evacuations`.
     #[must_use]
-    pub fn narrow_prefix(&self, snapshot: &Snapshot, version: Option<u64>) -> Option<&'static str> {
+    pub fn narrow_prefix(
+        &self,
+        snapshot: &Snapshot,
+        version: Option<u64>,
+        evacuations: &EvacuationList,
+    ) -> Option<&'static str> {
         if !self.is_large(snapshot) || self.should_relay(snapshot) || self.has_key(snapshot) {
             return None;
         }
-        let published = read_index(snapshot)?.0.version;
-        (version <= Some(published)).then_some(SYSTEM_PREFIX)
+        let (index, _) = read_index(snapshot)?;
+        let same_zones = index.evacuations.is_some_and(|e| e.zones == evacuations.zones);
+        (version <= Some(index.version) && same_zones).then_some(SYSTEM_PREFIX)
     }
 
-    /// Returns the transaction that publishes `routes`, the configuration in
-    /// force, or deletes the parts if it has become small. Returns `None` if the
-    /// store is up to date or another balancer is the relay.
+    /// Returns the transaction that publishes `routes` and `evacuations`, which are in
+    /// force here, or deletes the parts if the configuration has become small. Returns
+    /// `None` if the store is up to date or another balancer is the relay.
     ///
     /// # Errors
     ///
@@ -119,6 +125,7 @@
         &self,
         snapshot: &Snapshot,
         routes: &Routes,
+        evacuations: &EvacuationList,
     ) -> anyhow::Result<Option<Transaction>> {
         let current = read_index(snapshot);
         if !self.is_large(snapshot) {
@@ -129,14 +136,21 @@
             };
             return Ok(current.map(delete_all));
         }
+        let (old, rev) = current.unwrap_or_default();
+        let same_zones = old.evacuations.as_ref().is_some_and(|e| e.zones == evacuations.zones);
         if !self.should_relay(snapshot)
-            || current.as_ref().is_some_and(|(i, _)| i.version >= routes.version)
+            || old.version > routes.version
+            || old.version == routes.version && same_zones
         {
             return Ok(None);
         }
-        let (next, values) =
-            parts::split(routes).context("splitting the configuration into parts")?;
-        let (old, rev) = current.unwrap_or_default();
+        let same_parts = old.version == routes.version && !old.checksums.is_empty();
+        let (mut next, values) = if same_parts {
+            (old.clone(), Vec::new())
+        } else {
+            parts::split(routes).context("splitting the configuration into parts")?
+        };
+        next.evacuations = Some(evacuations.clone());
         let mut puts: Vec<(String, Vec<u8>)> = values
             .into_iter()
             .enumerate()
--- a/src/relay/parts.rs
+++ b/src/relay/parts.rs
@@ -8,7 +8,7 @@
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::steering::{Route, Routes};
+use crate::steering::{EvacuationList, Route, Routes};
 
 /// Number of parts of a configuration. The parts, their index and the condition
 /// must fit the store's limit of 32 entries per transaction. More parts mean
@@ -25,6 +25,10 @@
     /// Checksum of each part's value, in order.
     #[serde(rename = "sums")]
     pub checksums: Vec<u64>,
+    /// Evacuated data centres, as the relay knows them; `None` if it does not follow
+    /// evacuations.
+    #[serde(default)]
+    pub evacuations: Option<EvacuationList>,
 }
 
 /// Routes of one part with their virtual addresses, sorted by address.
@@ -53,7 +57,7 @@
     }
     let idle_ms = u64::try_from(routes.idle_timeout.as_millis()).unwrap_or(u64::MAX);
     let checksums = values.iter().map(|v| checksum(v)).collect();
-    Ok((Index { version: routes.version, idle_ms, checksums }, values))
+    Ok((Index { version: routes.version, idle_ms, checksums, evacuations: None }, values))
 }
 
 /// Decodes a part.
--- /dev/null
+++ b/src/steering/evacuation.rs
@@ -0,0 +1,92 @@
+//! Data centres that operators evacuate: their targets get no new flows, and keep the
+//! open ones.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Instant;
+
+use serde::{Deserialize, Serialize};
+
+use crate::{events, metrics};
+
+/// The data centres under evacuation as of one revision of the store.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EvacuationList {
+    /// Revision of the store up to which the list is complete.
+    pub as_of: i64,
+    /// Evacuated data centres, with the revision of each order.
+    pub zones: BTreeMap<Arc<str>, i64>,
+}
+
+/// The evacuations in force at one balancer.
+#[derive(Clone, Debug, Default)]
+pub struct Evacuations {
+    list: EvacuationList,
+    /// When this process learned of each evacuation in force.
+    since: BTreeMap<Arc<str>, Instant>,
+    /// Revision of the last order of each data centre whose evacuation is over.
+    ended: BTreeMap<Arc<str>, i64>,
+}
+
+impl Evacuations {
+    /// The list in force.
+    #[must_use]
+    pub const fn list(&self) -> &EvacuationList {
+        &self.list
+    }
+
+    /// Whether the data centre is evacuated.
+    #[must_use]
+    pub fn contains(&self, zone: &str) -> bool {
+        self.list.zones.contains_key(zone)
+    }
+
+    /// Applies `list` unless a newer one is in force; returns whether it changed which
+    /// data centres are evacuated. An order that ended does not come back.
+    pub fn apply(&mut self, mut list: EvacuationList, now: Instant) -> bool {
+        if list.as_of < self.list.as_of {
+            return false;
+        }
+        list.zones.retain(|zone, rev| self.ended.get(zone).is_none_or(|ended| *rev > *ended));
+        let previous = std::mem::replace(&mut self.list, list);
+        for (zone, rev) in &previous.zones {
+            if !self.contains(zone) {
+                self.ended.insert(zone.clone(), *rev);
+                self.since.remove(zone);
+                log_change(zone, false, &self.list);
+            }
+        }
+        for zone in self.list.zones.keys() {
+            if !previous.zones.contains_key(zone) {
+                self.since.insert(zone.clone(), now);
+                log_change(zone, true, &self.list);
+            }
+        }
+        metrics::set_state("evacuated_zones", self.list.zones.len() as u64);
+        previous.zones != self.list.zones
+    }
+
+    /// The evacuations as JSON, for operators.
+    #[must_use]
+    pub fn state_json(&self, now: Instant) -> serde_json::Value {
+        let zones: serde_json::Map<_, _> = self
+            .since
+            .iter()
+            .map(|(zone, at)| {
+                let state = serde_json::json!({
+                    "since_ms": now.duration_since(*at).as_millis(),
+                    "order_rev": self.list.zones.get(zone),
+                });
+                (zone.to_string(), state)
+            })
+            .collect();
+        serde_json::json!({ "as_of_rev": self.list.as_of, "zones": zones })
+    }
+}
+
+fn log_change(zone: &str, evacuated: bool, list: &EvacuationList) {
+    log::info!(
+        event = events::EVACUATION, zone = zone, evacuated = evacuated, rev = list.as_of;
+        "evacuation of a data centre changed"
+    );
+}
--- a/src/steering/mod.rs
+++ b/src/steering/mod.rs
@@ -10,6 +10,7 @@
 //!
 //! Retries, queries and buffers are bounded by [`BalancerPolicy`].
 
+mod evacuation;
 mod lookup;
 mod opens;
 mod queries;
@@ -26,6 +27,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+pub use evacuation::{EvacuationList, Evacuations};
 pub use roster::{ListedAgent, Roster};
 pub use routes::{Route, Routes, WeightedService};
 pub use search::OwnerSearch;
@@ -139,6 +141,11 @@
         newer
     }
 
+    /// Applies a list of evacuated data centres, unless a newer one is in force.
+    pub fn apply_evacuations(&mut self, list: EvacuationList, now: Instant) {
+        self.roster.evacuations.apply(list, now);
+    }
+
     /// Records whether the store answers.
     pub fn set_store_reachable(&mut self, reachable: bool, now: Instant) {
         self.store_reachable_since =
@@ -295,6 +302,7 @@
             "store_answers_ms":
                 self.store_reachable_since.map(|at| now.duration_since(at).as_millis()),
             "flows_remembered": self.flows.len(),
+            "evacuations": self.roster.evacuations.state_json(now),
             "agents": self.roster.state_json(now),
             "flow": flow.map(|f| self.explain_flow(f, now)),
         })
--- a/src/steering/opens.rs
+++ b/src/steering/opens.rs
@@ -38,7 +38,7 @@
         let previous = previous.filter(|a| self.roster.is_responsive(*a));
         if !self.offer_open(flow, &mut opening, previous, now, out) {
             if self.is_roster_current(now) {
-                refuse_open(flow, Refusal::NoTarget, out);
+                refuse_open(flow, self.no_candidate_reason(&opening.service), out);
                 return;
             }
             self.schedule_retry(flow, &mut opening, now);
@@ -179,10 +179,16 @@
         } else if self.offer_open(flow, &mut opening, None, now, out) {
             self.flows.insert(flow, FlowState::Opening(opening), now);
         } else {
-            self.retry_or_refuse(flow, opening, Refusal::NoTarget, now, out);
+            let reason = self.no_candidate_reason(&opening.service);
+            self.retry_or_refuse(flow, opening, reason, now, out);
         }
     }
 
+    /// Why no agent can be offered an open of `service`.
+    fn no_candidate_reason(&self, service: &str) -> Refusal {
+        if self.roster.is_evacuated(service) { Refusal::Evacuated } else { Refusal::NoTarget }
+    }
+
     /// Takes a token from the retry budget; false if there is none.
     fn take_retry_token(&mut self, now: Instant) -> bool {
         // Exact: there are far fewer agents than 2^53.
--- a/src/steering/roster.rs
+++ b/src/steering/roster.rs
@@ -11,7 +11,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::Transmit;
+use super::{Evacuations, Transmit};
 use crate::agent::placement::UNAVAILABLE_LOAD;
 use crate::flow::Flow;
 use crate::policy::SuspicionPolicy;
@@ -96,6 +96,8 @@
     /// Ordered, so that pings go out in a deterministic order.
     agents: BTreeMap<SocketAddrV4, Agent>,
     services: HashMap<Arc<str>, Vec<SocketAddrV4>>,
+    /// Data centres whose agents are offered no flows.
+    pub evacuations: Evacuations,
     /// When the next ping is due; none while no agent is suspected.
     next_ping_at: Option<Instant>,
     ping_budget: TokenBucket,
@@ -117,6 +119,7 @@
             suspicion,
             agents: BTreeMap::new(),
             services: HashMap::new(),
+            evacuations: Evacuations::default(),
             next_ping_at: None,
             ping_budget: TokenBucket::new(burst.max(1.0)),
         }
@@ -224,6 +227,20 @@
         self.agents.get(&addr).is_some_and(|a| a.silent_since.is_none())
     }
 
+    /// Whether the agent may be offered new flows: it is known, and its data centre is
+    /// not evacuated.
+    #[must_use]
+    pub fn may_be_offered(&self, addr: SocketAddrV4) -> bool {
+        self.agents.get(&addr).is_some_and(|a| !self.evacuations.contains(&a.zone))
+    }
+
+    /// Whether the service has agents, all of them in evacuated data centres.
+    #[must_use]
+    pub fn is_evacuated(&self, service: &str) -> bool {
+        let mut agents = self.agents_of(service).peekable();
+        agents.peek().is_some() && agents.all(|a| !self.may_be_offered(a))
+    }
+
     /// The state of each agent as JSON, for operators.
     #[must_use]
     pub fn state_json(&self, now: Instant) -> Vec<serde_json::Value> {
@@ -329,7 +346,8 @@
 
     /// The two agents of `service` that `flow` is offered to, chosen by rendezvous
     /// hashing among those that accept flows: one in `zone` if possible, and one of all
-    /// others. `first` replaces the first choice; agents in `except` are skipped.
+    /// others. `first` replaces the first choice; agents in `except` and those of
+    /// evacuated data centres are skipped.
     ///
     /// The two agents compare their current loads themselves, since the loads known
     /// here are too old for bursts. The choice is the same in every process, so that
@@ -344,12 +362,15 @@
         except: &[SocketAddrV4],
         now: Instant,
     ) -> Option<(SocketAddrV4, Option<SocketAddrV4>)> {
-        let remaining: Vec<SocketAddrV4> =
-            self.agents_of(service).filter(|a| !except.contains(a)).collect();
+        let remaining: Vec<SocketAddrV4> = self
+            .agents_of(service)
+            .filter(|a| !except.contains(a) && self.may_be_offered(*a))
+            .collect();
         let accepts =
             |a: &SocketAddrV4| self.agents[a].accepts_flows(self.suspicion.unable_ttl, now);
         let local = |a: &SocketAddrV4| &*self.agents[a].zone == zone;
         let first = first
+            .filter(|a| self.may_be_offered(*a))
             .or_else(|| highest_weight(&remaining, flow, |a| accepts(a) && local(a)))
             .or_else(|| highest_weight(&remaining, flow, accepts))
             .or_else(|| highest_weight(&remaining, flow, |_| true))?;
--- a/src/store/mirror.rs
+++ b/src/store/mirror.rs
@@ -36,6 +36,9 @@
 pub struct Snapshot {
     /// The store's revision; 0 before the first listing.
     pub rev: i64,
+    /// Revision up to which every key under the mirror's prefix is current; below `rev`
+    /// while only a narrower prefix is watched.
+    pub complete_rev: i64,
     /// The keys at that revision.
     pub keys: KeyMap,
 }
@@ -49,7 +52,7 @@
     pub async fn list<S: WatchStore>(store: &S, prefix: &str) -> anyhow::Result<Self> {
         let (rev, kvs) = store.list(prefix).await?;
         let keys = kvs.into_iter().map(|kv| (kv.key.clone(), kv)).collect();
-        Ok(Self { rev, keys })
+        Ok(Self { rev, complete_rev: rev, keys })
     }
 
     /// Applies the changes that a watch returned up to revision `rev`.
@@ -101,7 +104,11 @@
     #[must_use]
     pub fn filter_prefix(&self, prefix: &str) -> Self {
         let keys = self.keys.iter().filter(|(k, _)| k.starts_with(prefix));
-        Self { rev: self.rev, keys: keys.map(|(k, v)| (k.clone(), v.clone())).collect() }
+        Self {
+            rev: self.rev,
+            complete_rev: self.complete_rev,
+            keys: keys.map(|(k, v)| (k.clone(), v.clone())).collect(),
+        }
     }
 }
 
@@ -262,6 +269,9 @@
     }
     let changed = !batch.changes.is_empty();
     snapshot.apply(batch.rev, batch.changes);
+    if narrow_prefix.is_none() {
+        snapshot.complete_rev = snapshot.rev;
+    }
     Ok(if changed { ReadOutcome::Changed } else { ReadOutcome::Unchanged })
 }
 
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -101,6 +101,12 @@
         format!("{}/config/drain/{name}", self.prefix)
     }
 
+    /// Key of the order to evacuate a data centre, written by operators.
+    #[must_use]
+    pub fn evacuation_order(&self, zone: &str) -> String {
+        format!("{}/config/evacuate/{zone}", self.prefix)
+    }
+
     /// Key of a balancer's registration, written under a lease.
     #[must_use]
     pub fn balancer(&self, name: &str) -> String {
--- a/tests/config_relay.rs
+++ b/tests/config_relay.rs
@@ -12,7 +12,7 @@
 use jujubepost::platform::config;
 use jujubepost::relay::parts::{decode, join, split};
 use jujubepost::relay::{self, INDEX_KEY, PART_COUNT, Relay, SYSTEM_PREFIX, part_key};
-use jujubepost::steering::{FlowSteering, Route, Routes, WeightedService};
+use jujubepost::steering::{EvacuationList, FlowSteering, Route, Routes, WeightedService};
 use jujubepost::store::mirror::{MirrorEvent, PeerFallback, Source, follow};
 use jujubepost::store::{Change, Kv, Snapshot, WatchBatch, WatchStore};
 use jujubepost::trial::{Plan, Trial};
@@ -50,12 +50,21 @@
 /// Applies the transaction that `relay` has pending; returns the number of keys
 /// written.
 fn publish(snapshot: &mut Snapshot, relay: &Relay, routes: &Routes) -> usize {
-    let transaction = relay.pending_transaction(snapshot, routes).unwrap().unwrap_or_default();
+    let transaction = relay
+        .pending_transaction(snapshot, routes, &EvacuationList::default())
+        .unwrap()
+        .unwrap_or_default();
     let n = transaction.puts.len();
     transaction.puts.into_iter().for_each(|(key, value)| put(snapshot, &key, value));
     n
 }
 
+/// The prefix that `relay`'s balancer watches while `version` is in force and no data
+/// centre is evacuated.
+fn narrow(relay: &Relay, snapshot: &Snapshot, version: u64) -> Option<&'static str> {
+    relay.narrow_prefix(snapshot, Some(version), &EvacuationList::default())
+}
+
 /// A store with a large configuration and no parts.
 fn large_config() -> Snapshot {
     let mut snapshot = Snapshot::default();
@@ -123,22 +132,18 @@
     let mut snapshot = large_config();
     let (first, second) = (relay_at(1), relay_at(2));
     assert!(first.should_relay(&snapshot) && second.should_relay(&snapshot), "none is listed");
-    assert_eq!(second.narrow_prefix(&snapshot, Some(7)), None);
+    assert_eq!(narrow(&second, &snapshot, 7), None);
     put(&mut snapshot, second.key(), Vec::new());
     assert!(!first.should_relay(&snapshot) && second.should_relay(&snapshot), "one is");
-    assert_eq!(first.narrow_prefix(&snapshot, Some(7)), None, "it has written nothing yet");
+    assert_eq!(narrow(&first, &snapshot, 7), None, "it has written nothing yet");
     publish(&mut snapshot, &second, &routes(7, 50));
-    assert_eq!(first.narrow_prefix(&snapshot, Some(7)), Some(SYSTEM_PREFIX));
-    assert_eq!(
-        first.narrow_prefix(&snapshot, Some(8)),
-        None,
-        "the parts are older than what is in force"
-    );
-    assert_eq!(second.narrow_prefix(&snapshot, Some(7)), None, "a relay follows everything");
+    assert_eq!(narrow(&first, &snapshot, 7), Some(SYSTEM_PREFIX));
+    assert_eq!(narrow(&first, &snapshot, 8), None, "the parts are older than what is in force");
+    assert_eq!(narrow(&second, &snapshot, 7), None, "a relay follows everything");
     // Both became relays at once: the one with the lower address stays.
     put(&mut snapshot, first.key(), Vec::new());
     assert!(first.should_relay(&snapshot) && !second.should_relay(&snapshot));
-    assert_eq!(second.narrow_prefix(&snapshot, Some(7)), None, "until its key is gone");
+    assert_eq!(narrow(&second, &snapshot, 7), None, "until its key is gone");
     let other = Relay::new(config::CONFIG_KEY, "gjw-b", Ipv4Addr::new(10, 2, 0, 1), 100);
     assert!(other.should_relay(&snapshot), "each data centre has its own");
 }
@@ -148,10 +153,13 @@
     let (mut snapshot, relay) = (large_config(), relay_at(1));
     publish(&mut snapshot, &relay, &routes(7, 50));
     put(&mut snapshot, config::CONFIG_KEY, vec![b' '; 10]);
-    let transaction = relay.pending_transaction(&snapshot, &routes(8, 1)).unwrap().unwrap();
+    let transaction = relay
+        .pending_transaction(&snapshot, &routes(8, 1), &EvacuationList::default())
+        .unwrap()
+        .unwrap();
     assert_eq!((transaction.puts.len(), transaction.deletes.len()), (0, PART_COUNT + 1));
     assert!(transaction.deletes.iter().any(|key| key == INDEX_KEY));
-    assert_eq!(relay.narrow_prefix(&snapshot, Some(7)), None);
+    assert_eq!(narrow(&relay, &snapshot, 7), None);
 }
 
 /// A store whose relay dies before it publishes a changed configuration.
--- a/tests/events.rs
+++ b/tests/events.rs
@@ -21,8 +21,8 @@
 #[test]
 fn every_reason_is_documented() {
     use Refusal::{
-        AckTimeout, Busy, Draining, Full, Lost, NoConfig, NoProfile, NoTarget, TargetEnded,
-        UnknownFlow, Unreachable, WrongService,
+        AckTimeout, Busy, Draining, Evacuated, Full, Lost, NoConfig, NoProfile, NoTarget,
+        TargetEnded, UnknownFlow, Unreachable, WrongService,
     };
     let refusals = [
         Draining,
@@ -38,6 +38,7 @@
         NoConfig,
         TargetEnded,
         Lost,
+        Evacuated,
     ];
     let retries = [
         Retry::PacketTimeout,
--- a/tests/model.rs
+++ b/tests/model.rs
@@ -11,8 +11,8 @@
 
 fn run(pattern: &Pattern, seed: u64) -> Stats {
     let stats = simulate(pattern, &Policy::default(), seed);
-    let violations = (stats.broken, stats.misrouted, stats.duplicated);
-    assert_eq!(violations, (0, 0, 0), "{} seed {seed}", pattern.name);
+    let violations = (stats.broken, stats.misrouted, stats.duplicated, stats.in_evacuated);
+    assert_eq!(violations, (0, 0, 0, 0), "{} seed {seed}", pattern.name);
     stats
 }
 
@@ -142,3 +142,15 @@
         assert!(t.lost * 10 <= affected, "seed {seed}: {} of {affected} lost", t.lost);
     }
 }
+
+/// New flows leave an evacuated data centre in time, also those that balancers started
+/// meanwhile offer, and its load is served elsewhere.
+#[test]
+fn evacuated_zone_gets_no_new_flows() {
+    let p = named("evacuation");
+    for seed in 1..=2 {
+        let t = run(&p, seed);
+        let served = t.served_ratio_between(2_000 * MS, 11_000 * MS);
+        assert!(served >= 0.95, "seed {seed}: {served}");
+    }
+}
