Cold targets: agents limit the new flows that a cold target gets

Cause: the services' warmup_per_s and the bounds' overage and slack were not read.

Now an agent counts the flows that it gives its target in a sliding window and declines more while the target is cold; a declined open is passed on, not queued. It sees the sum over all balancers, so no balancer has to know of the others. The rate comes with each open of such a service, in a message of its own, so that nothing changes on the wire elsewhere; agents are to be rolled out before balancers. An agent that may have missed flows (it started after its target) counts the window as full. After an evacuation balancers say for 3 s how long ago the zone was taken back, and the target counts as cold until it reports later than that. A rate of 0 is taken for no limit.

Not tried: balancers that offer cold targets less from the start.

--- a/examples/packet.rs
+++ b/examples/packet.rs
@@ -98,7 +98,9 @@
         request_timeout: Duration::from_secs(3),
     };
     let idle_timeout = Duration::from_secs(15);
-    steering.apply_routes(Routes { version: 1, by_address: [(vip(), route)].into(), idle_timeout });
+    let by_address = [(vip(), route)].into();
+    let cold_rates = std::collections::BTreeMap::new();
+    steering.apply_routes(Routes { version: 1, by_address, idle_timeout, cold_rates });
     let agents: Vec<ListedAgent> = (1..=10)
         .map(|n| ListedAgent {
             addr: agent_addr(n),
--- a/src/edge/settings.rs
+++ b/src/edge/settings.rs
@@ -11,6 +11,7 @@
 use serde::Deserialize;
 
 use crate::policy::{BalancerPolicy, Policy};
+use crate::tracker::ColdAllowance;
 
 /// Default of [`Settings::relay_kib`].
 const DEFAULT_RELAY_KIB: usize = 256;
@@ -69,6 +70,10 @@
     /// Longest lifetime of a flow, in seconds. A flow without packets is removed
     /// after this time.
     pub flow_s: f64,
+    /// Requests that a cold target may get, as a multiple of the rate that it bears.
+    pub warmup_overage: f64,
+    /// Requests a second that a cold target may get on top of that.
+    pub warmup_slack: f64,
 }
 
 impl Default for Settings {
@@ -99,7 +104,8 @@
 
 impl Default for TimeLimits {
     fn default() -> Self {
-        Self { grace_s: 6.0, flow_s: 60.0 }
+        let ColdAllowance { overage, slack } = ColdAllowance::default();
+        Self { grace_s: 6.0, flow_s: 60.0, warmup_overage: overage, warmup_slack: slack }
     }
 }
 
@@ -145,9 +151,21 @@
                 bail!("field `{field}`: must be above 0 and below 1,000,000");
             }
         }
+        if !(1.0..1e6).contains(&self.limits.warmup_overage) {
+            bail!("field `bounds.warmup_overage`: must be at least 1");
+        }
+        if !(0.0..1e6).contains(&self.limits.warmup_slack) {
+            bail!("field `bounds.warmup_slack`: must not be negative");
+        }
         self.policy.check()
     }
 
+    /// What a cold target is allowed beyond the rate that it bears.
+    #[must_use]
+    pub const fn cold_allowance(&self) -> ColdAllowance {
+        ColdAllowance { overage: self.limits.warmup_overage, slack: self.limits.warmup_slack }
+    }
+
     /// Address at which this process receives messages of balancers and agents.
     #[must_use]
     pub const fn message_addr(&self) -> SocketAddrV4 {
--- a/src/edge/sidecar.rs
+++ b/src/edge/sidecar.rs
@@ -109,7 +109,8 @@
     let service = settings.service.clone().with_context(missing_field("service"))?;
     let sockets = Sockets::bind(&settings).await?;
     let tracker = FlowTracker::new(service.clone(), settings.idle_timeout())
-        .with_policy(settings.policy.agent.clone());
+        .with_policy(settings.policy.agent.clone())
+        .with_cold_allowance(settings.cold_allowance());
     let tracker = Rc::new(RefCell::new(tracker));
     let inspect_server = inspect::serve(&settings, tracker.clone()).await?;
     log::info!(
--- a/src/metrics/mod.rs
+++ b/src/metrics/mod.rs
@@ -66,6 +66,9 @@
     /// All targets of the service are in evacuated data centres.
     #[display("evacuated")]
     Evacuated,
+    /// The target has just started and was given as many flows as it bears.
+    #[display("cold")]
+    Cold,
 }
 
 /// Why a step was retried.
--- a/src/model/lifecycle.rs
+++ b/src/model/lifecycle.rs
@@ -8,8 +8,8 @@
 use super::outbox::Outbox;
 use super::pattern::Change;
 use super::simulation::{
-    Event, FIRST_READ_DELAY, PROBE_INTERVAL, REPORT_INTERVAL, REPORT_RETRY, STORE_DELAY,
-    Simulation, agent_addr,
+    EVACUATED_ZONE, Event, FIRST_READ_DELAY, PROBE_INTERVAL, REPORT_INTERVAL, REPORT_RETRY,
+    STORE_DELAY, Simulation, agent_addr,
 };
 use crate::tracker::Report;
 
@@ -191,6 +191,12 @@
                 self.evacuated_at = Some(self.now);
                 self.schedule_store_reads();
             }
+            Change::StopZoneTargets(_) => {
+                for n in self.agents_in_evacuated_zone() {
+                    self.agents[n].target.stop();
+                    self.events.push(ends, Event::StartTarget(n));
+                }
+            }
             Change::StoreOutage(_) => self.set_store_up(false, self.now),
             Change::LoadBurst(factor, _) => self.load_factor = factor,
             Change::PacketLoss(rate, _) => self.loss_rate = rate,
@@ -205,6 +211,9 @@
             Change::SlowTargets(share, _, _) => self.set_slowdown(share, 1.0),
             Change::EvacuateZone(_) => {
                 self.evacuated_at = None;
+                for n in self.agents_in_evacuated_zone() {
+                    self.agents[n].target.chill(self.now);
+                }
                 self.schedule_store_reads();
             }
             Change::StoreOutage(_) => self.set_store_up(true, self.now),
@@ -214,6 +223,11 @@
         }
     }
 
+    /// Agents of the data centre that [`Change::EvacuateZone`] evacuates.
+    fn agents_in_evacuated_zone(&self) -> Vec<usize> {
+        (0..self.agents.len()).filter(|n| self.agents[*n].zone == EVACUATED_ZONE).collect()
+    }
+
     fn set_slowdown(&mut self, share: f64, factor: f64) {
         for n in 0..Self::processes_in_share(share, self.agents.len()) {
             self.agents[n].target.slowdown = factor;
--- a/src/model/pattern.rs
+++ b/src/model/pattern.rs
@@ -28,8 +28,12 @@
     CrashTargets(f64, Duration),
     /// This share of the targets is slower by a factor for the given time.
     SlowTargets(f64, f64, Duration),
-    /// The first data centre is evacuated for the given time.
+    /// The first data centre is evacuated for the given time; its targets are cold at the
+    /// end without a restart.
     EvacuateZone(Duration),
+    /// The targets of the first data centre exit and start again together after the given
+    /// time.
+    StopZoneTargets(Duration),
     /// The store does not answer for the given time.
     StoreOutage(Duration),
     /// The arrival rate of open-loop requests is multiplied by a factor for the
@@ -51,6 +55,7 @@
             | Self::CrashTargets(_, d)
             | Self::SlowTargets(_, _, d)
             | Self::EvacuateZone(d)
+            | Self::StopZoneTargets(d)
             | Self::StoreOutage(d)
             | Self::LoadBurst(_, d)
             | Self::PacketLoss(_, d) => *d,
@@ -264,6 +269,27 @@
                 (s(5), Change::KillBalancers(0.5, ms(500))),
             ],
         },
+        Pattern {
+            name: "cold_return",
+            description: "The targets of one of four data centres return together, first after \
+                          they were down, then after an evacuation; cold ones crash beyond a \
+                          limit of new flows.",
+            site: Site {
+                load_duration: s(16),
+                ..Site::dense().scale_load(0.8).with_cold_rate(12.0)
+            },
+            changes: vec![
+                (s(2), Change::StopZoneTargets(s(3))),
+                (s(9), Change::EvacuateZone(s(3))),
+            ],
+        },
+        Pattern {
+            name: "cold_power",
+            description: "All VMs lose power for 0.9 s and all targets return cold; beyond a \
+                          limit of new flows they crash.",
+            site: Site::dense().scale_load(0.8).with_cold_rate(12.0),
+            changes: at(s(4), Change::PowerLoss(ms(900))),
+        },
         Pattern {
             name: "lossy",
             description: "Five percent of all datagrams are lost for 5 s.",
--- a/src/model/setup.rs
+++ b/src/model/setup.rs
@@ -15,10 +15,10 @@
 };
 use super::site::{RequestClass, Site, Workload};
 use super::stats::Stats;
-use super::target::Target;
+use super::target::{COLD_OVERAGE, COLD_SLACK, Target};
 use crate::policy::Policy;
 use crate::steering::{EvacuationList, FlowSteering, ListedAgent, Route, Routes, WeightedService};
-use crate::tracker::{FlowTracker, Incarnation, Report, TargetState};
+use crate::tracker::{ColdAllowance, FlowTracker, Incarnation, Report, TargetState};
 
 impl Simulation {
     pub(super) fn new(site: &Site, policy: &Policy, seed: u64) -> Self {
@@ -57,7 +57,7 @@
                     tracker: self.new_tracker(service),
                     service,
                     zone,
-                    target: Target::new(s.slots, s.queue_limit, self.rng.random(), self.now),
+                    target: Target::new(s, self.rng.random(), self.now),
                     registered_incarnation: 1,
                     probing: false,
                     removed: false,
@@ -125,7 +125,9 @@
 
     pub(super) fn new_tracker(&self, service: usize) -> FlowTracker {
         let name = self.site.services[service].name.into();
-        FlowTracker::new(name, Duration::from_secs(60)).with_policy(self.policy.agent.clone())
+        FlowTracker::new(name, Duration::from_secs(60))
+            .with_policy(self.policy.agent.clone())
+            .with_cold_allowance(ColdAllowance { overage: COLD_OVERAGE, slack: COLD_SLACK })
     }
 
     pub(super) fn target_report(&self, service: usize, incarnation: u64, seq: u64) -> Report {
@@ -151,7 +153,15 @@
             };
             (vip(n), route)
         });
-        Routes { version: 1, by_address: routes.collect(), idle_timeout: Duration::from_secs(15) }
+        let limited = self.site.services.iter().filter(|s| s.cold_rate > 0.0);
+        // Rates are far below `u32::MAX` / 1,000.
+        let cold_rates = limited.map(|s| (s.name.into(), (s.cold_rate * 1_000.0) as u32));
+        Routes {
+            version: 1,
+            by_address: routes.collect(),
+            idle_timeout: Duration::from_secs(15),
+            cold_rates: cold_rates.collect(),
+        }
     }
 
     /// The list of evacuated data centres; the time serves as the store's revision.
--- a/src/model/site.rs
+++ b/src/model/site.rs
@@ -24,6 +24,8 @@
     pub slots: u32,
     /// Requests that may wait for a slot of a target; further ones are shed.
     pub queue_limit: usize,
+    /// Requests a second that a cold target bears; 0 for no limit.
+    pub cold_rate: f64,
 }
 
 /// Workload model of a request class.
@@ -100,8 +102,8 @@
             zones: 4,
             balancers: 1,
             services: vec![
-                Service { name: "desk", targets: 7, slots: 7, queue_limit: 28 },
-                Service { name: "maps", targets: 4, slots: 7, queue_limit: 28 },
+                Service { name: "desk", targets: 7, slots: 7, queue_limit: 28, cold_rate: 0.0 },
+                Service { name: "maps", targets: 4, slots: 7, queue_limit: 28, cold_rate: 0.0 },
             ],
             classes: Self::base_classes(290, 83.0, 25.0).into(),
             flow_hash: FlowHash::Modulo,
@@ -119,8 +121,8 @@
         Self {
             balancers: 4,
             services: vec![
-                Service { name: "desk", targets: 37, slots: 4, queue_limit: 16 },
-                Service { name: "maps", targets: 9, slots: 4, queue_limit: 16 },
+                Service { name: "desk", targets: 37, slots: 4, queue_limit: 16, cold_rate: 0.0 },
+                Service { name: "maps", targets: 9, slots: 4, queue_limit: 16, cold_rate: 0.0 },
             ],
             classes: Self::base_classes(1_300, 375.0, 112.0).into(),
             link_mbps: 30.0,
@@ -160,8 +162,8 @@
         Self {
             balancers: 6,
             services: vec![
-                Service { name: "rates", targets: 52, slots: 2, queue_limit: 8 },
-                Service { name: "checks", targets: 13, slots: 2, queue_limit: 8 },
+                Service { name: "rates", targets: 52, slots: 2, queue_limit: 8, cold_rate: 0.0 },
+                Service { name: "checks", targets: 13, slots: 2, queue_limit: 8, cold_rate: 0.0 },
             ],
             classes: vec![feed, quote, upload],
             link_mbps: 10.0,
@@ -190,8 +192,8 @@
             zones: 5,
             balancers: 12,
             services: vec![
-                Service { name: "rates", targets: 109, slots: 2, queue_limit: 8 },
-                Service { name: "checks", targets: 27, slots: 2, queue_limit: 8 },
+                Service { name: "rates", targets: 109, slots: 2, queue_limit: 8, cold_rate: 0.0 },
+                Service { name: "checks", targets: 27, slots: 2, queue_limit: 8, cold_rate: 0.0 },
             ],
             classes,
             link_mbps: 20.0,
@@ -239,6 +241,15 @@
         self
     }
 
+    /// Sets the requests a second that a cold target bears.
+    #[must_use]
+    pub fn with_cold_rate(mut self, rate: f64) -> Self {
+        for service in &mut self.services {
+            service.cold_rate = rate;
+        }
+        self
+    }
+
     /// Multiplies the users and arrival rates of all classes by `factor`.
     #[must_use]
     pub fn scale_load(mut self, factor: f64) -> Self {
--- a/src/model/stats.rs
+++ b/src/model/stats.rs
@@ -103,6 +103,8 @@
     /// New flows at targets of a data centre that had been evacuated for longer than the
     /// bound.
     pub in_evacuated: u32,
+    /// New flows beyond what their cold target may get in a second.
+    pub over_cold_limit: u32,
 }
 
 impl Default for Stats {
@@ -125,6 +127,7 @@
             misrouted: 0,
             duplicated: 0,
             in_evacuated: 0,
+            over_cold_limit: 0,
         }
     }
 }
--- a/src/model/target.rs
+++ b/src/model/target.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, Instant};
 
 use super::sender::{MSS, Sender};
+use super::site::Service;
 use crate::flow::{Flags, Flow, Segment};
 
 /// Size of the response by which a full target sheds a request, in bytes.
@@ -16,6 +17,14 @@
 /// Factor on execution times while a target is cold.
 const COLD_FACTOR: f64 = 1.6;
 
+/// Requests that a cold target may get, as a multiple of the rate that it bears.
+pub const COLD_OVERAGE: f64 = 1.5;
+
+/// Requests a second that a cold target may get on top of that.
+pub const COLD_SLACK: f64 = 5.0;
+
+const SECOND: Duration = Duration::from_secs(1);
+
 /// Maximum distance from the initial sequence number of the acknowledgement that
 /// completes the handshake.
 const FIRST_ACK_WINDOW: u32 = 16 * MSS;
@@ -77,25 +86,32 @@
     pub flows: HashMap<Flow, TargetFlow>,
     /// Initial sequence number of the flow accepted last.
     isn: u32,
+    /// Requests a second that it bears while it is cold, beyond which it crashes; 0 for no
+    /// limit.
+    cold_rate: f64,
+    /// When it accepted the flows of the last second.
+    accepted: VecDeque<Instant>,
 }
 
 impl Target {
-    /// Creates a running target with a queue of up to `queue_limit` requests.
+    /// Creates a running target of `service`.
     /// Initial sequence numbers count up from `isn`.
     #[must_use]
-    pub fn new(slots: u32, queue_limit: usize, isn: u32, now: Instant) -> Self {
+    pub fn new(service: &Service, isn: u32, now: Instant) -> Self {
         Self {
             up: true,
             incarnation: 1,
             reports: 0,
             slowdown: 1.0,
             warm_at: now,
-            slots,
-            queue_limit,
+            slots: service.slots,
+            queue_limit: service.queue_limit,
             busy_slots: 0,
             queue: VecDeque::new(),
             flows: HashMap::new(),
             isn,
+            cold_rate: service.cold_rate,
+            accepted: VecDeque::new(),
         }
     }
 
@@ -105,6 +121,24 @@
         self.busy_slots = 0;
         self.queue.clear();
         self.flows.clear();
+        self.accepted.clear();
+    }
+
+    /// Makes the running process cold.
+    pub fn chill(&mut self, now: Instant) {
+        self.warm_at = now + WARM_UP;
+    }
+
+    /// Records a new flow. Returns whether it exceeds what a cold target may get in a
+    /// second.
+    pub fn exceeds_cold_limit(&mut self, now: Instant) -> bool {
+        while self.accepted.front().is_some_and(|at| now.duration_since(*at) >= SECOND) {
+            self.accepted.pop_front();
+        }
+        self.accepted.push_back(now);
+        let limit = self.cold_rate * COLD_OVERAGE + COLD_SLACK;
+        // Far fewer than 2^53 flows.
+        now < self.warm_at && self.cold_rate > 0.0 && self.accepted.len() as f64 > limit
     }
 
     /// Restarts the process, cold.
--- a/src/model/target_events.rs
+++ b/src/model/target_events.rs
@@ -14,6 +14,9 @@
 /// Delay from a SYN to its SYN-ACK at a target.
 const HANDSHAKE_TIME: Duration = Duration::from_micros(300);
 
+/// Time from the crash of an overloaded target until it starts again.
+const CRASH_TIME: Duration = Duration::from_secs(1);
+
 /// Packets of a flow that must reach other targets before it counts as misrouted.
 const MISROUTED_PACKETS: u32 = 3;
 
@@ -29,6 +32,7 @@
         let mut out = Vec::new();
         if seg.opens_flow() {
             self.check_evacuation(n);
+            self.check_cold_limit(n, flow);
         }
         let result = self.agents[n].target.receive(&seg, request_len, self.now, &mut out);
         if result == PacketResult::Bounced {
@@ -60,6 +64,17 @@
         }
     }
 
+    /// Counts a new flow beyond what a cold target bears, which makes it crash.
+    fn check_cold_limit(&mut self, n: usize, flow: Flow) {
+        let target = &mut self.agents[n].target;
+        let is_new = target.up && !target.flows.contains_key(&flow);
+        if is_new && target.exceeds_cold_limit(self.now) {
+            self.stats.over_cold_limit += 1;
+            target.stop();
+            self.events.push(self.now + CRASH_TIME, Event::StartTarget(n));
+        }
+    }
+
     /// Records a packet that reached a target which does not hold its flow, and counts
     /// the flow as misrouted once the thresholds are passed.
     fn count_misrouted(&mut self, seg: &Segment) {
--- a/src/platform/config.rs
+++ b/src/platform/config.rs
@@ -67,6 +67,9 @@
     name: Arc<str>,
     #[serde(default)]
     max_conns: Option<u32>,
+    /// Requests a second that a target bears while it warms up; 0 or absent for no limit.
+    #[serde(default)]
+    warmup_per_s: Option<f64>,
 }
 
 #[derive(Debug, Default, Deserialize)]
@@ -114,9 +117,17 @@
         version: config.version,
         by_address: routes,
         idle_timeout: Duration::from_millis(idle),
+        cold_rates: config.services.iter().filter_map(cold_rate).collect(),
     })
 }
 
+/// The service's name with the requests that a cold target bears in 1,000 s.
+fn cold_rate(s: &ServiceJson) -> Option<(Arc<str>, u32)> {
+    let rate = s.warmup_per_s.filter(|rate| *rate > 0.0)?;
+    // Rounded down, at least to 1; the cast saturates.
+    Some((s.name.clone(), ((rate * 1_000.0) as u32).max(1)))
+}
+
 fn route_shares(
     r: &RouteJson,
     max_flows: &HashMap<&str, u32>,
--- a/src/protocol/mod.rs
+++ b/src/protocol/mod.rs
@@ -68,9 +68,20 @@
     /// process, as [`FlowStatus::TargetEnded`].
     #[serde(rename = "Ended")]
     TargetEnded,
+    /// As [`Message::Open`], for a service whose cold targets bear a limited rate.
+    PacedOpen(#[serde(borrow)] Open<'a>, WarmUp),
 }
 
-impl Message<'_> {
+impl<'a> Message<'a> {
+    /// The message that offers `open`.
+    #[must_use]
+    pub const fn offer(open: Open<'a>) -> Self {
+        match open.warm_up {
+            Some(warm_up) => Self::PacedOpen(open, warm_up),
+            None => Self::Open(open),
+        }
+    }
+
     /// Whether it forwards a packet to the known owner of its flow, rather than locating
     /// or placing a flow.
     #[must_use]
@@ -93,6 +104,23 @@
     /// Balancer that is sent the outcome.
     #[serde(rename = "reply")]
     pub reply_to: SocketAddrV4,
+    /// What cold targets of the service bear; sent beside the open, in
+    /// [`Message::PacedOpen`].
+    #[serde(skip)]
+    pub warm_up: Option<WarmUp>,
+}
+
+/// What a target bears after its start, and what a balancer knows of targets that may
+/// have become cold without one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WarmUp {
+    /// Requests that a cold target bears in 1,000 s.
+    pub milli_rate: u32,
+    /// Time since the first agent's data centre was taken back after an evacuation, in
+    /// ms, if that was a short time ago.
+    pub first_returned: Option<u32>,
+    /// The same for the second agent.
+    pub second_returned: Option<u32>,
 }
 
 /// Most flows in one [`Query`]: the response, which is longer than the query, fits
--- a/src/relay/parts.rs
+++ b/src/relay/parts.rs
@@ -1,8 +1,9 @@
 //! Splits a configuration into parts by a hash of each route's address, so that
 //! changing one route changes one part.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddrV4;
+use std::sync::Arc;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
@@ -25,6 +26,9 @@
     /// Checksum of each part's value, in order.
     #[serde(rename = "sums")]
     pub checksums: Vec<u64>,
+    /// Requests that a cold target bears in 1,000 s, by service.
+    #[serde(default)]
+    pub cold_rates: BTreeMap<Arc<str>, u32>,
     /// Evacuated data centres, as the relay knows them; `None` if it does not follow
     /// evacuations.
     #[serde(default)]
@@ -57,7 +61,14 @@
     }
     let idle_ms = u64::try_from(routes.idle_timeout.as_millis()).unwrap_or(u64::MAX);
     let checksums = values.iter().map(|v| checksum(v)).collect();
-    Ok((Index { version: routes.version, idle_ms, checksums, evacuations: None }, values))
+    let index = Index {
+        version: routes.version,
+        idle_ms,
+        checksums,
+        cold_rates: routes.cold_rates.clone(),
+        evacuations: None,
+    };
+    Ok((index, values))
 }
 
 /// Decodes a part.
@@ -77,6 +88,7 @@
         version: index.version,
         by_address: routes,
         idle_timeout: Duration::from_millis(index.idle_ms),
+        cold_rates: index.cold_rates.clone(),
     }
 }
 
--- a/src/steering/evacuation.rs
+++ b/src/steering/evacuation.rs
@@ -3,7 +3,7 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use serde::{Deserialize, Serialize};
 
@@ -24,10 +24,15 @@
     list: EvacuationList,
     /// When this process learned of each evacuation in force.
     since: BTreeMap<Arc<str>, Instant>,
-    /// Revision of the last order of each data centre whose evacuation is over.
-    ended: BTreeMap<Arc<str>, i64>,
+    /// The data centres whose evacuation is over: revision of the last order, and when
+    /// this process learned of the end.
+    ended: BTreeMap<Arc<str>, (i64, Instant)>,
 }
 
+/// How long after the end of an evacuation agents are told of it. Longer than targets'
+/// pauses between reports, from which agents learn whether their targets are cold.
+const RETURN_NOTICE: Duration = Duration::from_secs(3);
+
 impl Evacuations {
     /// The list in force.
     #[must_use]
@@ -47,11 +52,11 @@
         if list.as_of < self.list.as_of {
             return false;
         }
-        list.zones.retain(|zone, rev| self.ended.get(zone).is_none_or(|ended| *rev > *ended));
+        list.zones.retain(|zone, rev| self.ended.get(zone).is_none_or(|(ended, _)| *rev > *ended));
         let previous = std::mem::replace(&mut self.list, list);
         for (zone, rev) in &previous.zones {
             if !self.contains(zone) {
-                self.ended.insert(zone.clone(), *rev);
+                self.ended.insert(zone.clone(), (*rev, now));
                 self.since.remove(zone);
                 log_change(zone, false, &self.list);
             }
@@ -66,6 +71,16 @@
         previous.zones != self.list.zones
     }
 
+    /// Time since the evacuation of the data centre ended, in ms, if that was a short time
+    /// ago.
+    #[must_use]
+    pub fn returned_ms(&self, zone: &str, now: Instant) -> Option<u32> {
+        let (_, at) = self.ended.get(zone)?;
+        let elapsed = now.duration_since(*at);
+        // At most a few thousand.
+        (elapsed < RETURN_NOTICE).then_some(elapsed.as_millis() as u32)
+    }
+
     /// The evacuations as JSON, for operators.
     #[must_use]
     pub fn state_json(&self, now: Instant) -> serde_json::Value {
--- a/src/steering/opens.rs
+++ b/src/steering/opens.rs
@@ -7,7 +7,7 @@
 use crate::events;
 use crate::flow::{Flow, ReceivedPacket};
 use crate::metrics::{self, Refusal, Retry};
-use crate::protocol::{Message, Open};
+use crate::protocol::{Message, Open, WarmUp};
 use crate::wire::{Offer, OfferStage};
 
 impl FlowSteering {
@@ -90,8 +90,9 @@
             aged: now.duration_since(opening.arrived_at) >= self.policy.aged_after,
             offer: Offer { first, second, stage },
             reply_to: self.own_addr,
+            warm_up: self.warm_up(&opening.service, (first, second), now),
         };
-        out.send_to_agent(first, &Message::Open(open), &opening.packet);
+        out.send_to_agent(first, &Message::offer(open), &opening.packet);
         opening.offered_to.push(first);
         opening.offered_to.extend(second);
         opening.offered_at = now;
@@ -102,6 +103,22 @@
         true
     }
 
+    /// What the agents of an offer need to know of cold targets; `None` if those of the
+    /// service bear any rate.
+    fn warm_up(
+        &self,
+        service: &str,
+        (first, second): (SocketAddrV4, Option<SocketAddrV4>),
+        now: Instant,
+    ) -> Option<WarmUp> {
+        let milli_rate = *self.routes.as_ref()?.cold_rates.get(service)?;
+        Some(WarmUp {
+            milli_rate,
+            first_returned: self.roster.returned_ms(first, now),
+            second_returned: second.and_then(|second| self.roster.returned_ms(second, now)),
+        })
+    }
+
     /// Offers a refused open to the next agents, retries it later or resets the flow.
     pub(super) fn handle_refusal(
         &mut self,
@@ -115,10 +132,10 @@
         if !o.offered_to.contains(&from) {
             return;
         }
-        o.inconclusive |= matches!(reason, Refusal::NoTarget | Refusal::Busy);
+        o.inconclusive |= matches!(reason, Refusal::NoTarget | Refusal::Busy | Refusal::Cold);
         let Some(FlowState::Opening(mut opening)) = self.flows.remove(flow) else { return };
         self.rtt.record_sample(now.duration_since(opening.offered_at));
-        let limit = if reason == Refusal::Busy {
+        let limit = if matches!(reason, Refusal::Busy | Refusal::Cold) {
             self.policy.max_busy_offers
         } else {
             self.policy.max_offers
--- a/src/steering/roster.rs
+++ b/src/steering/roster.rs
@@ -241,6 +241,13 @@
         agents.peek().is_some() && agents.all(|a| !self.may_be_offered(a))
     }
 
+    /// Time since the evacuation of the agent's data centre ended, in ms, if that was a
+    /// short time ago.
+    #[must_use]
+    pub fn returned_ms(&self, addr: SocketAddrV4, now: Instant) -> Option<u32> {
+        self.agents.get(&addr).and_then(|a| self.evacuations.returned_ms(&a.zone, now))
+    }
+
     /// The state of each agent as JSON, for operators.
     #[must_use]
     pub fn state_json(&self, now: Instant) -> Vec<serde_json::Value> {
--- a/src/steering/routes.rs
+++ b/src/steering/routes.rs
@@ -1,6 +1,6 @@
 //! The route table: which service handles the flows to an address.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddrV4;
 use std::sync::Arc;
 use std::time::Duration;
@@ -18,6 +18,9 @@
     pub by_address: HashMap<SocketAddrV4, Route>,
     /// A flow without packets for this long may be removed from flow tables.
     pub idle_timeout: Duration,
+    /// Requests that a cold target bears in 1,000 s, by service. Services without a limit
+    /// are absent.
+    pub cold_rates: BTreeMap<Arc<str>, u32>,
 }
 
 /// A route from one address to weighted services.
--- a/src/tracker/admission.rs
+++ b/src/tracker/admission.rs
@@ -46,6 +46,9 @@
         if self.is_full(now) {
             return Admission::Refuse(Refusal::Full);
         }
+        if self.exceeds_cold_limit(open, now) {
+            return Admission::Refuse(Refusal::Cold);
+        }
         let queue = if open.aged { self.policy.aged_queue_ratio } else { self.policy.queue_ratio };
         let slots = f64::from(t.slots());
         if f64::from(self.waiting) >= slots + slots * queue {
@@ -57,6 +60,33 @@
         admit(drain, Duration::ZERO, self.stopping, self.flows.len(), max)
     }
 
+    /// Whether the target is warming up, or may have become cold since its last report.
+    fn is_cold(&self, now: Instant) -> bool {
+        self.target
+            .as_ref()
+            .is_none_or(|t| t.is_cold(now) || self.cold_start.may_be_chilled(t.last_report()))
+    }
+
+    /// Whether the target is cold and was given as many flows in the last second as it
+    /// may get.
+    fn exceeds_cold_limit(&self, open: &Open<'_>, now: Instant) -> bool {
+        open.warm_up.is_some_and(|warm_up| {
+            self.is_cold(now)
+                && !self.cold_start.allows(self.cold_allowance.flow_limit(warm_up), now)
+        })
+    }
+
+    /// Records what a balancer knows of the evacuation of this agent's data centre.
+    fn record_return(&mut self, open: &Open<'_>, now: Instant) {
+        let Some(warm_up) = open.warm_up else { return };
+        let is_first = open.offer.next_agent() == open.offer.first;
+        let age = if is_first { warm_up.first_returned } else { warm_up.second_returned };
+        let at = age.and_then(|ms| now.checked_sub(Duration::from_millis(ms.into())));
+        if let Some(at) = at {
+            self.cold_start.mark_chilled(at);
+        }
+    }
+
     /// Handles an open offered to this agent: accepts it, passes it on or refuses it.
     pub(super) fn handle_open(
         &mut self,
@@ -69,14 +99,17 @@
             if tracked.is_opened_by(received.seg) {
                 tracked.reply_to = Some(open.reply_to);
                 let answered = !matches!(tracked.phase, FlowPhase::Opening { .. });
-                out.send_to_target(received.packet);
                 if answered {
+                    out.send_to_target(received.packet);
                     self.send_update(flow, FlowStatus::Held, open.reply_to, now, out);
+                } else {
+                    self.repeat_open(open, received, out);
                 }
                 return;
             }
             self.remove_flow(flow);
         }
+        self.record_return(open, now);
         let admit = if *open.service != *self.service {
             Admission::Refuse(Refusal::WrongService)
         } else if self.awaits_registration(now) {
@@ -95,6 +128,22 @@
         }
     }
 
+    /// Delivers a repeated SYN that the target has not answered. The target may have lost
+    /// the first one and take this one, so it counts as another flow while it is cold.
+    fn repeat_open(
+        &mut self,
+        open: &Open<'_>,
+        received: &ReceivedPacket<'_>,
+        out: &mut impl Transmit,
+    ) {
+        if self.exceeds_cold_limit(open, received.now) {
+            metrics::count_drop("repeated_open_cold");
+            return;
+        }
+        self.cold_start.record(received.now);
+        out.send_to_target(received.packet);
+    }
+
     /// Records the agent that an open is passed on to as its possible owner.
     pub(super) fn record_hint(&mut self, flow: Flow, offer: Offer, now: Instant) {
         if self.policy.hints_enabled {
@@ -117,8 +166,9 @@
             );
         }
         self.hints.remove(flow);
-        let phase =
-            FlowPhase::Opening { offer: open.offer, max_flows: open.max_flows, aged: open.aged };
+        self.cold_start.record(now);
+        let Open { offer, max_flows, aged, warm_up, .. } = *open;
+        let phase = FlowPhase::Opening { offer, max_flows, aged, warm_up };
         let other_agent = open.offer.other_agent();
         self.last_peer = other_agent.or(self.last_peer);
         let tracked = TrackedFlow {
--- /dev/null
+++ b/src/tracker/cold_start.rs
@@ -0,0 +1,87 @@
+//! Limits the new flows of a cold target: one that has just started bears only so many
+//! requests a second.
+
+use std::collections::VecDeque;
+use std::time::{Duration, Instant};
+
+use crate::protocol::WarmUp;
+
+/// Length of the sliding window. Longer than the second that limits are stated for, as
+/// packets may reach the target closer together than they were sent.
+const WINDOW: Duration = Duration::from_millis(1_100);
+
+/// Counts the flows that the target was given in a sliding window.
+#[derive(Clone, Debug, Default)]
+pub struct ColdStart {
+    /// When each flow of the last window was given to the target.
+    given: VecDeque<Instant>,
+    /// Until when flows given by an earlier process of the agent may be in the window.
+    unknown_until: Option<Instant>,
+    /// Latest known time at which the target may have become cold without a restart.
+    chilled_at: Option<Instant>,
+}
+
+impl ColdStart {
+    /// Records that an earlier process of the agent may have given flows to the target
+    /// until `now`.
+    pub fn mark_unknown(&mut self, now: Instant) {
+        self.unknown_until = Some(now + WINDOW);
+    }
+
+    /// Records that the target may have become cold at `at`: its data centre was taken
+    /// back after an evacuation.
+    pub fn mark_chilled(&mut self, at: Instant) {
+        self.chilled_at = self.chilled_at.max(Some(at));
+    }
+
+    /// Whether the target may have become cold since it reported at `last_report`.
+    #[must_use]
+    pub fn may_be_chilled(&self, last_report: Instant) -> bool {
+        self.chilled_at.is_some_and(|at| last_report <= at)
+    }
+
+    /// Records a flow given to the target.
+    pub fn record(&mut self, now: Instant) {
+        self.expire(now);
+        self.given.push_back(now);
+    }
+
+    /// Whether a cold target may be given another flow, `limit` of them a second.
+    #[must_use]
+    pub fn allows(&self, limit: f64, now: Instant) -> bool {
+        let in_window =
+            self.given.iter().rev().take_while(|at| now.duration_since(**at) < WINDOW).count();
+        // Far fewer than 2^53 flows.
+        self.unknown_until.is_none_or(|until| now >= until) && in_window as f64 + 1.0 <= limit
+    }
+
+    fn expire(&mut self, now: Instant) {
+        while self.given.front().is_some_and(|at| now.duration_since(*at) >= WINDOW) {
+            self.given.pop_front();
+        }
+    }
+}
+
+/// How many requests of a cold target are allowed beyond the rate that it bears, as an
+/// operator states it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ColdAllowance {
+    /// Factor on the rate.
+    pub overage: f64,
+    /// Requests a second on top of it.
+    pub slack: f64,
+}
+
+impl Default for ColdAllowance {
+    fn default() -> Self {
+        Self { overage: 1.0, slack: 0.0 }
+    }
+}
+
+impl ColdAllowance {
+    /// New flows that a cold target of a service with `warm_up` may be given a second.
+    #[must_use]
+    pub fn flow_limit(&self, warm_up: WarmUp) -> f64 {
+        f64::from(warm_up.milli_rate) / 1_000.0 * self.overage + self.slack
+    }
+}
--- a/src/tracker/lifecycle.rs
+++ b/src/tracker/lifecycle.rs
@@ -35,6 +35,9 @@
             current => {
                 let predecessor = self.predecessor.as_ref().filter(|_| !self.inherited);
                 let next = Target::new(&report, current.as_ref(), predecessor, now);
+                if !next.all_flows_known() {
+                    self.cold_start.mark_unknown(now);
+                }
                 *current = Some(next);
                 self.target_ended = false;
                 self.ends_at = None;
--- a/src/tracker/mod.rs
+++ b/src/tracker/mod.rs
@@ -6,6 +6,7 @@
 //! flows are delivered to the target to learn whether it holds them.
 
 mod admission;
+mod cold_start;
 mod lifecycle;
 mod load;
 mod packets;
@@ -18,6 +19,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+pub use cold_start::{ColdAllowance, ColdStart};
 pub use load::LoadEstimate;
 pub use target::{IgnoreReason, Incarnation, Predecessor, Report, Target, TargetState};
 pub use tracked_flow::{FlowPhase, TrackedFlow};
@@ -67,6 +69,9 @@
     answer_times: metrics::AnswerTimes,
     /// Until when the target counts as full, after it returned an open.
     full_until: Option<Instant>,
+    /// Flows given to the target lately, which are limited while it is cold.
+    cold_start: ColdStart,
+    cold_allowance: ColdAllowance,
     /// When flows that are not established no longer count as waiting.
     pending_handshakes: TimerQueue,
     /// When opens without an answer are removed.
@@ -114,6 +119,8 @@
             waiting: 0,
             flow_load: LoadEstimate::default(),
             full_until: None,
+            cold_start: ColdStart::default(),
+            cold_allowance: ColdAllowance::default(),
             pending_handshakes: TimerQueue::default(),
             unanswered_opens: TimerQueue::default(),
             pending_requests: TimerQueue::default(),
@@ -136,6 +143,13 @@
         self
     }
 
+    /// Sets what a cold target is allowed beyond the rate that it bears.
+    #[must_use]
+    pub const fn with_cold_allowance(mut self, allowance: ColdAllowance) -> Self {
+        self.cold_allowance = allowance;
+        self
+    }
+
     /// Sets the incarnation that the previous process of the agent accepted flows for, if
     /// it is known. This process receives the target's reports from `now` on.
     pub fn set_predecessor(&mut self, incarnation: Option<Incarnation>, now: Instant) {
@@ -224,6 +238,10 @@
             (Message::Open(open), Some(seg)) => {
                 self.handle_open(open, &ReceivedPacket { seg, packet, now }, out)
             }
+            (Message::PacedOpen(open, warm_up), Some(seg)) => {
+                let open = Open { warm_up: Some(*warm_up), ..*open };
+                self.handle_open(&open, &ReceivedPacket { seg, packet, now }, out)
+            }
             (Message::Forward { service, mode }, Some(seg)) => {
                 if **service == *self.service {
                     self.handle_forward(from, *mode, &ReceivedPacket { seg, packet, now }, out);
@@ -256,5 +274,5 @@
 /// Passes an open, of which the target received nothing, to the other candidate.
 fn pass_on(open: &Open<'_>, offer: Offer, packet: &[u8], out: &mut impl Transmit) {
     metrics::count_retry(Retry::PassedOn);
-    out.send_message(offer.next_agent(), &Message::Open(Open { offer, ..*open }), packet);
+    out.send_message(offer.next_agent(), &Message::offer(Open { offer, ..*open }), packet);
 }
--- a/src/tracker/target.rs
+++ b/src/tracker/target.rs
@@ -248,9 +248,21 @@
         self.all_flows_known &= !self.presumed;
     }
 
+    /// Whether the target is warming up, as of its last report.
+    #[must_use]
+    pub fn is_cold(&self, now: Instant) -> bool {
+        self.warm_at > now
+    }
+
+    /// When the last report was received.
+    #[must_use]
+    pub const fn last_report(&self) -> Instant {
+        self.last_report
+    }
+
     /// Slots that count as busy while the target warms up.
     #[must_use]
     pub fn warmup_slots(&self, now: Instant) -> u32 {
-        u32::from(self.warm_at > now)
+        u32::from(self.is_cold(now))
     }
 }
--- a/src/tracker/tracked_flow.rs
+++ b/src/tracker/tracked_flow.rs
@@ -4,6 +4,7 @@
 use std::time::Instant;
 
 use crate::flow::Segment;
+use crate::protocol::WarmUp;
 use crate::wire::Offer;
 
 /// Phase of a flow at the target.
@@ -17,6 +18,8 @@
         max_flows: u32,
         /// Whether the open had waited long, as [`crate::protocol::Open::aged`].
         aged: bool,
+        /// What cold targets of the service bear.
+        warm_up: Option<WarmUp>,
     },
     /// The target accepted the open with this initial sequence number.
     Answered(u32),
--- a/tests/common/fixtures.rs
+++ b/tests/common/fixtures.rs
@@ -3,6 +3,7 @@
 
 #![allow(dead_code)]
 
+use std::collections::BTreeMap;
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -10,7 +11,7 @@
 use jujubepost::flow::{Flags, Flow, Segment};
 use jujubepost::policy::BalancerPolicy;
 use jujubepost::protocol::{
-    Answer, FlowStatus, FlowUpdate, ForwardMode, Message, Open, QueriedFlow, Query,
+    Answer, FlowStatus, FlowUpdate, ForwardMode, Message, Open, QueriedFlow, Query, WarmUp,
 };
 use jujubepost::steering::{self, FlowSteering, ListedAgent, Route, Routes, WeightedService};
 use jujubepost::tracker::{self, FlowTracker, Report, TargetState};
@@ -19,26 +20,52 @@
 /// An owned copy of a [`Message`], with the fields that tests check.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum SentMessage {
-    Open { service: String, max_flows: u32, aged: bool, offer: Offer, reply_to: SocketAddrV4 },
-    Forward { service: String, mode: ForwardMode },
+    Open {
+        service: String,
+        max_flows: u32,
+        aged: bool,
+        offer: Offer,
+        reply_to: SocketAddrV4,
+        warm_up: Option<WarmUp>,
+    },
+    Forward {
+        service: String,
+        mode: ForwardMode,
+    },
     FlowUpdate(FlowUpdate),
-    Query { flows: Vec<Flow> },
-    Response { answers: Vec<Answer> },
-    Hint { flow: Flow, agent: SocketAddrV4 },
-    Ping { listed: bool },
-    Pong { load: u32 },
+    Query {
+        flows: Vec<Flow>,
+    },
+    Response {
+        answers: Vec<Answer>,
+    },
+    Hint {
+        flow: Flow,
+        agent: SocketAddrV4,
+    },
+    Ping {
+        listed: bool,
+    },
+    Pong {
+        load: u32,
+    },
     TargetEnded,
 }
 
 impl SentMessage {
     pub fn from_message(message: &Message<'_>) -> Self {
         match *message {
-            Message::Open(o) => Self::Open {
+            Message::Open(o) | Message::PacedOpen(o, _) => Self::Open {
                 service: o.service.into(),
                 max_flows: o.max_flows,
                 aged: o.aged,
                 offer: o.offer,
                 reply_to: o.reply_to,
+                warm_up: if let Message::PacedOpen(_, warm_up) = *message {
+                    Some(warm_up)
+                } else {
+                    None
+                },
             },
             Message::Forward { service, mode } => Self::Forward { service: service.into(), mode },
             Message::FlowUpdate(update) => Self::FlowUpdate(update),
@@ -55,13 +82,16 @@
 
     pub fn to_message(&self) -> Message<'_> {
         match self {
-            Self::Open { service, max_flows, aged, offer, reply_to } => Message::Open(Open {
-                service,
-                max_flows: *max_flows,
-                aged: *aged,
-                offer: *offer,
-                reply_to: *reply_to,
-            }),
+            Self::Open { service, max_flows, aged, offer, reply_to, warm_up } => {
+                Message::offer(Open {
+                    service,
+                    max_flows: *max_flows,
+                    aged: *aged,
+                    offer: *offer,
+                    reply_to: *reply_to,
+                    warm_up: *warm_up,
+                })
+            }
             Self::Forward { service, mode } => Message::Forward { service, mode: *mode },
             Self::FlowUpdate(update) => Message::FlowUpdate(*update),
             Self::Query { flows } => {
@@ -229,7 +259,12 @@
         services: vec![weighted],
         request_timeout: Duration::from_millis(3_000),
     };
-    Routes { version, by_address: [(vip(), route)].into(), idle_timeout: Duration::from_secs(15) }
+    Routes {
+        version,
+        by_address: [(vip(), route)].into(),
+        idle_timeout: Duration::from_secs(15),
+        cold_rates: BTreeMap::new(),
+    }
 }
 
 pub fn listed_agent(n: u8) -> ListedAgent {
@@ -263,7 +298,7 @@
 /// An open offered to `first` alone.
 pub fn open(first: SocketAddrV4, aged: bool) -> Open<'static> {
     let offer = Offer { first, second: None, stage: jujubepost::wire::OfferStage::Assign };
-    Open { service: SERVICE, max_flows: 2_000, aged, offer, reply_to: balancer() }
+    Open { service: SERVICE, max_flows: 2_000, aged, offer, reply_to: balancer(), warm_up: None }
 }
 
 /// Opens flow `port` at `tracker`; `seq` is the target's initial sequence number.
--- a/tests/config_relay.rs
+++ b/tests/config_relay.rs
@@ -30,7 +30,12 @@
         request_timeout: Duration::from_secs(3),
     };
     let routes: HashMap<_, _> = (1..=n).map(|n| (addr(n), route(n))).collect();
-    Routes { version, by_address: routes, idle_timeout: Duration::from_secs(12) }
+    Routes {
+        version,
+        by_address: routes,
+        idle_timeout: Duration::from_secs(12),
+        cold_rates: [("meter".into(), 12_000)].into(),
+    }
 }
 
 fn steering() -> FlowSteering {
--- a/tests/events.rs
+++ b/tests/events.rs
@@ -21,7 +21,7 @@
 #[test]
 fn every_reason_is_documented() {
     use Refusal::{
-        AckTimeout, Busy, Draining, Evacuated, Full, Lost, NoConfig, NoProfile, NoTarget,
+        AckTimeout, Busy, Cold, Draining, Evacuated, Full, Lost, NoConfig, NoProfile, NoTarget,
         TargetEnded, UnknownFlow, Unreachable, WrongService,
     };
     let refusals = [
@@ -39,6 +39,7 @@
         TargetEnded,
         Lost,
         Evacuated,
+        Cold,
     ];
     let retries = [
         Retry::PacketTimeout,
--- a/tests/model.rs
+++ b/tests/model.rs
@@ -11,8 +11,14 @@
 
 fn run(pattern: &Pattern, seed: u64) -> Stats {
     let stats = simulate(pattern, &Policy::default(), seed);
-    let violations = (stats.broken, stats.misrouted, stats.duplicated, stats.in_evacuated);
-    assert_eq!(violations, (0, 0, 0, 0), "{} seed {seed}", pattern.name);
+    let violations = [
+        stats.broken,
+        stats.misrouted,
+        stats.duplicated,
+        stats.in_evacuated,
+        stats.over_cold_limit,
+    ];
+    assert_eq!(violations, [0; 5], "{} seed {seed}", pattern.name);
     stats
 }
 
@@ -154,3 +160,18 @@
         assert!(served >= 0.95, "seed {seed}: {served}");
     }
 }
+
+/// Cold targets get no more than they bear, after a zone's return and after a power loss,
+/// and none crashes.
+#[test]
+fn cold_targets_are_not_overloaded() {
+    for seed in 1..=2 {
+        let p = named("cold_return");
+        let t = run(&p, seed);
+        assert!(t.served_ratio() >= 0.98, "seed {seed}: {}", t.served_ratio());
+        let p = named("cold_power");
+        let t = run(&p, seed);
+        let served = served_after(&p, &t, 2_500 * MS);
+        assert!(served >= 0.95, "seed {seed}: {served} after the power loss");
+    }
+}
