Relay: replace an index that cannot be decoded

What operators would have seen: a large configuration that is no longer published in parts, and never again.

Cause: an index that cannot be decoded read as absent, so the write was conditional on its absence. Found by reading. unreadable_index_is_replaced failed first (expected revision 0 instead of 2); the condition now is the key's revision.

--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -131,16 +131,14 @@
         if !snapshot.keys.contains_key(self.config_key) {
             return Ok(None);
         }
-        let current = read_index(snapshot);
+        // An index that cannot be decoded is replaced.
+        let rev = snapshot.keys.get(INDEX_KEY).map_or(0, |kv| kv.rev);
         if !self.is_large(snapshot) {
-            let delete_all = |(_, rev)| Transaction {
-                index_rev: rev,
-                puts: Vec::new(),
-                deletes: published_keys(),
-            };
-            return Ok(current.map(delete_all));
+            let delete_all =
+                Transaction { index_rev: rev, puts: Vec::new(), deletes: published_keys() };
+            return Ok((rev > 0).then_some(delete_all));
         }
-        let (old, rev) = current.unwrap_or_default();
+        let old = read_index(snapshot).map(|(index, _)| index).unwrap_or_default();
         let same_zones = old.evacuations.as_ref().is_some_and(|e| e.zones == evacuations.zones);
         if !self.should_relay(snapshot)
             || old.version > routes.version
--- a/tests/config_relay.rs
+++ b/tests/config_relay.rs
@@ -361,6 +361,18 @@
     }
 }
 
+/// Guards against publishing that stops for good because the index cannot be decoded.
+#[test]
+fn unreadable_index_is_replaced() {
+    let (mut snapshot, relay) = (large_config(), relay_at(1));
+    put(&mut snapshot, INDEX_KEY, b"not json".to_vec());
+    let index_rev = snapshot.keys[INDEX_KEY].rev;
+    let list = EvacuationList::default();
+    let transaction = relay.pending_transaction(&snapshot, &routes(7, 50), &list).unwrap();
+    let transaction = transaction.unwrap();
+    assert_eq!((transaction.index_rev, transaction.puts.len()), (index_rev, PART_COUNT + 1));
+}
+
 /// Guards against a relay that deletes the parts because it has not read the operators'
 /// configuration yet.
 #[test]
