Steering: suspect only the agents of the last offer

What callers saw: an agent that had declined an open in time was taken as silent when the next agent, offered the open alone, did not answer: flows were offered to it last, and searches waited for it, until it answered a ping. The hint to a flow's home agent was left out on the same ground.

Cause: the last two agents of all offers were taken as the last offer. Found by reading. only_agents_of_last_offer_suspected failed first.

--- a/src/steering/mod.rs
+++ b/src/steering/mod.rs
@@ -297,7 +297,7 @@
     ) {
         let home = self.roster.home_agent(&o.service, &self.zone, flow);
         let Some(home) = home.filter(|h| *h != owner && self.policy.hints_enabled) else { return };
-        let passed_on = o.offered_to.iter().rev().nth(1) == Some(&home);
+        let passed_on = o.last_offer().first() == Some(&home);
         if !passed_on {
             out.send_to_agent(home, &Message::Hint { flow, agent: owner }, &[]);
         }
--- a/src/steering/opens.rs
+++ b/src/steering/opens.rs
@@ -95,6 +95,7 @@
         out.send_to_agent(first, &Message::offer(open), &opening.packet);
         opening.offered_to.push(first);
         opening.offered_to.extend(second);
+        opening.last_offer_len = 1 + usize::from(second.is_some());
         opening.offered_at = now;
         opening.in_backoff = false;
         opening.deadline =
@@ -184,7 +185,7 @@
                 age_ms = now.duration_since(opening.arrived_at).as_millis();
                 "agents did not answer an open"
             );
-            for agent in opening.offered_to.iter().rev().take(2) {
+            for agent in opening.last_offer() {
                 self.roster.record_timeout(*agent, now);
             }
             opening.inconclusive = true;
--- a/src/steering/state.rs
+++ b/src/steering/state.rs
@@ -63,6 +63,8 @@
     pub packet: Vec<u8>,
     /// Agents offered it in this round, in order.
     pub offered_to: Vec<SocketAddrV4>,
+    /// Number of agents in the last offer.
+    pub last_offer_len: usize,
     /// When it was last offered.
     pub offered_at: Instant,
     /// Offers that were not answered in time; each doubles the next response timeout.
@@ -96,6 +98,7 @@
             max_flows: weighted.max_flows,
             packet: packet.to_vec(),
             offered_to: Vec::new(),
+            last_offer_len: 0,
             offered_at: arrived_at,
             timeout_count: 0,
             round_count: 0,
@@ -104,4 +107,10 @@
             inconclusive: false,
         }
     }
+
+    /// Agents of the last offer, in order.
+    #[must_use]
+    pub fn last_offer(&self) -> &[SocketAddrV4] {
+        &self.offered_to[self.offered_to.len().saturating_sub(self.last_offer_len)..]
+    }
 }
--- a/tests/steering.rs
+++ b/tests/steering.rs
@@ -70,6 +70,22 @@
     assert!(s.roster.is_responsive(first));
 }
 
+/// Guards against suspecting an agent that declined an earlier offer of the same open.
+#[test]
+fn only_agents_of_last_offer_suspected() {
+    let now = Instant::now();
+    let mut s = steering(3, now);
+    let out = receive_packet(&mut s, syn(1), now);
+    let SentMessage::Open { offer, .. } = out.messages[0].1.clone() else { panic!("{out:?}") };
+    let (first, second) = (offer.first, offer.second.unwrap());
+    let busy = FlowStatus::Refused(Refusal::Busy);
+    let out = receive_update(&mut s, second, 1, busy, now + MS);
+    let [third] = out.offered()[..] else { panic!("{out:?}") };
+    tick(&mut s, now + 60 * MS);
+    let responsive = [first, second, third].map(|a| s.roster.is_responsive(a));
+    assert_eq!(responsive, [true, true, false]);
+}
+
 #[test]
 fn unknown_flow_queried_in_waves() {
     let now = Instant::now();
