Cold targets: requests of open flows count

Cause: only new flows were counted. A feed that opens brings a request at once and more after it, and a cold target crashes under requests.

Now further requests of open flows count beside the opens; they are never declined. In the model targets crash by requests as well.

--- a/src/model/pattern.rs
+++ b/src/model/pattern.rs
@@ -273,7 +273,7 @@
             name: "cold_return",
             description: "The targets of one of four data centres return together, first after \
                           they were down, then after an evacuation; cold ones crash beyond a \
-                          limit of new flows.",
+                          limit of requests.",
             site: Site {
                 load_duration: s(16),
                 ..Site::dense().scale_load(0.8).with_cold_rate(12.0)
@@ -286,7 +286,7 @@
         Pattern {
             name: "cold_power",
             description: "All VMs lose power for 0.9 s and all targets return cold; beyond a \
-                          limit of new flows they crash.",
+                          limit of requests they crash.",
             site: Site::dense().scale_load(0.8).with_cold_rate(12.0),
             changes: at(s(4), Change::PowerLoss(ms(900))),
         },
--- a/src/model/stats.rs
+++ b/src/model/stats.rs
@@ -105,6 +105,8 @@
     pub in_evacuated: u32,
     /// New flows beyond what their cold target may get in a second.
     pub over_cold_limit: u32,
+    /// Crashes of cold targets that got more requests than they bear.
+    pub cold_crashes: u32,
 }
 
 impl Default for Stats {
@@ -128,6 +130,7 @@
             duplicated: 0,
             in_evacuated: 0,
             over_cold_limit: 0,
+            cold_crashes: 0,
         }
     }
 }
--- a/src/model/target.rs
+++ b/src/model/target.rs
@@ -89,8 +89,25 @@
     /// Requests a second that it bears while it is cold, beyond which it crashes; 0 for no
     /// limit.
     cold_rate: f64,
-    /// When it accepted the flows of the last second.
-    accepted: VecDeque<Instant>,
+    /// New flows of the last second.
+    opens: LastSecond,
+    /// Requests of the last second.
+    requests: LastSecond,
+}
+
+/// When the events of the last second happened.
+#[derive(Debug, Default)]
+struct LastSecond(VecDeque<Instant>);
+
+impl LastSecond {
+    /// Records an event; returns the number in the last second.
+    fn record(&mut self, now: Instant) -> usize {
+        while self.0.front().is_some_and(|at| now.duration_since(*at) >= SECOND) {
+            self.0.pop_front();
+        }
+        self.0.push_back(now);
+        self.0.len()
+    }
 }
 
 impl Target {
@@ -111,7 +128,8 @@
             flows: HashMap::new(),
             isn,
             cold_rate: service.cold_rate,
-            accepted: VecDeque::new(),
+            opens: LastSecond::default(),
+            requests: LastSecond::default(),
         }
     }
 
@@ -121,7 +139,8 @@
         self.busy_slots = 0;
         self.queue.clear();
         self.flows.clear();
-        self.accepted.clear();
+        self.opens.0.clear();
+        self.requests.0.clear();
     }
 
     /// Makes the running process cold.
@@ -129,16 +148,22 @@
         self.warm_at = now + WARM_UP;
     }
 
-    /// Records a new flow. Returns whether it exceeds what a cold target may get in a
-    /// second.
-    pub fn exceeds_cold_limit(&mut self, now: Instant) -> bool {
-        while self.accepted.front().is_some_and(|at| now.duration_since(*at) >= SECOND) {
-            self.accepted.pop_front();
-        }
-        self.accepted.push_back(now);
+    /// Records a new flow. Returns whether a cold target may not get it.
+    pub fn exceeds_open_limit(&mut self, now: Instant) -> bool {
+        let opens = self.opens.record(now);
+        self.exceeds_cold_limit(opens, now)
+    }
+
+    /// Records a request. Returns whether a cold target crashes under it.
+    pub fn exceeds_request_limit(&mut self, now: Instant) -> bool {
+        let requests = self.requests.record(now);
+        self.exceeds_cold_limit(requests, now)
+    }
+
+    fn exceeds_cold_limit(&self, in_second: usize, now: Instant) -> bool {
         let limit = self.cold_rate * COLD_OVERAGE + COLD_SLACK;
-        // Far fewer than 2^53 flows.
-        now < self.warm_at && self.cold_rate > 0.0 && self.accepted.len() as f64 > limit
+        // Far fewer than 2^53 requests.
+        now < self.warm_at && self.cold_rate > 0.0 && in_second as f64 > limit
     }
 
     /// Restarts the process, cold.
--- a/src/model/target_events.rs
+++ b/src/model/target_events.rs
@@ -32,7 +32,7 @@
         let mut out = Vec::new();
         if seg.opens_flow() {
             self.check_evacuation(n);
-            self.check_cold_limit(n, flow);
+            self.check_open_limit(n, flow);
         }
         let result = self.agents[n].target.receive(&seg, request_len, self.now, &mut out);
         if result == PacketResult::Bounced {
@@ -64,15 +64,23 @@
         }
     }
 
-    /// Counts a new flow beyond what a cold target bears, which makes it crash.
-    fn check_cold_limit(&mut self, n: usize, flow: Flow) {
+    /// Counts a new flow beyond what a cold target may get.
+    fn check_open_limit(&mut self, n: usize, flow: Flow) {
         let target = &mut self.agents[n].target;
         let is_new = target.up && !target.flows.contains_key(&flow);
-        if is_new && target.exceeds_cold_limit(self.now) {
-            self.stats.over_cold_limit += 1;
+        self.stats.over_cold_limit += u32::from(is_new && target.exceeds_open_limit(self.now));
+    }
+
+    /// Whether the target crashes under another request because it is cold.
+    fn crashes_cold(&mut self, n: usize) -> bool {
+        let target = &mut self.agents[n].target;
+        let crashes = target.exceeds_request_limit(self.now);
+        if crashes {
+            self.stats.cold_crashes += 1;
             target.stop();
             self.events.push(self.now + CRASH_TIME, Event::StartTarget(n));
         }
+        crashes
     }
 
     /// Records a packet that reached a target which does not hold its flow, and counts
@@ -99,6 +107,9 @@
     }
 
     fn admit_request(&mut self, n: usize, flow: Flow) {
+        if self.crashes_cold(n) {
+            return;
+        }
         match self.agents[n].target.admit(flow) {
             Admission::Started => self.execute_request(n, flow),
             Admission::Queued => {}
--- a/src/tracker/admission.rs
+++ b/src/tracker/admission.rs
@@ -67,12 +67,12 @@
             .is_none_or(|t| t.is_cold(now) || self.cold_start.may_be_chilled(t.last_report()))
     }
 
-    /// Whether the target is cold and was given as many flows in the last second as it
+    /// Whether the target is cold and was given as many requests in the last second as it
     /// may get.
     fn exceeds_cold_limit(&self, open: &Open<'_>, now: Instant) -> bool {
         open.warm_up.is_some_and(|warm_up| {
             self.is_cold(now)
-                && !self.cold_start.allows(self.cold_allowance.flow_limit(warm_up), now)
+                && !self.cold_start.allows(self.cold_allowance.request_limit(warm_up), now)
         })
     }
 
--- a/src/tracker/cold_start.rs
+++ b/src/tracker/cold_start.rs
@@ -1,5 +1,5 @@
 //! Limits the new flows of a cold target: one that has just started bears only so many
-//! requests a second.
+//! requests a second, also those of flows that are open.
 
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
@@ -10,19 +10,20 @@
 /// packets may reach the target closer together than they were sent.
 const WINDOW: Duration = Duration::from_millis(1_100);
 
-/// Counts the flows that the target was given in a sliding window.
+/// Counts the requests that the target was given in a sliding window: new flows, each of
+/// which brings one, and further requests of open flows.
 #[derive(Clone, Debug, Default)]
 pub struct ColdStart {
-    /// When each flow of the last window was given to the target.
+    /// When each request of the last window was given to the target.
     given: VecDeque<Instant>,
-    /// Until when flows given by an earlier process of the agent may be in the window.
+    /// Until when requests given by an earlier process of the agent may be in the window.
     unknown_until: Option<Instant>,
     /// Latest known time at which the target may have become cold without a restart.
     chilled_at: Option<Instant>,
 }
 
 impl ColdStart {
-    /// Records that an earlier process of the agent may have given flows to the target
+    /// Records that an earlier process of the agent may have given requests to the target
     /// until `now`.
     pub fn mark_unknown(&mut self, now: Instant) {
         self.unknown_until = Some(now + WINDOW);
@@ -40,18 +41,18 @@
         self.chilled_at.is_some_and(|at| last_report <= at)
     }
 
-    /// Records a flow given to the target.
+    /// Records a request given to the target.
     pub fn record(&mut self, now: Instant) {
         self.expire(now);
         self.given.push_back(now);
     }
 
-    /// Whether a cold target may be given another flow, `limit` of them a second.
+    /// Whether a cold target may be given another flow, at `limit` requests a second.
     #[must_use]
     pub fn allows(&self, limit: f64, now: Instant) -> bool {
         let in_window =
             self.given.iter().rev().take_while(|at| now.duration_since(**at) < WINDOW).count();
-        // Far fewer than 2^53 flows.
+        // Far fewer than 2^53 requests.
         self.unknown_until.is_none_or(|until| now >= until) && in_window as f64 + 1.0 <= limit
     }
 
@@ -79,9 +80,9 @@
 }
 
 impl ColdAllowance {
-    /// New flows that a cold target of a service with `warm_up` may be given a second.
+    /// Requests that a cold target of a service with `warm_up` may be given a second.
     #[must_use]
-    pub fn flow_limit(&self, warm_up: WarmUp) -> f64 {
+    pub fn request_limit(&self, warm_up: WarmUp) -> f64 {
         f64::from(warm_up.milli_rate) / 1_000.0 * self.overage + self.slack
     }
 }
--- a/src/tracker/mod.rs
+++ b/src/tracker/mod.rs
@@ -69,7 +69,7 @@
     answer_times: metrics::AnswerTimes,
     /// Until when the target counts as full, after it returned an open.
     full_until: Option<Instant>,
-    /// Flows given to the target lately, which are limited while it is cold.
+    /// Requests given to the target lately, which are limited while it is cold.
     cold_start: ColdStart,
     cold_allowance: ColdAllowance,
     /// When flows that are not established no longer count as waiting.
--- a/src/tracker/packets.rs
+++ b/src/tracker/packets.rs
@@ -81,6 +81,10 @@
         tracked.caller_done |= seg.flags.fin;
         let over = seg.flags.rst || tracked.is_finished();
         if tracked.record_data(seg) {
+            let is_first = !std::mem::replace(&mut tracked.has_request, true);
+            if !is_first && tracked.waiting_since.is_none() {
+                self.cold_start.record(now);
+            }
             self.set_waiting(flow, true, now);
             self.pending_requests.push_back((now + self.policy.request_timeout, flow));
             self.schedule_probe(self.policy.request_probe_delay, now);
--- a/src/tracker/tracked_flow.rs
+++ b/src/tracker/tracked_flow.rs
@@ -53,6 +53,8 @@
     pub caller_end: Option<u32>,
     /// Since when the caller waits for an answer of the target.
     pub waiting_since: Option<Instant>,
+    /// Whether its first request has begun. That one counts as given with the open.
+    pub has_request: bool,
     /// Whether the caller has finished sending.
     pub caller_done: bool,
     /// Whether the target has finished sending.
@@ -72,6 +74,7 @@
             target_answered: false,
             caller_end: None,
             waiting_since: None,
+            has_request: false,
             caller_done: false,
             target_done: false,
         }
--- a/tests/cold_targets.rs
+++ b/tests/cold_targets.rs
@@ -10,7 +10,7 @@
 use jujubepost::metrics::Refusal;
 use jujubepost::platform::config;
 use jujubepost::policy::AgentPolicy;
-use jujubepost::protocol::{FlowStatus, Message, Open, WarmUp, decode, encode};
+use jujubepost::protocol::{FlowStatus, ForwardMode, Message, Open, WarmUp, decode, encode};
 use jujubepost::relay::parts;
 use jujubepost::steering::EvacuationList;
 use jujubepost::tracker::{ColdAllowance, FlowTracker, Report, TargetState};
@@ -117,6 +117,36 @@
     assert_eq!(accepted, LIMIT);
 }
 
+/// Guards against a limit of opens alone: requests of open flows make a cold target crash as
+/// well.
+#[test]
+fn requests_of_open_flows_count() {
+    let now = Instant::now();
+    let mut t = cold_tracker(now);
+    let mut out = Recorder::default();
+    for port in 0..10 {
+        assert!(offer(&mut t, port, warm_up(), now));
+        let mut packet = b"packet".to_vec();
+        t.handle_target_packet(&syn_ack(port, 7), &mut packet, now, &mut out, |_| {});
+    }
+    let mut request = |t: &mut FlowTracker, port, seq, at| {
+        let message = Message::Forward { service: SERVICE, mode: ForwardMode::Owner };
+        let data = caller_data(port, seq, 8, 100);
+        t.handle_message(balancer(), &message, Some(&data), b"data", at, &mut out);
+        let mut packet = b"packet".to_vec();
+        t.handle_target_packet(&target_data(port, 8, 50), &mut packet, at, &mut out, |_| {});
+    };
+    // The first request of each flow counts with its open, the second one beside it.
+    for port in 0..10 {
+        request(&mut t, port, 1_001, now + 10 * MS);
+    }
+    for port in 0..8 {
+        request(&mut t, port, 1_101, now + 100 * MS);
+    }
+    let more = (100..200).filter(|n| offer(&mut t, *n, warm_up(), now + 200 * MS)).count();
+    assert_eq!(more, LIMIT - 18);
+}
+
 #[test]
 fn declined_open_is_passed_on() {
     let now = Instant::now();
