--- a/tests/input_decoding.rs
+++ b/tests/input_decoding.rs
@@ -7,7 +7,7 @@
 use jujubepost::platform::config;
 use jujubepost::platform::instances::{self, InstanceCall};
 use jujubepost::protocol::{self, Answer, FlowStatus, ForwardMode, Message};
-use jujubepost::tracker::{Incarnation, TargetState};
+use jujubepost::tracker::{ColdAllowance, Incarnation, TargetState};
 use rand::{Rng, SeedableRng, rngs::StdRng};
 
 const CONFIG: &str = r#"{"version":7,"routes":[
@@ -133,12 +133,15 @@
         "seeds": ["10.1.0.12:8166", "10.2.0.40:8166"], "bounds": { "grace_s": 6, "flow_s": 60 } }"#;
     let s = Settings::parse(good).unwrap();
     assert_eq!(s.message_addr(), "10.1.0.12:7720".parse().unwrap());
+    assert_eq!(s.cold_allowance(), ColdAllowance::default(), "no more than a target bears");
     assert_eq!(s.peer_addrs(), ["10.2.0.40:7720".parse().unwrap()], "not itself");
     for (valid, invalid, field) in [
         ("[7720, 7735]", "[7735, 7720]", "ports"),
         ("10.1.0.12:8172", "10.1.0.12:0", "packets"),
         ("\"grace_s\": 6", "\"grace_s\": 0", "bounds.grace_s"),
         ("\"flow_s\": 60", "\"flow_s\": \"x\"", "bounds.flow_s"),
+        ("\"flow_s\": 60", "\"flow_s\": 60, \"warmup_overage\": 0.5", "bounds.warmup_overage"),
+        ("\"flow_s\": 60", "\"flow_s\": 60, \"warmup_slack\": -1", "bounds.warmup_slack"),
         ("\"zone\"", "\"zome\"", "zome"),
         ("\"zone\"", "\"cpu_share\": 0, \"zone\"", "cpu_share"),
         ("\"zone\"", "\"link_mbps\": -1, \"zone\"", "link_mbps"),
