--- a/src/store/mirror.rs
+++ b/src/store/mirror.rs
@@ -171,14 +171,14 @@
     F: FnMut(MirrorEvent<'_>),
 {
     let mut snapshot = Snapshot::default();
-    let mut narrow_prefix = None;
+    let mut narrow_prefix;
     let mut needs_list = true;
     let mut recovering = true;
     // Prefixes of `start_order` that are read.
     let mut start_reads = 0;
     loop {
-        let previous = std::mem::replace(&mut narrow_prefix, choose_prefix(&snapshot));
-        needs_list |= previous.is_some() && narrow_prefix.is_none();
+        narrow_prefix = choose_prefix(&snapshot);
+        needs_list |= narrow_prefix.is_none() && snapshot.complete_rev < snapshot.rev;
         // While recovering, calls do not wait for changes, so that the first response
         // shows at once that the store works.
         let outcome = tokio::select! {
--- a/tests/config_relay.rs
+++ b/tests/config_relay.rs
@@ -8,6 +8,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use jujubepost::admin::{self, ProcessState};
 use jujubepost::edge::SnapshotReader;
 use jujubepost::platform::config;
 use jujubepost::relay::parts::{decode, join, split};
@@ -383,3 +384,53 @@
     let list = EvacuationList::default();
     assert_eq!(relay.pending_transaction(&snapshot, &routes(7, 50), &list).unwrap(), None);
 }
+
+/// A store whose first watch fails.
+#[derive(Clone, Default)]
+struct FailingOnceStore {
+    calls: Rc<RefCell<Vec<&'static str>>>,
+}
+
+impl WatchStore for FailingOnceStore {
+    async fn list(&self, _: &str) -> anyhow::Result<(i64, Vec<Kv>)> {
+        self.calls.borrow_mut().push("list");
+        let rev = if self.calls.borrow().len() == 1 { 5 } else { 30 };
+        Ok((rev, vec![kv(config::CONFIG_KEY, rev, b"")]))
+    }
+
+    async fn watch(&self, _: &str, _: i64, _: bool) -> anyhow::Result<WatchBatch> {
+        self.calls.borrow_mut().push("watch");
+        if self.calls.borrow().len() == 2 {
+            anyhow::bail!("no answer");
+        }
+        std::future::pending().await
+    }
+}
+
+/// Guards against taking a peer's snapshot for complete that follows only the parts: changes of
+/// the operators' keys, such as evacuations, would stay unseen.
+#[ntex::test]
+async fn incomplete_peer_snapshot_is_listed_again() {
+    let peer: std::net::SocketAddr = "127.0.0.1:30450".parse().unwrap();
+    let state = ProcessState::new("peer".into(), config::OPERATOR_PREFIX.into());
+    let server = admin::Server::start(peer, state.clone()).await.unwrap();
+    for (complete_rev, expected) in [(20, "watch"), (10, "list")] {
+        let mut snapshot = Snapshot { rev: 20, complete_rev, ..Snapshot::default() };
+        snapshot.keys.insert(INDEX_KEY.into(), kv(INDEX_KEY, 20, b""));
+        state.set_snapshot(std::sync::Arc::new(snapshot));
+        let store = FailingOnceStore::default();
+        let calls = store.calls.clone();
+        let source = Source {
+            store,
+            prefix: String::new(),
+            start_order: Vec::new(),
+            peers: vec![peer],
+            peer_fallback: PeerFallback::Always,
+            batch_delay: Duration::ZERO,
+            refresh: std::sync::Arc::default(),
+        };
+        let _ = tokio::time::timeout(1_000 * MS, follow(&source, |_| None, |_| {})).await;
+        assert_eq!(calls.borrow()[..3], ["list", "watch", expected], "up to {complete_rev}");
+    }
+    server.stop().await;
+}
