--- a/src/model/target.rs
+++ b/src/model/target.rs
@@ -12,7 +12,7 @@
 pub const SHED_RESPONSE_BYTES: u32 = 100;
 
 /// How long a target is cold after its start.
-const WARM_UP: Duration = Duration::from_secs(2);
+pub const WARM_UP: Duration = Duration::from_secs(2);
 
 /// Factor on execution times while a target is cold.
 const COLD_FACTOR: f64 = 1.6;
