--- a/src/metrics/mod.rs
+++ b/src/metrics/mod.rs
@@ -66,7 +66,7 @@
     /// All targets of the service are in evacuated data centres.
     #[display("evacuated")]
     Evacuated,
-    /// The target has just started and was given as many flows as it bears.
+    /// The target is cold and was given as many requests as it bears.
     #[display("cold")]
     Cold,
 }
--- a/src/steering/evacuation.rs
+++ b/src/steering/evacuation.rs
@@ -9,6 +9,10 @@
 
 use crate::{events, metrics};
 
+/// How long after the end of an evacuation agents are told of it. Longer than targets'
+/// pauses between reports, from which agents learn whether their targets are cold.
+const RETURN_NOTICE: Duration = Duration::from_secs(3);
+
 /// The data centres under evacuation as of one revision of the store.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EvacuationList {
@@ -29,10 +33,6 @@
     ended: BTreeMap<Arc<str>, (i64, Instant)>,
 }
 
-/// How long after the end of an evacuation agents are told of it. Longer than targets'
-/// pauses between reports, from which agents learn whether their targets are cold.
-const RETURN_NOTICE: Duration = Duration::from_secs(3);
-
 impl Evacuations {
     /// The list in force.
     #[must_use]
@@ -46,11 +46,11 @@
         self.list.zones.contains_key(zone)
     }
 
-    /// Applies `list` unless a newer one is in force; returns whether it changed which
-    /// data centres are evacuated. An order that ended does not come back.
-    pub fn apply(&mut self, mut list: EvacuationList, now: Instant) -> bool {
+    /// Applies `list` unless a newer one is in force. An order that ended does not come
+    /// back.
+    pub fn apply(&mut self, mut list: EvacuationList, now: Instant) {
         if list.as_of < self.list.as_of {
-            return false;
+            return;
         }
         list.zones.retain(|zone, rev| self.ended.get(zone).is_none_or(|(ended, _)| *rev > *ended));
         let previous = std::mem::replace(&mut self.list, list);
@@ -68,7 +68,6 @@
             }
         }
         metrics::set_state("evacuated_zones", self.list.zones.len() as u64);
-        previous.zones != self.list.zones
     }
 
     /// Time since the evacuation of the data centre ended, in ms, if that was a short time
--- a/src/tracker/cold_start.rs
+++ b/src/tracker/cold_start.rs
@@ -1,5 +1,5 @@
 //! Limits the new flows of a cold target: one that has just started bears only so many
-//! requests a second, also those of flows that are open.
+//! requests a second, those of open flows included.
 
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
