Agents: check their registration by a read that may be some seconds old

Cause: an agent that no balancer sends anything to reads its own key every 4 s, as the store may take keys away without notice. The check repeats, so an answer that is seconds old does as well, and the store charges a tenth for it and does not count it against its rate.

Ruled out: renewing the lease instead (a tenth as well, but it does not tell whether the key is there); longer pauses (a key taken away stays missing for longer).

Test: lease_renewal.rs key_check_may_be_old, seen red with the full read.

--- a/src/platform/kv.rs
+++ b/src/platform/kv.rs
@@ -79,6 +79,9 @@
 #[derive(Debug, Serialize)]
 struct KeyQuery<'a> {
     key: &'a str,
+    /// 1 if the response may be some seconds old, which costs a tenth of a call.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    serializable: Option<u8>,
 }
 
 #[derive(Debug, Serialize)]
@@ -142,6 +145,13 @@
         Ok(Self { http, addr, timeout, watch_wait })
     }
 
+    /// Replaces how long a watch waits for a change.
+    #[must_use]
+    pub const fn with_watch_wait(mut self, watch_wait: Duration) -> Self {
+        self.watch_wait = watch_wait;
+        self
+    }
+
     fn url(&self, path: &str) -> String {
         format!("http://{}{path}", self.addr)
     }
@@ -197,8 +207,12 @@
     ///
     /// Fails when the service is unreachable, slow past the timeout or down.
     pub async fn get(&self, key: &str) -> anyhow::Result<Option<Kv>> {
-        let operation = format!("read {key}");
-        let req = self.http.get(self.url("/v1/kv-key")).query(&KeyQuery { key })?;
+        self.read(KeyQuery { key, serializable: None }).await
+    }
+
+    async fn read(&self, query: KeyQuery<'_>) -> anyhow::Result<Option<Kv>> {
+        let operation = format!("read {}", query.key);
+        let req = self.http.get(self.url("/v1/kv-key")).query(&query)?;
         let res = self.send(&operation, req, None, self.timeout).await?;
         if res.status() == StatusCode::NOT_FOUND {
             return Ok(None);
@@ -329,7 +343,7 @@
     }
 
     async fn exists(&self, key: &str) -> anyhow::Result<bool> {
-        Ok(self.get(key).await?.is_some())
+        Ok(self.read(KeyQuery { key, serializable: Some(1) }).await?.is_some())
     }
 
     async fn delete(&self, key: &str) -> anyhow::Result<()> {
--- a/src/store/traits.rs
+++ b/src/store/traits.rs
@@ -55,8 +55,8 @@
     /// As [`LeaseStore::grant`].
     fn put(&self, key: &str, value: &[u8], lease: i64) -> impl Future<Output = anyhow::Result<()>>;
 
-    /// Whether the key exists. The service may lose keys whose leases have not
-    /// expired.
+    /// Whether the key exists, or did some seconds ago. The service may lose keys whose
+    /// leases have not expired.
     ///
     /// # Errors
     ///
--- a/tests/lease_renewal.rs
+++ b/tests/lease_renewal.rs
@@ -1,9 +1,12 @@
 //! Leases are renewed in time, whatever other calls are made meanwhile.
 
 use std::cell::Cell;
+use std::io::{Read, Write};
+use std::net::TcpListener;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use jujubepost::platform::kv::Client;
 use jujubepost::store::{LeaseStore, lease};
 use tokio::sync::{Notify, watch};
 
@@ -76,3 +79,22 @@
     let longest_gap = store.longest_gap.get();
     assert!(longest_gap < Duration::from_millis(TTL_MS), "not renewed for {longest_gap:?}");
 }
+
+/// Guards against full-price reads by every idle agent: whether its key is still there may be
+/// answered from a copy that is some seconds old.
+#[ntex::test]
+async fn key_check_may_be_old() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let addr = listener.local_addr().unwrap();
+    let server = std::thread::spawn(move || {
+        let (mut stream, _) = listener.accept().unwrap();
+        let mut request = [0; 1_024];
+        let n = stream.read(&mut request).unwrap();
+        stream.write_all(b"HTTP/1.1 404 Not Found\r\ncontent-length: 0\r\n\r\n").unwrap();
+        String::from_utf8_lossy(&request[..n]).into_owned()
+    });
+    let store = Client::new(addr, 1_000 * MS, 1_000 * MS).await.unwrap();
+    assert!(!store.exists("jujubepost/agents/10.1.0.2").await.unwrap());
+    let request = server.join().unwrap();
+    assert!(request.lines().next().unwrap().contains("serializable=1"), "{request}");
+}
