--- a/src/admin/client.rs
+++ b/src/admin/client.rs
@@ -1,6 +1,6 @@
 //! Client of the [`Admin`](super::Admin) service.
 
-use std::net::SocketAddr;
+use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -12,6 +12,7 @@
 
 use super::{AdminClient, Faults, Status};
 use crate::store::Snapshot;
+use crate::store::distribution::Poll;
 
 /// A connection to the admin server of one process.
 #[derive(Clone, Debug)]
@@ -37,6 +38,13 @@
         Ok(Self { client, addr, timeout })
     }
 
+    /// Replaces the time limit of each call.
+    #[must_use]
+    pub const fn with_timeout(mut self, timeout: Duration) -> Self {
+        self.timeout = timeout;
+        self
+    }
+
     fn context(&self) -> Context {
         let mut ctx = context::current();
         ctx.deadline = Instant::now() + self.timeout;
@@ -73,6 +81,22 @@
         res.with_context(|| format!("admin: fetching the snapshot of {}", self.addr))
     }
 
+    /// Waits for changes of the store's keys under `prefix` after revision `after`, which
+    /// the process reads as a distributor.
+    ///
+    /// # Errors
+    ///
+    /// As [`Connection::fetch_status`].
+    pub async fn poll_changes(
+        &self,
+        subscriber: Ipv4Addr,
+        prefix: &str,
+        after: i64,
+    ) -> anyhow::Result<Poll> {
+        let res = self.client.poll_changes(self.context(), subscriber, prefix.into(), after).await;
+        res.with_context(|| format!("admin: polling the changes of {}", self.addr))
+    }
+
     /// Replaces the injected faults of the process.
     ///
     /// # Errors
--- a/src/admin/mod.rs
+++ b/src/admin/mod.rs
@@ -1,6 +1,7 @@
 //! Remote procedure calls between the processes of a site, over `tarpc`: status
-//! and counters, readiness, fault injection, and a snapshot of the store's keys for
-//! processes that start while the store is down.
+//! and counters, readiness, fault injection, a snapshot of the store's keys for
+//! processes that start while the store is down, and the changes that a distributor read
+//! from the store.
 //!
 //! The server listens on TCP, at the address and port that the process uses for
 //! UDP packets.
@@ -9,6 +10,7 @@
 pub mod faults;
 mod server;
 
+use std::net::Ipv4Addr;
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 
@@ -20,6 +22,7 @@
 
 use crate::metrics::CounterValue;
 use crate::store::Snapshot;
+use crate::store::distribution::{Poll, SharedLog};
 
 /// Calls that every balancer, agent and fabric answers.
 #[tarpc::service]
@@ -32,6 +35,8 @@
     async fn snapshot() -> Arc<Snapshot>;
     /// Replaces the injected faults.
     async fn set_faults(faults: Faults);
+    /// Waits for changes of the store's keys under `prefix` after revision `after`.
+    async fn poll_changes(subscriber: Ipv4Addr, prefix: Arc<str>, after: i64) -> Poll;
 }
 
 /// Status of a process.
@@ -70,6 +75,7 @@
     flows: AtomicU32,
     waiting: AtomicU32,
     snapshot: Mutex<Arc<Snapshot>>,
+    changes: SharedLog,
     faults: Mutex<Faults>,
 }
 
@@ -109,6 +115,12 @@
         lock(&self.shared.snapshot).clone()
     }
 
+    /// The changes that this process reads for its subscribers.
+    #[must_use]
+    pub fn change_log(&self) -> &SharedLog {
+        &self.shared.changes
+    }
+
     /// Returns the injected faults.
     #[must_use]
     pub fn faults(&self) -> Faults {
--- a/src/admin/server.rs
+++ b/src/admin/server.rs
@@ -1,6 +1,6 @@
 //! Server of the [`Admin`] service, over TCP.
 
-use std::net::SocketAddr;
+use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::Arc;
 
 use anyhow::Context as _;
@@ -12,6 +12,7 @@
 
 use super::{Admin, Faults, ProcessState, Status};
 use crate::store::Snapshot;
+use crate::store::distribution::Poll;
 
 /// Largest number of calls of one connection that run at once.
 const MAX_CONCURRENT_CALLS: usize = 8;
@@ -74,4 +75,14 @@
     async fn set_faults(self, _: Context, faults: Faults) {
         self.0.set_faults(faults);
     }
+
+    async fn poll_changes(
+        self,
+        _: Context,
+        subscriber: Ipv4Addr,
+        prefix: Arc<str>,
+        after: i64,
+    ) -> Poll {
+        self.0.change_log().poll(subscriber, &prefix, after).await
+    }
 }
--- /dev/null
+++ b/src/edge/distributor.rs
@@ -0,0 +1,103 @@
+//! Carries out the decisions of [`Distributor`]: holds the distributor's key and names the
+//! distributors to the [`DistributedStore`].
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use tokio::sync::{Notify, watch};
+
+use super::held_key::HeldKey;
+use crate::events;
+use crate::platform::kv::Client;
+use crate::relay::distributor::{Distributor, Term};
+use crate::store::Snapshot;
+use crate::store::distribution::{DistributedStore, SharedLog};
+
+/// Lease of a distributor's key. While the key of a dead one is listed, no other takes over, and
+/// its subscribers watch the store themselves.
+const LEASE_MS: u64 = 6_000;
+
+/// Interval at which a distributor checks whether it is still needed.
+const CHECK_INTERVAL: Duration = Duration::from_secs(5);
+
+/// One balancer's part in distributing the store's changes.
+pub(super) struct Distribution {
+    pub(super) distributor: Distributor,
+    pub(super) store: DistributedStore<Client>,
+    pub(super) log: SharedLog,
+    /// Restarts the call to the store in progress.
+    pub(super) refresh: Arc<Notify>,
+    /// Port at which balancers serve their change logs.
+    pub(super) port: u16,
+}
+
+impl Distribution {
+    /// Becomes or ceases to be a distributor until `snapshots` closes. The latest
+    /// snapshot is `None` while the store is unreachable.
+    pub(super) async fn run(
+        &self,
+        client: Client,
+        mut snapshots: watch::Receiver<Option<Arc<Snapshot>>>,
+    ) {
+        let mut key = HeldKey::new(client, self.distributor.key(), LEASE_MS);
+        let mut since = Instant::now();
+        loop {
+            let snapshot = snapshots.borrow_and_update().clone();
+            if let Some(snapshot) = &snapshot {
+                self.name_distributors(snapshot);
+                if key.is_held() {
+                    let subscribers = self.log.subscriber_count(Instant::now());
+                    let term = Term { age: since.elapsed(), subscribers };
+                    if self.distributor.should_stop(snapshot, term) {
+                        self.set_role(false);
+                        key.release(true).await;
+                    }
+                } else if let Some(delay) = self.should_start(snapshot) {
+                    tokio::time::sleep(delay).await;
+                    let latest = snapshots.borrow().clone();
+                    if latest.is_some_and(|s| self.should_start(&s).is_some()) {
+                        since = Instant::now();
+                        self.set_role(true);
+                        // Others are to find a log that is open already.
+                        self.refresh.notify_one();
+                        self.log.opened().await;
+                        key.acquire();
+                    }
+                    continue;
+                }
+            }
+            tokio::select! {
+                changed = snapshots.changed() => if changed.is_err() { return },
+                () = tokio::time::sleep(CHECK_INTERVAL) => {}
+            }
+        }
+    }
+
+    fn should_start(&self, snapshot: &Snapshot) -> Option<Duration> {
+        self.distributor.should_start(snapshot, self.store.all_full(), &mut rand::rng())
+    }
+
+    fn name_distributors(&self, snapshot: &Snapshot) {
+        let others = self.distributor.others(snapshot).into_iter();
+        self.store
+            .set_distributors(others.map(|ip| SocketAddr::new(ip.into(), self.port)).collect());
+    }
+
+    fn set_role(&self, distributes: bool) {
+        self.store.set_distributing(distributes);
+        log::info!(
+            event = events::DISTRIBUTOR_ROLE, key = self.distributor.key(),
+            distributor = distributes;
+            "balancer's part in distributing the store's changes changed"
+        );
+    }
+
+    /// Sends the subscribers elsewhere and deletes the key, before the process stops.
+    pub(super) async fn shut_down(&self, client: &Client) {
+        if self.store.is_distributing() {
+            self.set_role(false);
+            HeldKey::new(client.clone(), self.distributor.key(), LEASE_MS).release(true).await;
+        }
+    }
+}
--- a/src/edge/entry.rs
+++ b/src/edge/entry.rs
@@ -12,6 +12,7 @@
 use tokio::sync::{Notify, watch};
 use tokio::task::JoinHandle;
 
+use super::distributor::Distribution;
 use super::inspect::{self, Inspect};
 use super::snapshot::SnapshotReader;
 use super::socket::Socket;
@@ -19,11 +20,14 @@
 use crate::admin::{self, ProcessState};
 use crate::flow::Flow;
 use crate::http::{HttpResponse, Server};
+use crate::platform::kv::Client;
 use crate::platform::{self, packet};
 use crate::protocol::{self, Message};
+use crate::relay::distributor::Distributor;
 use crate::relay::{Relay, SYSTEM_PREFIX};
-use crate::steering::{self, FlowSteering};
+use crate::steering::{self, FlowSteering, RosterSource};
 use crate::store::Snapshot;
+use crate::store::distribution::{DistributedStore, WatchTiming, max_reply_bytes};
 use crate::store::mirror::{self, MirrorEvent, Source};
 use crate::{events, metrics};
 
@@ -39,6 +43,10 @@
 /// of changes. A larger value delays the later changes of a burst.
 const BATCH_DELAY: Duration = Duration::from_millis(300);
 
+/// How long a balancer watches the store itself after it could not decide on a flow by what a
+/// distributor told it: such flows come in bursts.
+const DIRECT_TIME: Duration = Duration::from_secs(3);
+
 /// Longest wait of the forwarding loop, so that idle flows expire and pauses of
 /// the process are detected without traffic.
 const MAX_SLEEP: Duration = Duration::from_secs(1);
@@ -97,13 +105,25 @@
         "balancer started"
     );
     let refresh = Arc::new(Notify::new());
-    let follower = follow_store(&settings, &steering, &process_state, refresh.clone()).await?;
-    let caller_port = settings.packets.port();
-    super::run_until_stopped(
-        path,
-        forward(&sockets, &steering, caller_port, &process_state, &refresh),
-    )
-    .await?;
+    let client = connect_store(&settings).await?;
+    let distribution = Rc::new(distribution(&settings, &client, &process_state, refresh.clone()));
+    let follower = follow_store(
+        &settings,
+        client.clone(),
+        distribution.clone(),
+        &steering,
+        &process_state,
+        refresh.clone(),
+    );
+    let forwarder = Forwarder {
+        sockets,
+        steering: steering.clone(),
+        caller_port: settings.packets.port(),
+        process_state: process_state.clone(),
+        store: distribution.store.clone(),
+        refresh,
+    };
+    super::run_until_stopped(path, forwarder.run()).await?;
     log::info!(
         event = events::EDGE_STOP, name:% = settings.name, flows = steering.borrow().flow_count();
         "balancer is stopping"
@@ -111,11 +131,8 @@
     steering.borrow_mut().begin_shutdown();
     process_state.set_ready(false);
     let stop_delay = STOP_DELAY.min(settings.stop_grace() / 2);
-    let _ = tokio::time::timeout(
-        stop_delay,
-        forward(&sockets, &steering, caller_port, &process_state, &refresh),
-    )
-    .await;
+    let stopping = async { tokio::join!(forwarder.run(), distribution.shut_down(&client)) };
+    let _ = tokio::time::timeout(stop_delay, stopping).await;
     follower.abort();
     let _ = follower.await;
     admin_server.stop().await;
@@ -123,22 +140,52 @@
     Ok(())
 }
 
-/// Starts the task that applies the store's changes to `steering` and runs the relay.
-async fn follow_store(
+/// This balancer's part in distributing the changes of the store behind `client`.
+fn distribution(
+    settings: &Settings,
+    client: &Client,
+    process_state: &ProcessState,
+    refresh: Arc<Notify>,
+) -> Distribution {
+    let timing = WatchTiming { batch_delay: BATCH_DELAY, direct_time: DIRECT_TIME };
+    let distributor_client = client.clone().with_watch_wait(settings.distributor_wait());
+    let log = process_state.change_log().clone();
+    log.set_max_reply(max_reply_bytes(settings.link_mbps));
+    Distribution {
+        distributor: Distributor::new(&settings.region, settings.ip, settings.link_mbps),
+        store: DistributedStore::new(
+            client.clone(),
+            distributor_client,
+            settings.ip,
+            timing,
+            log.clone(),
+        ),
+        log,
+        refresh,
+        port: settings.message_addr().port(),
+    }
+}
+
+/// Starts the task that applies the store's changes to `steering`, and runs the relay and
+/// the distributor.
+fn follow_store(
     settings: &Settings,
+    client: Client,
+    distribution: Rc<Distribution>,
     steering: &Rc<RefCell<FlowSteering>>,
     process_state: &ProcessState,
     refresh: Arc<Notify>,
-) -> anyhow::Result<JoinHandle<()>> {
+) -> JoinHandle<()> {
     let source = Source {
-        store: connect_store(settings).await?,
+        store: distribution.store.clone(),
         prefix: String::new(),
         // The parts and the agents are a fraction of a large configuration, and enough to
         // serve flows.
         start_order: vec![SYSTEM_PREFIX.into(), platform::config::OPERATOR_PREFIX.into()],
         peers: settings.peer_addrs(),
         peer_fallback: mirror::PeerFallback::Always,
-        batch_delay: BATCH_DELAY,
+        // The store's own watches are batched, see `WatchTiming`.
+        batch_delay: Duration::ZERO,
         refresh,
     };
     let relay = Relay::new(
@@ -148,9 +195,10 @@
         settings.relay_min_bytes(),
     );
     let (snapshots, latest) = watch::channel(None);
-    let relaying = relay::run(source.store.clone(), relay.clone(), steering.clone(), latest);
+    let relaying = relay::run(client.clone(), relay.clone(), steering.clone(), latest.clone());
     let (steering, process_state) = (steering.clone(), process_state.clone());
-    Ok(tokio::task::spawn_local(async move {
+    tokio::task::spawn_local(async move {
+        let distributing = distribution.run(client, latest);
         let mut store_lost = false;
         let mut reader = SnapshotReader::default();
         let narrow_prefix = |snapshot: &Snapshot| {
@@ -184,8 +232,8 @@
             }
             MirrorEvent::StoreFailed(_) => {}
         });
-        futures_util::join!(follow, relaying);
-    }))
+        futures_util::join!(follow, relaying, distributing);
+    })
 }
 
 impl Inspect for FlowSteering {
@@ -215,49 +263,63 @@
     .await
 }
 
-/// Forwards packets, handles messages and runs timers until the future is dropped.
-async fn forward(
-    sockets: &Sockets,
-    steering: &RefCell<FlowSteering>,
+/// Forwards packets between the sockets as `steering` decides.
+struct Forwarder {
+    sockets: Sockets,
+    steering: Rc<RefCell<FlowSteering>>,
     caller_port: u16,
-    process_state: &ProcessState,
-    refresh: &Notify,
-) {
-    let mut buf = vec![0; RECV_BUFFER_BYTES];
-    let mut scratch = Vec::with_capacity(protocol::MAX_DATAGRAM_BYTES);
-    loop {
-        let before = Instant::now();
-        let due = steering.borrow().next_deadline(before);
-        let wait = due.map_or(MAX_SLEEP, |at| at.saturating_duration_since(before));
-        tokio::select! {
-            () = sockets.packets.readable() => {}
-            () = sockets.messages.readable() => {}
-            () = tokio::time::sleep(wait) => {}
-        }
-        let mut steering = steering.borrow_mut();
-        let mut out = PacketSender { sockets, caller_port, buf: &mut scratch };
-        let now = Instant::now();
-        if let Some(paused) = pause::detect(before + wait, now) {
-            steering.resume(paused);
-            refresh.notify_one();
-        }
-        // Read agents' answers before callers' packets, so that no packet
-        // overtakes the answer about its flow, and run timers only once all
-        // answers are read, so that queued answers do not count as missing.
-        let all_read =
-            sockets.messages.read_batch(&mut buf, |datagram, from| {
+    process_state: ProcessState,
+    store: DistributedStore<Client>,
+    refresh: Arc<Notify>,
+}
+
+impl Forwarder {
+    /// Forwards packets, handles messages and runs timers until the future is dropped.
+    async fn run(&self) {
+        let Self { sockets, caller_port, .. } = self;
+        let mut buf = vec![0; RECV_BUFFER_BYTES];
+        let mut scratch = Vec::with_capacity(protocol::MAX_DATAGRAM_BYTES);
+        loop {
+            let before = Instant::now();
+            let due = self.steering.borrow().next_deadline(before);
+            let wait = due.map_or(MAX_SLEEP, |at| at.saturating_duration_since(before));
+            tokio::select! {
+                () = sockets.packets.readable() => {}
+                () = sockets.messages.readable() => {}
+                () = tokio::time::sleep(wait) => {}
+            }
+            let mut steering = self.steering.borrow_mut();
+            let mut out = PacketSender { sockets, caller_port: *caller_port, buf: &mut scratch };
+            let now = Instant::now();
+            if let Some(paused) = pause::detect(before + wait, now) {
+                steering.resume(paused);
+                self.refresh.notify_one();
+            }
+            steering.set_roster_source(self.roster_source(), now, &mut out);
+            // Read agents' answers before callers' packets, so that no packet
+            // overtakes the answer about its flow, and run timers only once all
+            // answers are read, so that queued answers do not count as missing.
+            let all_read = sockets.messages.read_batch(&mut buf, |datagram, from| {
                 match protocol::decode(datagram) {
                     Ok((message, _)) => steering.handle_message(from, &message, now, &mut out),
                     Err(e) => metrics::count_drop(e),
                 }
             });
-        sockets.packets.read_batch(&mut buf, |datagram, _| match packet::decode(datagram) {
-            Ok(seg) => steering.handle_packet(&seg, datagram, now, &mut out),
-            Err(e) => metrics::count_drop(e),
-        });
-        if all_read {
-            steering.tick(now, &mut out);
+            sockets.packets.read_batch(&mut buf, |datagram, _| match packet::decode(datagram) {
+                Ok(seg) => steering.handle_packet(&seg, datagram, now, &mut out),
+                Err(e) => metrics::count_drop(e),
+            });
+            if all_read {
+                steering.tick(now, &mut out);
+            }
+            if steering.needs_store() && self.store.watch_directly(now) {
+                self.refresh.notify_one();
+            }
+            self.process_state.set_ready(steering.is_ready());
         }
-        process_state.set_ready(steering.is_ready());
+    }
+
+    fn roster_source(&self) -> RosterSource {
+        if self.store.is_subscribed() { RosterSource::Distributor } else { RosterSource::Store }
     }
 }
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -2,7 +2,9 @@
 //! agent beside a target ([`sidecar`]). They do the I/O and read the clock;
 //! [`crate::steering`] and [`crate::tracker`] decide what happens to a packet.
 
+mod distributor;
 pub mod entry;
+mod held_key;
 mod inspect;
 mod pause;
 mod port;
--- a/src/edge/relay.rs
+++ b/src/edge/relay.rs
@@ -6,14 +6,14 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use tokio::sync::{Notify, watch};
-use tokio::task::JoinSet;
+use tokio::sync::watch;
 
+use super::held_key::HeldKey;
 use crate::events;
 use crate::platform::kv::Client;
 use crate::relay::{INDEX_KEY, Relay};
 use crate::steering::FlowSteering;
-use crate::store::{LeaseStore, Snapshot, lease};
+use crate::store::Snapshot;
 
 /// Lease of a relay's key. A larger value delays the failover to another relay,
 /// and thus configuration changes, after a relay has died.
@@ -34,35 +34,29 @@
     steering: Rc<RefCell<FlowSteering>>,
     mut snapshots: watch::Receiver<Option<Arc<Snapshot>>>,
 ) {
-    // Keeps the key's lease while this balancer is the relay; dropping the set
-    // aborts the task.
-    let mut lease_task = JoinSet::new();
+    let mut key = HeldKey::new(store.clone(), relay.key(), RELAY_LEASE_MS);
     loop {
         let snapshot = snapshots.borrow_and_update().clone();
         let should_relay = |snapshot: &Option<Arc<Snapshot>>| {
             snapshot.as_ref().is_some_and(|c| relay.should_relay(c))
         };
-        if should_relay(&snapshot) && lease_task.is_empty() {
+        if should_relay(&snapshot) && !key.is_held() {
             tokio::time::sleep(MAX_CAMPAIGN_DELAY.mul_f64(rand::random())).await;
             if should_relay(&snapshots.borrow()) {
                 log::info!(
                     event = events::EDGE_RELAY, key = relay.key(), relay = true;
                     "balancer became the relay of its data centre"
                 );
-                lease_task.spawn_local(maintain_key(store.clone(), relay.key().to_string()));
+                key.acquire();
             }
             continue;
         }
-        if !should_relay(&snapshot) && !lease_task.is_empty() {
-            lease_task.shutdown().await;
+        if !should_relay(&snapshot) && key.is_held() {
             log::info!(
                 event = events::EDGE_RELAY, key = relay.key(), relay = false;
                 "balancer is no longer the relay of its data centre"
             );
-            // Without a store the key expires with its lease.
-            if snapshot.is_some() {
-                remove_key(&store, &relay).await;
-            }
+            key.release(snapshot.is_some()).await;
         }
         let published = match &snapshot {
             Some(snapshot) => publish_parts(&store, &relay, &steering, snapshot).await,
@@ -82,21 +76,6 @@
     }
 }
 
-async fn maintain_key(store: Client, key: String) {
-    // Only the presence of the key matters; its value is empty.
-    let (_value, values) = watch::channel(Vec::new());
-    lease::maintain(&store, &key, values, RELAY_LEASE_MS, &Notify::new()).await;
-}
-
-async fn remove_key(store: &Client, relay: &Relay) {
-    if let Err(e) = store.delete(relay.key()).await {
-        log::warn!(
-            event = events::EDGE_RELAY, error:% = format!("{e:#}");
-            "relay's key was not deleted; it expires with its lease"
-        );
-    }
-}
-
 /// Publishes the parts of the configuration in force that changed. If another relay
 /// was first, nothing is written and the next snapshot has its parts.
 async fn publish_parts(
--- a/src/edge/settings.rs
+++ b/src/edge/settings.rs
@@ -10,6 +10,7 @@
 use anyhow::bail;
 use serde::Deserialize;
 
+use super::WATCH_TIMEOUT;
 use crate::policy::{BalancerPolicy, Policy};
 use crate::tracker::ColdAllowance;
 
@@ -24,6 +25,8 @@
     pub name: Arc<str>,
     /// Data centre of the VM.
     pub zone: Arc<str>,
+    /// Region of the data centre.
+    pub region: Arc<str>,
     /// IP address of the VM.
     pub ip: Ipv4Addr,
     /// First and last port for messages between balancers and agents.
@@ -70,6 +73,10 @@
     /// Longest lifetime of a flow, in seconds. A flow without packets is removed
     /// after this time.
     pub flow_s: f64,
+    /// Time in which a change of the configuration must be in force, in ms.
+    pub config_ms: u64,
+    /// Time in which an evacuation must be in force, in ms, if one may be ordered.
+    pub evacuate_ms: Option<u64>,
     /// Requests that a cold target may get, as a multiple of the rate that it bears.
     pub warmup_overage: f64,
     /// Requests a second that a cold target may get on top of that.
@@ -82,6 +89,7 @@
         Self {
             name: "local".into(),
             zone: "local".into(),
+            region: "local".into(),
             ip: Ipv4Addr::LOCALHOST,
             ports: (7_720, 7_735),
             packets: any,
@@ -105,7 +113,14 @@
 impl Default for TimeLimits {
     fn default() -> Self {
         let ColdAllowance { overage, slack } = ColdAllowance::default();
-        Self { grace_s: 6.0, flow_s: 60.0, warmup_overage: overage, warmup_slack: slack }
+        Self {
+            grace_s: 6.0,
+            flow_s: 60.0,
+            config_ms: 3_000,
+            evacuate_ms: None,
+            warmup_overage: overage,
+            warmup_slack: slack,
+        }
     }
 }
 
@@ -144,6 +159,7 @@
         for (field, value) in [
             ("bounds.grace_s", self.limits.grace_s),
             ("bounds.flow_s", self.limits.flow_s),
+            ("bounds.config_ms", self.limits.config_ms as f64),
             ("cpu_share", self.cpu_share),
             ("link_mbps", self.link_mbps),
         ] {
@@ -198,6 +214,15 @@
         self.policy.balancer.clone().scaled_to_vm(self.link_mbps, self.cpu_share)
     }
 
+    /// How long a distributor's watch waits for a change: half of the time in which changes
+    /// must be in force, as its subscribers learn of a lost connection only after it.
+    #[must_use]
+    pub fn distributor_wait(&self) -> Duration {
+        let config_ms = self.limits.config_ms;
+        let bound = self.limits.evacuate_ms.map_or(config_ms, |ms| ms.min(config_ms));
+        Duration::from_millis(bound / 2).min(WATCH_TIMEOUT)
+    }
+
     /// Grace period of a planned stop.
     #[must_use]
     pub fn stop_grace(&self) -> Duration {
--- a/src/events/mod.rs
+++ b/src/events/mod.rs
@@ -101,6 +101,10 @@
 pub const REPORT_IGNORED: &str = "E712";
 /// A peer's snapshot of the store's keys could not be fetched.
 pub const PEER_SNAPSHOT_FAILED: &str = "E715";
+/// A balancer became, or ceased to be, a distributor of the store's changes.
+pub const DISTRIBUTOR_ROLE: &str = "E725";
+/// A distributor did not answer; its subscriber watches the store itself.
+pub const DISTRIBUTOR_LOST: &str = "E726";
 /// No agent answered an open in time; it is offered to the next.
 pub const OPEN_UNANSWERED: &str = "E716";
 /// An agent refused an open; its target received nothing.
--- a/src/metrics/mod.rs
+++ b/src/metrics/mod.rs
@@ -108,6 +108,9 @@
     /// listed again.
     #[display("watch_compacted")]
     WatchCompacted,
+    /// A distributor did not answer, and the store was watched instead.
+    #[display("distributor_lost")]
+    DistributorLost,
 }
 
 /// A manual reader that the meter provider and [`counter_values`] share.
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -4,6 +4,7 @@
 //! conditional on the revision of the index, so several relays may run at once.
 //! Only decisions are made here; [`crate::edge`] does the I/O.
 
+pub mod distributor;
 pub mod parts;
 
 use std::net::Ipv4Addr;
--- a/src/steering/lookup.rs
+++ b/src/steering/lookup.rs
@@ -49,7 +49,7 @@
 
     /// Starts a round of queries to the agents of the service, the likeliest owners
     /// first and silent agents last. Agents that left with their targets are skipped.
-    fn start_round(
+    pub(super) fn start_round(
         &mut self,
         flow: Flow,
         search: &mut OwnerSearch,
--- a/src/steering/mod.rs
+++ b/src/steering/mod.rs
@@ -22,7 +22,7 @@
 mod state;
 
 use std::cmp::Reverse;
-use std::collections::{BinaryHeap, VecDeque};
+use std::collections::{BTreeMap, BinaryHeap, VecDeque};
 use std::net::SocketAddrV4;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -52,6 +52,21 @@
     fn send_reset(&mut self, flow: Flow, seq: u32);
 }
 
+/// Interval at which a balancer checks whether its list of agents comes from the store again, while
+/// flows wait for that.
+const STORE_CHECK_INTERVAL: Duration = Duration::from_millis(20);
+
+/// From where a balancer's list of agents is updated.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum RosterSource {
+    /// From the store itself.
+    #[default]
+    Store,
+    /// From another process, which may have lost the store without this one's knowledge: the
+    /// list may lack agents that hold flows.
+    Distributor,
+}
+
 /// The steering state of one balancer.
 #[derive(Debug)]
 pub struct FlowSteering {
@@ -71,6 +86,11 @@
     /// Since when the store has been reachable. While it is not, agents missing from
     /// the roster may be running.
     store_reachable_since: Option<Instant>,
+    /// From where the list of agents is updated.
+    roster_source: RosterSource,
+    /// Flows whose searches ended while the list may have lacked their agents, and whether no
+    /// agent of the list holds them.
+    unconfirmed: BTreeMap<Flow, bool>,
     /// Whether the newest configuration was read; until then, flows without a route wait.
     routes_complete: bool,
     /// Packets received before the first configuration, or before the newest one if their
@@ -99,6 +119,8 @@
             retry_budget: TokenBucket::new(0.0),
             buffered_bytes: 0,
             store_reachable_since: None,
+            roster_source: RosterSource::Store,
+            unconfirmed: BTreeMap::new(),
             routes_complete: true,
             queued_packets: VecDeque::new(),
             queue_check_at: None,
@@ -168,6 +190,26 @@
             if reachable { self.store_reachable_since.or(Some(now)) } else { None };
     }
 
+    /// Sets from where the list of agents is updated. Once that is the store, decides on the
+    /// flows whose searches ended meanwhile.
+    pub fn set_roster_source(
+        &mut self,
+        source: RosterSource,
+        now: Instant,
+        out: &mut impl Transmit,
+    ) {
+        self.roster_source = source;
+        if source == RosterSource::Store && !self.unconfirmed.is_empty() {
+            self.resolve_unconfirmed(now, out);
+        }
+    }
+
+    /// Whether flows wait for a list of agents that comes from the store itself.
+    #[must_use]
+    pub fn needs_store(&self) -> bool {
+        !self.unconfirmed.is_empty()
+    }
+
     /// Accounts for a time `paused` in which the process did not run: the store counts
     /// as unreachable until it answers again.
     pub fn resume(&mut self, paused: Duration) {
@@ -358,6 +400,7 @@
             self.roster.next_ping(),
             self.queue_check_at,
             self.queries.next_send(now),
+            self.needs_store().then(|| now + STORE_CHECK_INTERVAL),
         ]
         .into_iter()
         .flatten()
--- a/src/steering/resolve.rs
+++ b/src/steering/resolve.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddrV4;
 use std::time::Instant;
 
-use super::{FlowState, FlowSteering, Transmit, send_refusal};
+use super::{FlowState, FlowSteering, RosterSource, Transmit, send_refusal};
 use crate::flow::Flow;
 use crate::metrics::{self, Refusal};
 
@@ -42,6 +42,13 @@
         out: &mut impl Transmit,
     ) {
         self.end_round(flow);
+        if self.roster_source == RosterSource::Distributor && self.store_reachable_since.is_some() {
+            if let Some(FlowState::Searching(s)) = self.flows.peek_mut(flow) {
+                s.roster_generation = self.roster.generation();
+            }
+            self.unconfirmed.insert(flow, lost);
+            return;
+        }
         if lost && self.store_reachable_since.is_some() {
             self.reset_lost(flow, out);
         } else {
@@ -49,6 +56,24 @@
         }
     }
 
+    /// Decides on the flows whose searches ended while the list of agents may have been old: as
+    /// they ended if the list has not changed since, otherwise by another round.
+    pub(super) fn resolve_unconfirmed(&mut self, now: Instant, out: &mut impl Transmit) {
+        for (flow, lost) in std::mem::take(&mut self.unconfirmed) {
+            let Some(FlowState::Searching(s)) = self.flows.peek(flow) else { continue };
+            if s.wave_deadline.is_some() {
+                // A packet that arrived meanwhile started another round.
+                continue;
+            }
+            if s.roster_generation == self.roster.generation() {
+                self.finish_round(flow, lost, now, out);
+            } else if let Some(FlowState::Searching(mut s)) = self.flows.remove(flow) {
+                self.start_round(flow, &mut s, &[], now);
+                self.flows.insert(flow, FlowState::Searching(s), now);
+            }
+        }
+    }
+
     /// Stops the round's timer and releases all buffered packets but the last.
     fn end_round(&mut self, flow: Flow) {
         let Some(FlowState::Searching(s)) = self.flows.peek_mut(flow) else { return };
--- a/src/steering/roster.rs
+++ b/src/steering/roster.rs
@@ -101,6 +101,7 @@
     /// When the next ping is due; none while no agent is suspected.
     next_ping_at: Option<Instant>,
     ping_budget: TokenBucket,
+    generation: u64,
 }
 
 impl Default for Roster {
@@ -122,9 +123,16 @@
             evacuations: Evacuations::default(),
             next_ping_at: None,
             ping_budget: TokenBucket::new(burst.max(1.0)),
+            generation: 0,
         }
     }
 
+    /// Number that changes when an agent, or the incarnation of its target, is added.
+    #[must_use]
+    pub const fn generation(&self) -> u64 {
+        self.generation
+    }
+
     /// Number of agents.
     #[must_use]
     pub fn len(&self) -> usize {
@@ -176,6 +184,7 @@
                 if known.incarnation != a.incarnation {
                     known.incarnation = a.incarnation.clone();
                     known.target_ended = false;
+                    self.generation += 1;
                 }
                 known.unlisted_since.take().is_some()
             }
@@ -188,6 +197,7 @@
     }
 
     fn insert(&mut self, a: &ListedAgent, now: Instant) {
+        self.generation += 1;
         let agent = Agent {
             zone: a.zone.clone(),
             service: a.service.clone(),
--- a/src/steering/search.rs
+++ b/src/steering/search.rs
@@ -44,6 +44,8 @@
     pub(super) named_owner: Option<SocketAddrV4>,
     /// The named owner once the flow was tried at its target in this round.
     pub(super) named_trial: Option<SocketAddrV4>,
+    /// [`super::Roster::generation`] when the last round ended.
+    pub(super) roster_generation: u64,
     /// Queries and answers of the round.
     pub(super) message_count: u32,
 }
--- /dev/null
+++ b/src/store/distribution/change_log.rs
@@ -0,0 +1,201 @@
+//! The changes that a distributor read from the store recently, for its subscribers.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::net::Ipv4Addr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use serde::{Deserialize, Serialize};
+use tokio::sync::watch;
+
+use crate::store::{Change, Kv, WatchBatch};
+
+/// How long a subscriber waits for a change. A larger value delays the detection of a
+/// distributor that has stopped responding.
+pub const POLL_WAIT: Duration = Duration::from_secs(1);
+
+/// Subscribers of one distributor at most, to bound its CPU time and bandwidth.
+pub const MAX_SUBSCRIBERS: usize = 32;
+
+/// Time after its last poll in which a subscriber counts.
+const SUBSCRIBER_TTL: Duration = Duration::from_secs(5);
+
+/// Changes kept for subscribers that are behind.
+const MAX_CHANGES: usize = 1_024;
+
+/// Share of a second for which the replies to all subscribers may occupy the distributor's link,
+/// which carries callers' packets too.
+const LINK_SHARE: f64 = 0.1;
+
+/// Values of one reply at most, in bytes, on a link of `link_mbps`. Subscribers read larger ones
+/// from the store.
+#[must_use]
+pub fn max_reply_bytes(link_mbps: f64) -> usize {
+    let link_bytes = link_mbps * 1e6 / 8.0;
+    // Positive and far below the range of `usize`.
+    (link_bytes * LINK_SHARE / MAX_SUBSCRIBERS as f64) as usize
+}
+
+/// A distributor's reply to a poll.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Poll {
+    /// The changes after the subscriber's revision, oldest first.
+    Changes {
+        /// The store's revision that the distributor has read.
+        rev: i64,
+        /// The changes; none if there was none in time.
+        changes: Vec<Change>,
+    },
+    /// The changes are too large or no longer kept: read them from the store.
+    ReadStore,
+    /// It has as many subscribers as it can serve.
+    Full,
+    /// It does not watch the store for others, or the store does not answer it.
+    NotCurrent,
+}
+
+/// The changes read since a revision.
+#[derive(Debug, Default)]
+struct ChangeLog {
+    /// Whether the last call to the store succeeded.
+    current: bool,
+    /// Revision after which every change is kept.
+    start: i64,
+    /// Revision up to which the store was read.
+    rev: i64,
+    changes: VecDeque<Change>,
+    /// When each subscriber polled last.
+    subscribers: BTreeMap<Ipv4Addr, Instant>,
+    /// Values of one reply at most, in bytes.
+    max_reply: usize,
+}
+
+impl ChangeLog {
+    fn record(&mut self, after: i64, batch: &WatchBatch) {
+        if self.rev != after {
+            self.start = after;
+            self.changes.clear();
+        }
+        self.rev = batch.rev.max(after);
+        self.current = true;
+        let max_len = self.max_reply + 1;
+        self.changes.extend(batch.changes.iter().map(|c| with_short_value(c, max_len)));
+        while self.changes.len() > MAX_CHANGES {
+            if let Some(dropped) = self.changes.pop_front() {
+                self.start = dropped.rev();
+            }
+        }
+    }
+
+    /// Whether a poll must be answered at once.
+    fn has_reply(&self, prefix: &str, after: i64) -> bool {
+        !self.current || after < self.start || self.changes_after(prefix, after).next().is_some()
+    }
+
+    fn reply(&self, prefix: &str, after: i64) -> Poll {
+        if !self.current || self.rev < after {
+            return Poll::NotCurrent;
+        }
+        let changes: Vec<_> = self.changes_after(prefix, after).cloned().collect();
+        let size: usize = changes.iter().map(value_len).sum();
+        if after < self.start || size > self.max_reply {
+            return Poll::ReadStore;
+        }
+        Poll::Changes { rev: self.rev, changes }
+    }
+
+    fn changes_after<'a>(
+        &'a self,
+        prefix: &'a str,
+        after: i64,
+    ) -> impl Iterator<Item = &'a Change> {
+        let first = self.changes.partition_point(|c| c.rev() <= after);
+        self.changes.range(first..).filter(move |c| c.key().starts_with(prefix))
+    }
+
+    /// Counts `subscriber`, unless there are too many others.
+    fn admit(&mut self, subscriber: Ipv4Addr, now: Instant) -> bool {
+        self.subscribers.retain(|_, at| now.duration_since(*at) < SUBSCRIBER_TTL);
+        let admitted =
+            self.subscribers.len() < MAX_SUBSCRIBERS || self.subscribers.contains_key(&subscriber);
+        if admitted {
+            self.subscribers.insert(subscriber, now);
+        }
+        admitted
+    }
+}
+
+fn value_len(change: &Change) -> usize {
+    match change {
+        Change::Put(kv) => kv.value.len(),
+        Change::Delete { .. } => 0,
+    }
+}
+
+/// A copy of `change` whose value is cut to `max_len` bytes.
+fn with_short_value(change: &Change, max_len: usize) -> Change {
+    match change {
+        Change::Put(kv) => {
+            let value = kv.value[..kv.value.len().min(max_len)].to_vec();
+            Change::Put(Kv { key: kv.key.clone(), value, ..*kv })
+        }
+        Change::Delete { .. } => change.clone(),
+    }
+}
+
+/// A change log that the distributor writes and its RPC server reads. Clones share one log.
+#[derive(Clone, Debug)]
+pub struct SharedLog(Arc<watch::Sender<ChangeLog>>);
+
+impl Default for SharedLog {
+    fn default() -> Self {
+        Self(Arc::new(watch::Sender::new(ChangeLog::default())))
+    }
+}
+
+impl SharedLog {
+    /// Sets how many bytes of values one reply may hold.
+    pub fn set_max_reply(&self, bytes: usize) {
+        self.0.send_modify(|log| log.max_reply = bytes);
+    }
+
+    /// Waits until [`SharedLog::record`] was called and the log not closed since.
+    pub async fn opened(&self) {
+        // Fails only if the sender, which `self` holds, is dropped.
+        drop(self.0.subscribe().wait_for(|log| log.current).await);
+    }
+
+    /// Adds the result of a watch on all keys after revision `after`.
+    pub fn record(&self, after: i64, batch: &WatchBatch) {
+        self.0.send_modify(|log| log.record(after, batch));
+    }
+
+    /// Replies [`Poll::NotCurrent`] until the next [`SharedLog::record`].
+    pub fn close(&self) {
+        self.0.send_if_modified(|log| std::mem::take(&mut log.current));
+    }
+
+    /// Number of subscribers that polled recently.
+    #[must_use]
+    pub fn subscriber_count(&self, now: Instant) -> usize {
+        let log = self.0.borrow();
+        log.subscribers.values().filter(|at| now.duration_since(**at) < SUBSCRIBER_TTL).count()
+    }
+
+    /// Waits up to [`POLL_WAIT`] for changes under `prefix` after revision `after`.
+    pub async fn poll(&self, subscriber: Ipv4Addr, prefix: &str, after: i64) -> Poll {
+        let mut admitted = true;
+        self.0.send_if_modified(|log| {
+            admitted = !log.current || log.admit(subscriber, Instant::now());
+            false
+        });
+        if !admitted {
+            return Poll::Full;
+        }
+        let mut log = self.0.subscribe();
+        let news = log.wait_for(|log| log.has_reply(prefix, after));
+        // Both a timeout and a closed log are visible in the log itself.
+        drop(tokio::time::timeout(POLL_WAIT, news).await);
+        self.0.borrow().reply(prefix, after)
+    }
+}
--- /dev/null
+++ b/src/store/distribution/mod.rs
@@ -0,0 +1,257 @@
+//! Watches that several processes share: one of them, the distributor, watches the store, and the
+//! others, its subscribers, get the changes from it. The load on the store so does not grow
+//! with the number of processes.
+//!
+//! A subscriber watches the store itself whenever no distributor answers it. What it
+//! knows may be older than the store for as long as a failed distributor takes to be
+//! detected; [`DistributedStore::is_subscribed`] tells when that is so.
+
+mod change_log;
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+pub use change_log::{MAX_SUBSCRIBERS, POLL_WAIT, Poll, SharedLog, max_reply_bytes};
+
+use super::{Kv, WatchBatch, WatchStore};
+use crate::admin::Connection;
+use crate::events;
+use crate::metrics::{self, Retry};
+
+/// Time limit on connecting to a distributor, and on its reply beyond [`POLL_WAIT`].
+const POLL_SLACK: Duration = Duration::from_millis(500);
+
+/// How long a distributor that did not answer, or is not current, is not polled again. A
+/// larger value costs calls to the store; a smaller one delays changes repeatedly.
+const RETRY_DELAY: Duration = Duration::from_secs(3);
+
+/// How long one that is full is not polled again.
+const FULL_DELAY: Duration = Duration::from_secs(30);
+
+/// How a [`DistributedStore`] watches.
+#[derive(Clone, Copy, Debug)]
+pub struct WatchTiming {
+    /// Pause after a change before the store is watched again, so that one call returns a burst
+    /// of changes.
+    pub batch_delay: Duration,
+    /// How long to watch the store directly after [`DistributedStore::watch_directly`].
+    pub direct_time: Duration,
+}
+
+/// A store whose watches are answered by a distributor where there is one. Clones share their
+/// state.
+#[derive(Clone)]
+pub struct DistributedStore<S> {
+    /// For watches of a process that is no distributor, and for all other calls.
+    store: S,
+    /// For watches of a distributor.
+    distributor_store: S,
+    own_ip: Ipv4Addr,
+    timing: WatchTiming,
+    log: SharedLog,
+    state: Rc<State>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    /// Distributors, the preferred one first.
+    distributors: RefCell<Vec<SocketAddr>>,
+    connection: RefCell<Option<(SocketAddr, Connection)>>,
+    /// Distributors that are not polled, and until when.
+    skipped: RefCell<HashMap<SocketAddr, Instant>>,
+    /// Whether every distributor is full.
+    all_full: Cell<bool>,
+    /// Whether this process is a distributor.
+    distributes: Cell<bool>,
+    /// Whether the last known changes may come from a distributor.
+    subscribed: Cell<bool>,
+    /// Until when the store is watched directly.
+    direct_until: Cell<Option<Instant>>,
+    /// When the store last returned a change.
+    changed_at: Cell<Option<Instant>>,
+}
+
+impl<S> DistributedStore<S> {
+    /// A store without distributors yet. As a distributor, this process watches
+    /// through `distributor_store` and writes `log`; `own_ip` names it to others.
+    pub fn new(
+        store: S,
+        distributor_store: S,
+        own_ip: Ipv4Addr,
+        timing: WatchTiming,
+        log: SharedLog,
+    ) -> Self {
+        Self { store, distributor_store, own_ip, timing, log, state: Rc::default() }
+    }
+
+    /// Sets the distributors to poll, the preferred one first.
+    pub fn set_distributors(&self, addrs: Vec<SocketAddr>) {
+        self.state.all_full.set(self.state.all_full.get() && !addrs.is_empty());
+        self.state.distributors.replace(addrs);
+    }
+
+    /// Sets whether this process is a distributor. One that ceases to be so sends its
+    /// subscribers elsewhere at once.
+    pub fn set_distributing(&self, distributes: bool) {
+        if self.state.distributes.replace(distributes) && !distributes {
+            self.log.close();
+        }
+    }
+
+    /// Whether this process is a distributor.
+    #[must_use]
+    pub fn is_distributing(&self) -> bool {
+        self.state.distributes.get()
+    }
+
+    /// Whether the last known changes may come from a distributor, and so be older
+    /// than the store for longer than a call takes.
+    #[must_use]
+    pub fn is_subscribed(&self) -> bool {
+        self.state.subscribed.get()
+    }
+
+    /// Whether every distributor has refused this process as it serves enough others.
+    #[must_use]
+    pub fn all_full(&self) -> bool {
+        self.state.all_full.get()
+    }
+
+    /// Watches the store directly for some time, from the next call on. Returns false if it
+    /// does already.
+    pub fn watch_directly(&self, now: Instant) -> bool {
+        let running = self.state.direct_until.get().is_some_and(|at| now < at);
+        if !running {
+            self.state.direct_until.set(Some(now + self.timing.direct_time));
+        }
+        !running
+    }
+
+    /// The distributor to poll, unless the store is to be watched directly.
+    fn choose_distributor(&self, now: Instant) -> Option<SocketAddr> {
+        let state = &self.state;
+        if state.distributes.get() || state.direct_until.get().is_some_and(|at| now < at) {
+            return None;
+        }
+        state.skipped.borrow_mut().retain(|_, until| now < *until);
+        let skipped = state.skipped.borrow();
+        state.distributors.borrow().iter().find(|addr| !skipped.contains_key(addr)).copied()
+    }
+
+    fn skip(&self, addr: SocketAddr, delay: Duration) {
+        self.state.connection.replace(None);
+        self.state.skipped.borrow_mut().insert(addr, Instant::now() + delay);
+    }
+
+    /// Polls distributors for changes; `None` if the store must be watched directly.
+    async fn poll_distributors(&self, prefix: &str, after: i64) -> Option<WatchBatch> {
+        let mut all_full = false;
+        while let Some(addr) = self.choose_distributor(Instant::now()) {
+            self.state.subscribed.set(true);
+            match self.poll(addr, prefix, after).await {
+                Ok(Poll::Changes { rev, changes }) => {
+                    self.state.all_full.set(false);
+                    return Some(WatchBatch { rev, compacted: false, changes });
+                }
+                Ok(Poll::ReadStore) => return None,
+                Ok(Poll::Full) => {
+                    all_full = true;
+                    self.skip(addr, FULL_DELAY);
+                }
+                Ok(Poll::NotCurrent) => self.skip(addr, RETRY_DELAY),
+                Err(e) => {
+                    log::info!(
+                        event = events::DISTRIBUTOR_LOST, error:% = format!("{e:#}");
+                        "distributor does not answer; watching the store"
+                    );
+                    metrics::count_retry(Retry::DistributorLost);
+                    self.skip(addr, RETRY_DELAY);
+                }
+            }
+        }
+        if all_full {
+            self.state.all_full.set(true);
+        }
+        None
+    }
+
+    async fn poll(&self, addr: SocketAddr, prefix: &str, after: i64) -> anyhow::Result<Poll> {
+        let known = self.state.connection.borrow().clone().filter(|(to, _)| *to == addr);
+        let connection = match known {
+            Some((_, connection)) => connection,
+            None => {
+                let connection = Connection::connect(addr, POLL_SLACK).await?;
+                let connection = connection.with_timeout(POLL_WAIT + POLL_SLACK);
+                self.state.connection.replace(Some((addr, connection.clone())));
+                connection
+            }
+        };
+        connection.poll_changes(self.own_ip, prefix, after).await
+    }
+}
+
+impl<S: WatchStore> DistributedStore<S> {
+    /// Watches the store itself. As a distributor, adds what it reads to the log.
+    async fn watch_store(
+        &self,
+        prefix: &str,
+        after: i64,
+        wait: bool,
+    ) -> anyhow::Result<WatchBatch> {
+        let batch_end = self.state.changed_at.get().map(|at| at + self.timing.batch_delay);
+        if let Some(at) = batch_end.filter(|_| wait) {
+            tokio::time::sleep_until(at.into()).await;
+        }
+        let distributes = self.state.distributes.get() && prefix.is_empty();
+        let store = if distributes { &self.distributor_store } else { &self.store };
+        // Closes the log also when the call is dropped, as the process may have been suspended.
+        let close = CloseOnDrop(distributes.then_some(&self.log));
+        let batch = store.watch(prefix, after, wait).await?;
+        if batch.compacted {
+            return Ok(batch);
+        }
+        if distributes {
+            self.log.record(after, &batch);
+        }
+        close.keep_open();
+        self.state.subscribed.set(false);
+        if !batch.changes.is_empty() {
+            self.state.changed_at.set(Some(Instant::now()));
+        }
+        Ok(batch)
+    }
+}
+
+impl<S: WatchStore> WatchStore for DistributedStore<S> {
+    async fn list(&self, prefix: &str) -> anyhow::Result<(i64, Vec<Kv>)> {
+        self.store.list(prefix).await
+    }
+
+    /// A call that does not wait always goes to the store.
+    async fn watch(&self, prefix: &str, after: i64, wait: bool) -> anyhow::Result<WatchBatch> {
+        if wait && let Some(batch) = self.poll_distributors(prefix, after).await {
+            return Ok(batch);
+        }
+        self.watch_store(prefix, after, wait).await
+    }
+}
+
+/// Closes a log when dropped.
+struct CloseOnDrop<'a>(Option<&'a SharedLog>);
+
+impl CloseOnDrop<'_> {
+    fn keep_open(mut self) {
+        self.0 = None;
+    }
+}
+
+impl Drop for CloseOnDrop<'_> {
+    fn drop(&mut self) {
+        if let Some(log) = self.0 {
+            log.close();
+        }
+    }
+}
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -6,6 +6,7 @@
 //! a revision. The server can inject failures (see [`Faults`]).
 
 pub mod client;
+pub mod distribution;
 pub mod lease;
 pub mod mirror;
 pub mod server;
@@ -35,7 +36,7 @@
 }
 
 /// One change returned by a watch.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Change {
     /// The key was written.
     Put(Kv),
@@ -48,6 +49,26 @@
     },
 }
 
+impl Change {
+    /// The key that changed.
+    #[must_use]
+    pub fn key(&self) -> &str {
+        match self {
+            Self::Put(kv) => &kv.key,
+            Self::Delete { key, .. } => key,
+        }
+    }
+
+    /// Revision of the change.
+    #[must_use]
+    pub const fn rev(&self) -> i64 {
+        match self {
+            Self::Put(kv) => kv.rev,
+            Self::Delete { rev, .. } => *rev,
+        }
+    }
+}
+
 /// Names of the keys in the store.
 ///
 /// Operators write under `config/`; processes register under `live/`, with
--- /dev/null
+++ b/tests/distribution.rs
@@ -0,0 +1,373 @@
+//! Changes of the store that one balancer reads for the others of its region: what subscribers
+//! get, when they watch the store themselves, and who distributes.
+
+mod common;
+
+use std::cell::RefCell;
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use jujubepost::admin::{self, ProcessState};
+use jujubepost::platform::config;
+use jujubepost::relay::distributor::{Distributor, Term};
+use jujubepost::store::distribution::{
+    DistributedStore, MAX_SUBSCRIBERS, Poll, SharedLog, WatchTiming, max_reply_bytes,
+};
+use jujubepost::store::{Change, Kv, Snapshot, WatchBatch, WatchStore};
+use jujubepost::trial::{Plan, Trial};
+use jujubepost::up::Signal;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+
+const MS: Duration = Duration::from_millis(1);
+
+/// Time in which a configuration must be in force, as `bounds.config_ms` has it by default.
+const CONFIG_BOUND: Duration = Duration::from_secs(3);
+
+/// Values in one reply at most, in bytes.
+const MAX_REPLY: usize = 1_000;
+
+/// A store that answers each watch with `batch`, or never; notes the revisions asked for.
+#[derive(Clone, Default)]
+struct FakeStore {
+    watched: Rc<RefCell<Vec<i64>>>,
+    batch: Rc<RefCell<Option<WatchBatch>>>,
+}
+
+impl FakeStore {
+    fn answering(rev: i64) -> Self {
+        let batch = Rc::new(RefCell::new(Some(batch(rev, &[]))));
+        Self { batch, ..Self::default() }
+    }
+}
+
+impl WatchStore for FakeStore {
+    async fn list(&self, _: &str) -> anyhow::Result<(i64, Vec<Kv>)> {
+        anyhow::bail!("not listed in these tests")
+    }
+
+    async fn watch(&self, _: &str, after: i64, _: bool) -> anyhow::Result<WatchBatch> {
+        self.watched.borrow_mut().push(after);
+        let batch = self.batch.borrow().clone();
+        match batch {
+            Some(batch) => Ok(batch),
+            None => std::future::pending().await,
+        }
+    }
+}
+
+fn put(key: &str, rev: i64, len: usize) -> Change {
+    Change::Put(Kv { key: key.into(), value: vec![7; len], rev, lease: 0 })
+}
+
+fn batch(rev: i64, changes: &[Change]) -> WatchBatch {
+    WatchBatch { rev, compacted: false, changes: changes.to_vec() }
+}
+
+fn distributed(store: &FakeStore, log: &SharedLog) -> DistributedStore<FakeStore> {
+    let timing = WatchTiming { batch_delay: Duration::ZERO, direct_time: 500 * MS };
+    DistributedStore::new(store.clone(), store.clone(), Ipv4Addr::LOCALHOST, timing, log.clone())
+}
+
+/// A distributor at `addr` whose log holds `batch` after revision 10.
+async fn distributor(addr: SocketAddr, batch: &WatchBatch) -> (admin::Server, SharedLog) {
+    let state = ProcessState::new("distributor".into(), config::OPERATOR_PREFIX.into());
+    state.change_log().set_max_reply(MAX_REPLY);
+    state.change_log().record(10, batch);
+    let log = state.change_log().clone();
+    (admin::Server::start(addr, state).await.unwrap(), log)
+}
+
+/// A subscriber gets what changed under its prefix, and the store is not called.
+#[ntex::test]
+async fn changes_come_from_distributor() {
+    let addr: SocketAddr = "127.0.0.1:30460".parse().unwrap();
+    let deleted = Change::Delete { key: "b/2".into(), rev: 12 };
+    let changes = [put("a/1", 11, 5), deleted.clone(), put("b/1", 13, 6)];
+    let (server, log) = distributor(addr, &batch(13, &changes)).await;
+    let store = FakeStore::default();
+    let s = distributed(&store, &SharedLog::default());
+    s.set_distributors(vec![addr]);
+    assert_eq!(s.watch("", 10, true).await.unwrap().changes, changes);
+    assert_eq!(s.watch("b/", 10, true).await.unwrap().changes, [deleted, put("b/1", 13, 6)]);
+    let next = s.watch("", 13, true);
+    let later = async {
+        tokio::time::sleep(100 * MS).await;
+        log.record(13, &batch(20, &[put("a/1", 20, 5)]));
+    };
+    let started = Instant::now();
+    let (next, ()) = futures_util::join!(next, later);
+    let next = next.unwrap();
+    assert_eq!((next.rev, next.changes), (20, vec![put("a/1", 20, 5)]));
+    assert!(started.elapsed() < 600 * MS, "the change is pushed, not polled for");
+    assert!(s.is_subscribed());
+    assert_eq!(*store.watched.borrow(), [0; 0]);
+    server.stop().await;
+}
+
+/// Guards against serving by an old list: whenever the distributor cannot tell that it is
+/// current, or does not have the changes, the store is watched in the same call.
+#[ntex::test]
+async fn store_watched_without_current_distributor() {
+    let addr: SocketAddr = "127.0.0.1:30461".parse().unwrap();
+    let large = put("a/1", 11, MAX_REPLY + 1);
+    let (server, log) = distributor(addr, &batch(12, &[large])).await;
+    // Changes that are too large, too old, or newer than the distributor's own.
+    for after in [10, 9, 13] {
+        let store = FakeStore::answering(14);
+        let s = distributed(&store, &SharedLog::default());
+        s.set_distributors(vec![addr]);
+        assert_eq!(s.watch("", after, true).await.unwrap().rev, 14);
+        assert_eq!(*store.watched.borrow(), [after]);
+        assert!(!s.is_subscribed(), "the store itself answered");
+    }
+    log.close();
+    let store = FakeStore::answering(14);
+    let s = distributed(&store, &SharedLog::default());
+    s.set_distributors(vec![addr]);
+    assert_eq!(s.watch("", 12, true).await.unwrap().rev, 14);
+    server.stop().await;
+}
+
+/// A distributor that is frozen or behind a partition delays changes by less than half of the
+/// time in which they must be in force, and then does not delay the next ones.
+#[ntex::test]
+async fn silent_distributor_is_left() {
+    // Accepts connections and never answers.
+    let silent = TcpListener::bind("127.0.0.1:30462").unwrap();
+    let store = FakeStore::answering(14);
+    let s = distributed(&store, &SharedLog::default());
+    s.set_distributors(vec![silent.local_addr().unwrap()]);
+    let started = Instant::now();
+    assert_eq!(s.watch("", 12, true).await.unwrap().rev, 14);
+    // What its own watch of the store may take comes on top.
+    assert!(started.elapsed() <= CONFIG_BOUND / 2 + 100 * MS, "{:?}", started.elapsed());
+    let started = Instant::now();
+    s.watch("", 14, true).await.unwrap();
+    assert!(started.elapsed() < 100 * MS, "{:?}", started.elapsed());
+    assert_eq!(*store.watched.borrow(), [12, 14]);
+}
+
+/// Subscribers are sent to the store at once when the distributor's call to the store fails or is
+/// dropped, as after its process was suspended.
+#[ntex::test]
+async fn lost_store_closes_log() {
+    let log = SharedLog::default();
+    log.set_max_reply(MAX_REPLY);
+    let store = FakeStore::answering(11);
+    let s = distributed(&store, &log);
+    s.set_distributing(true);
+    s.watch("", 10, true).await.unwrap();
+    let current = Poll::Changes { rev: 11, changes: Vec::new() };
+    assert_eq!(log.poll(Ipv4Addr::LOCALHOST, "", 11).await, current);
+    store.batch.replace(None);
+    let poll = log.poll(Ipv4Addr::LOCALHOST, "", 11);
+    let dropped = tokio::time::timeout(100 * MS, s.watch("", 11, true));
+    let started = Instant::now();
+    let (reply, dropped) = futures_util::join!(poll, dropped);
+    assert!(dropped.is_err(), "the store does not answer");
+    assert_eq!(reply, Poll::NotCurrent);
+    assert!(started.elapsed() < 500 * MS);
+    // One that is no distributor any more does not open its log again.
+    store.batch.replace(Some(batch(12, &[])));
+    s.set_distributing(false);
+    s.watch("", 11, true).await.unwrap();
+    assert_eq!(log.poll(Ipv4Addr::LOCALHOST, "", 11).await, Poll::NotCurrent);
+}
+
+/// A gap in what a distributor read is never handed on as if nothing had happened in it.
+#[ntex::test]
+async fn gap_is_read_from_store() {
+    let log = SharedLog::default();
+    log.set_max_reply(MAX_REPLY);
+    let poll = |after| log.poll(Ipv4Addr::LOCALHOST, "", after);
+    log.record(10, &batch(12, &[put("a/1", 12, 1)]));
+    // Listed anew meanwhile, at revision 30.
+    log.record(30, &batch(31, &[put("a/1", 31, 1)]));
+    assert_eq!(poll(12).await, Poll::ReadStore);
+    let newest = Poll::Changes { rev: 31, changes: vec![put("a/1", 31, 1)] };
+    assert_eq!(poll(30).await, newest);
+    // More changes than are kept.
+    let many: Vec<_> = (0..2_000).map(|n| put("a/1", 40 + n, 0)).collect();
+    log.record(31, &batch(2_040, &many));
+    assert_eq!(poll(31).await, Poll::ReadStore);
+    assert!(
+        matches!(poll(2_030).await, Poll::Changes { rev: 2_040, changes } if changes.len() == 9)
+    );
+}
+
+/// The load on one distributor is bounded; those it refuses watch the store, and one of them
+/// becomes the next distributor.
+#[ntex::test]
+async fn full_distributor_refuses() {
+    let addr: SocketAddr = "127.0.0.1:30463".parse().unwrap();
+    let (server, log) = distributor(addr, &batch(12, &[put("a/1", 12, 1)])).await;
+    for n in 1..=MAX_SUBSCRIBERS {
+        let subscriber = Ipv4Addr::new(10, 0, 0, u8::try_from(n).unwrap());
+        assert!(matches!(log.poll(subscriber, "", 10).await, Poll::Changes { .. }));
+    }
+    assert_eq!(log.subscriber_count(Instant::now()), MAX_SUBSCRIBERS);
+    let store = FakeStore::answering(14);
+    let s = distributed(&store, &SharedLog::default());
+    s.set_distributors(vec![addr]);
+    assert!(!s.all_full());
+    assert_eq!(s.watch("", 10, true).await.unwrap().rev, 14);
+    assert!(s.all_full());
+    server.stop().await;
+}
+
+/// After [`DistributedStore::watch_directly`] the store is watched for some time.
+#[ntex::test]
+async fn direct_watch_is_limited() {
+    let addr: SocketAddr = "127.0.0.1:30464".parse().unwrap();
+    let (server, _) = distributor(addr, &batch(12, &[put("a/1", 12, 1)])).await;
+    let store = FakeStore::answering(14);
+    let s = distributed(&store, &SharedLog::default());
+    s.set_distributors(vec![addr]);
+    let now = Instant::now();
+    assert!(s.watch_directly(now));
+    assert!(!s.watch_directly(now), "it does already");
+    assert_eq!(s.watch("", 10, true).await.unwrap().rev, 14);
+    tokio::time::sleep(600 * MS).await;
+    assert_eq!(s.watch("", 10, true).await.unwrap().rev, 12);
+    server.stop().await;
+}
+
+/// Large replies to all subscribers must leave room for callers' packets on the link.
+#[test]
+fn replies_fit_the_link() {
+    let link_ms = |mbps: f64| {
+        let bits = (max_reply_bytes(mbps) * MAX_SUBSCRIBERS * 8) as f64;
+        bits / (mbps * 1e3)
+    };
+    for mbps in [2.0, 10.0, 200.0, 1_000.0] {
+        assert!(link_ms(mbps) <= 100.0, "{mbps} Mbit/s: {} ms", link_ms(mbps));
+    }
+}
+
+fn balancer_at(n: u8, mbps: f64) -> Distributor {
+    Distributor::new("gjw", Ipv4Addr::new(10, 1, 0, n), mbps)
+}
+
+fn list(snapshot: &mut Snapshot, distributor: &Distributor) {
+    let kv = Kv { key: distributor.key().into(), value: Vec::new(), rev: 5, lease: 1 };
+    snapshot.keys.insert(kv.key.clone(), kv);
+}
+
+#[test]
+fn one_balancer_distributes() {
+    let mut rng = StdRng::seed_from_u64(1);
+    let (weak, strong) = (balancer_at(1, 10.0), balancer_at(2, 200.0));
+    let mut snapshot = Snapshot::default();
+    for _ in 0..100 {
+        let of = |d: &Distributor, rng: &mut _| d.should_start(&snapshot, false, rng).unwrap();
+        assert!(of(&strong, &mut rng) <= of(&weak, &mut rng), "wide links go first");
+    }
+    list(&mut snapshot, &weak);
+    assert_eq!(strong.should_start(&snapshot, false, &mut rng), None, "there is one");
+    assert_eq!(strong.others(&snapshot), [Ipv4Addr::new(10, 1, 0, 1)]);
+    assert!(strong.should_start(&snapshot, true, &mut rng).is_some(), "it is full");
+    // Both started at once: the one that others prefer stays.
+    list(&mut snapshot, &strong);
+    let term = Term { age: Duration::from_secs(60), subscribers: 0 };
+    assert!(weak.should_stop(&snapshot, term) && !strong.should_stop(&snapshot, term));
+    assert!(!weak.should_stop(&snapshot, Term { subscribers: 1, ..term }), "it is used");
+    assert!(!weak.should_stop(&snapshot, Term { age: Duration::ZERO, ..term }), "it is new");
+    assert_eq!(weak.others(&snapshot), [Ipv4Addr::new(10, 1, 0, 2)]);
+    let elsewhere = Distributor::new("norte", Ipv4Addr::new(10, 9, 0, 1), 10.0);
+    assert!(elsewhere.should_start(&snapshot, false, &mut rng).is_some(), "each region has one");
+}
+
+/// A balancer that starts again takes over from its earlier process at once, as subscribers go by
+/// the key that this one left.
+#[test]
+fn restarted_distributor_goes_on() {
+    let mut rng = StdRng::seed_from_u64(1);
+    let (weak, strong) = (balancer_at(1, 10.0), balancer_at(2, 200.0));
+    let mut snapshot = Snapshot::default();
+    list(&mut snapshot, &weak);
+    assert_eq!(weak.should_start(&snapshot, false, &mut rng), Some(Duration::ZERO));
+    list(&mut snapshot, &strong);
+    assert_eq!(weak.should_start(&snapshot, false, &mut rng), None, "another one is preferred");
+}
+
+/// Number of the store stand-in's watch calls so far.
+async fn watch_calls(trial: &Trial) -> u64 {
+    let url = format!("http://{}/stats", trial.store_addr());
+    let client = ntex::client::Client::new().await;
+    let body = client.get(url).send().await.unwrap().body().await.unwrap();
+    let stats: serde_json::Value = serde_json::from_slice(&body).unwrap();
+    stats["watches"].as_u64().unwrap()
+}
+
+/// Version that each of the balancers `labels` has in force.
+async fn versions(trial: &Trial, balancers: &[(u8, u8)]) -> Vec<Option<u64>> {
+    let client = ntex::client::Client::new().await;
+    let mut all = Vec::new();
+    for (zone, n) in balancers {
+        let url = format!("http://{}/beliefs", trial.metrics_addr(true, *zone, *n));
+        let version = async {
+            let body = client.get(url).send().await.ok()?.body().await.ok()?;
+            serde_json::from_slice::<serde_json::Value>(&body).ok()?["version"].as_u64()
+        };
+        all.push(version.await);
+    }
+    all
+}
+
+/// Waits until all `balancers` have `version` in force; returns how long that took.
+async fn wait_in_force(trial: &Trial, version: u64, balancers: &[(u8, u8)]) -> Duration {
+    let started = Instant::now();
+    loop {
+        let all = versions(trial, balancers).await;
+        if all.iter().all(|v| *v == Some(version)) {
+            return started.elapsed();
+        }
+        assert!(started.elapsed() < 2 * CONFIG_BOUND, "version {version}: {all:?}");
+        tokio::time::sleep(20 * MS).await;
+    }
+}
+
+/// The balancer whose log says that it distributes.
+fn find_distributor(dir: &std::path::Path, balancers: &[(u8, u8)]) -> Option<(u8, u8)> {
+    balancers.iter().copied().find(|(zone, n)| {
+        let log = std::fs::read_to_string(dir.join(format!("entry-{zone}-{n}.log")));
+        log.unwrap_or_default()
+            .lines()
+            .rfind(|l| l.contains("E725"))
+            .is_some_and(|l| l.contains("\"distributor\":true") || l.contains("distributor=true"))
+    })
+}
+
+/// Changes come into force in time while the distributor is suspended, and after it is killed;
+/// with it, eight balancers watch the store as often as one.
+#[ntex::test]
+async fn changes_apply_despite_lost_distributor() {
+    let exe = PathBuf::from(env!("CARGO_BIN_EXE_jujubepost"));
+    let dir = std::env::temp_dir().join(format!("jujubepost-distributor-{}", std::process::id()));
+    let plan = Plan { base_port: 28_540, balancers: 4, targets: 1, ..Plan::default() };
+    let trial = Trial::start(&exe, &dir, plan).await.unwrap();
+    let all: Vec<(u8, u8)> = (0..2).flat_map(|z| (0..4).map(move |n| (z, n))).collect();
+    tokio::time::sleep(Duration::from_secs(9)).await;
+    let before = watch_calls(&trial).await;
+    tokio::time::sleep(Duration::from_secs(6)).await;
+    let idle = watch_calls(&trial).await - before;
+    assert!(idle <= 8, "{idle} watches in 6 s");
+    for (version, signal) in [(2, Signal::SIGSTOP), (3, Signal::SIGKILL)] {
+        let (zone, n) = find_distributor(&dir, &all).expect("a distributor");
+        let label = format!("entry-{zone}-{n}");
+        trial.send_signal(&label, signal);
+        let left: Vec<_> = all.iter().copied().filter(|b| *b != (zone, n)).collect();
+        trial.write_config(version).await.unwrap();
+        let took = wait_in_force(&trial, version, &left).await;
+        assert!(took < CONFIG_BOUND, "{signal:?} of {label}: {took:?}");
+        if signal == Signal::SIGSTOP {
+            trial.send_signal(&label, Signal::SIGCONT);
+        }
+        wait_in_force(&trial, version, &left).await;
+    }
+    trial.shut_down().await;
+    let _ = std::fs::remove_dir_all(&dir);
+}
--- a/tests/events.rs
+++ b/tests/events.rs
@@ -50,6 +50,7 @@
         Retry::StoreError,
         Retry::LeaseExpired,
         Retry::WatchCompacted,
+        Retry::DistributorLost,
         Retry::Bounced,
         Retry::OwnerQueried,
     ];
