Distributor: follow everything, and open the log before the key

Cause: with a configuration in parts most balancers watch the parts alone. One of those that was to become the distributor waited for its log to open, which takes a watch on all keys, for as long as it ran: it watched the store itself and nobody could poll it.

A distributor now watches everything, its first watch returns at once, and it gives the role up where the store does not answer within 5 s. all_full ends when a distributor is listed that has not refused this balancer.

--- a/src/edge/distributor.rs
+++ b/src/edge/distributor.rs
@@ -6,6 +6,7 @@
 use std::time::{Duration, Instant};
 
 use tokio::sync::{Notify, watch};
+use tokio::time::timeout;
 
 use super::held_key::HeldKey;
 use crate::events;
@@ -18,6 +19,9 @@
 /// its subscribers watch the store themselves.
 const LEASE_MS: u64 = 6_000;
 
+/// How long a balancer that is to become a distributor tries to read the store.
+const OPEN_TIMEOUT: Duration = Duration::from_secs(5);
+
 /// Interval at which a distributor checks whether it is still needed.
 const CHECK_INTERVAL: Duration = Duration::from_secs(5);
 
@@ -61,8 +65,11 @@
                         self.set_role(true);
                         // Others are to find a log that is open already.
                         self.refresh.notify_one();
-                        self.log.opened().await;
-                        key.acquire();
+                        if timeout(OPEN_TIMEOUT, self.log.opened()).await.is_ok() {
+                            key.acquire();
+                        } else {
+                            self.set_role(false);
+                        }
                     }
                     continue;
                 }
--- a/src/edge/entry.rs
+++ b/src/edge/entry.rs
@@ -197,6 +197,7 @@
     let (snapshots, latest) = watch::channel(None);
     let relaying = relay::run(client.clone(), relay.clone(), steering.clone(), latest.clone());
     let (steering, process_state) = (steering.clone(), process_state.clone());
+    let store = distribution.store.clone();
     tokio::task::spawn_local(async move {
         let distributing = distribution.run(client, latest);
         let mut store_lost = false;
@@ -204,7 +205,10 @@
         let narrow_prefix = |snapshot: &Snapshot| {
             let steering = steering.borrow();
             let evacuations = steering.roster.evacuations.list();
-            let prefix = relay.narrow_prefix(snapshot, steering.config_version(), evacuations);
+            let prefix = relay
+                .narrow_prefix(snapshot, steering.config_version(), evacuations)
+                // A distributor's subscribers may be relays, which need everything.
+                .filter(|_| !store.is_distributing());
             metrics::set_state("follows_parts", prefix.is_some().into());
             prefix
         };
--- a/src/store/distribution/change_log.rs
+++ b/src/store/distribution/change_log.rs
@@ -159,6 +159,12 @@
         self.0.send_modify(|log| log.max_reply = bytes);
     }
 
+    /// Whether [`SharedLog::record`] was called and the log not closed since.
+    #[must_use]
+    pub fn is_open(&self) -> bool {
+        self.0.borrow().current
+    }
+
     /// Waits until [`SharedLog::record`] was called and the log not closed since.
     pub async fn opened(&self) {
         // Fails only if the sender, which `self` holds, is dropped.
--- a/src/store/distribution/mod.rs
+++ b/src/store/distribution/mod.rs
@@ -89,7 +89,9 @@
 
     /// Sets the distributors to poll, the preferred one first.
     pub fn set_distributors(&self, addrs: Vec<SocketAddr>) {
-        self.state.all_full.set(self.state.all_full.get() && !addrs.is_empty());
+        let skipped = self.state.skipped.borrow();
+        let all_tried = !addrs.is_empty() && addrs.iter().all(|a| skipped.contains_key(a));
+        self.state.all_full.set(self.state.all_full.get() && all_tried);
         self.state.distributors.replace(addrs);
     }
 
@@ -207,6 +209,8 @@
         }
         let distributes = self.state.distributes.get() && prefix.is_empty();
         let store = if distributes { &self.distributor_store } else { &self.store };
+        // Subscribers wait for a log to open.
+        let wait = wait && (!distributes || self.log.is_open());
         // Closes the log also when the call is dropped, as the process may have been suspended.
         let close = CloseOnDrop(distributes.then_some(&self.log));
         let batch = store.watch(prefix, after, wait).await?;
--- a/tests/distribution.rs
+++ b/tests/distribution.rs
@@ -5,12 +5,13 @@
 
 use std::cell::RefCell;
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use jujubepost::admin::{self, ProcessState};
 use jujubepost::platform::config;
+use jujubepost::platform::kv::Client;
 use jujubepost::relay::distributor::{Distributor, Term};
 use jujubepost::store::distribution::{
     DistributedStore, MAX_SUBSCRIBERS, Poll, SharedLog, WatchTiming, max_reply_bytes,
@@ -29,10 +30,12 @@
 /// Values in one reply at most, in bytes.
 const MAX_REPLY: usize = 1_000;
 
-/// A store that answers each watch with `batch`, or never; notes the revisions asked for.
+/// A store that answers each watch with `batch`, or never; notes the revisions asked for, and
+/// which calls wait.
 #[derive(Clone, Default)]
 struct FakeStore {
     watched: Rc<RefCell<Vec<i64>>>,
+    waited: Rc<RefCell<Vec<bool>>>,
     batch: Rc<RefCell<Option<WatchBatch>>>,
 }
 
@@ -48,8 +51,9 @@
         anyhow::bail!("not listed in these tests")
     }
 
-    async fn watch(&self, _: &str, after: i64, _: bool) -> anyhow::Result<WatchBatch> {
+    async fn watch(&self, _: &str, after: i64, wait: bool) -> anyhow::Result<WatchBatch> {
         self.watched.borrow_mut().push(after);
+        self.waited.borrow_mut().push(wait);
         let batch = self.batch.borrow().clone();
         match batch {
             Some(batch) => Ok(batch),
@@ -162,6 +166,8 @@
     s.watch("", 10, true).await.unwrap();
     let current = Poll::Changes { rev: 11, changes: Vec::new() };
     assert_eq!(log.poll(Ipv4Addr::LOCALHOST, "", 11).await, current);
+    s.watch("", 11, true).await.unwrap();
+    assert_eq!(*store.waited.borrow(), [false, true], "the first one opens the log at once");
     store.batch.replace(None);
     let poll = log.poll(Ipv4Addr::LOCALHOST, "", 11);
     let dropped = tokio::time::timeout(100 * MS, s.watch("", 11, true));
@@ -293,6 +299,10 @@
     assert_eq!(weak.should_start(&snapshot, false, &mut rng), None, "another one is preferred");
 }
 
+/// Watches in 6 s that a distributor makes, each of which waits for half of [`CONFIG_BOUND`], and
+/// one that was waiting before.
+const MAX_IDLE_WATCHES: u64 = 5;
+
 /// Number of the store stand-in's watch calls so far.
 async fn watch_calls(trial: &Trial) -> u64 {
     let url = format!("http://{}/stats", trial.store_addr());
@@ -330,15 +340,15 @@
     }
 }
 
-/// The balancer whose log says that it distributes.
-fn find_distributor(dir: &std::path::Path, balancers: &[(u8, u8)]) -> Option<(u8, u8)> {
-    balancers.iter().copied().find(|(zone, n)| {
-        let log = std::fs::read_to_string(dir.join(format!("entry-{zone}-{n}.log")));
-        log.unwrap_or_default()
-            .lines()
-            .rfind(|l| l.contains("E725"))
-            .is_some_and(|l| l.contains("\"distributor\":true") || l.contains("distributor=true"))
-    })
+/// Whether the log of a balancer says that it distributes.
+fn distributes(dir: &Path, zone: u8, n: u8) -> bool {
+    let log = std::fs::read_to_string(dir.join(format!("entry-{zone}-{n}.log"))).unwrap();
+    let last = log.lines().rfind(|l| l.contains("E725"));
+    last.is_some_and(|l| l.contains("\"distributor\":true"))
+}
+
+fn find_distributor(dir: &Path, balancers: &[(u8, u8)]) -> Option<(u8, u8)> {
+    balancers.iter().copied().find(|(zone, n)| distributes(dir, *zone, *n))
 }
 
 /// Changes come into force in time while the distributor is suspended, and after it is killed;
@@ -354,7 +364,7 @@
     let before = watch_calls(&trial).await;
     tokio::time::sleep(Duration::from_secs(6)).await;
     let idle = watch_calls(&trial).await - before;
-    assert!(idle <= 8, "{idle} watches in 6 s");
+    assert!(idle <= MAX_IDLE_WATCHES, "{idle} watches in 6 s");
     for (version, signal) in [(2, Signal::SIGSTOP), (3, Signal::SIGKILL)] {
         let (zone, n) = find_distributor(&dir, &all).expect("a distributor");
         let label = format!("entry-{zone}-{n}");
@@ -371,3 +381,30 @@
     trial.shut_down().await;
     let _ = std::fs::remove_dir_all(&dir);
 }
+
+/// Guards against a large configuration, of which most balancers watch only the parts, leaving
+/// everyone to watch the store.
+#[ntex::test]
+async fn large_config_has_distributor() {
+    let exe = PathBuf::from(env!("CARGO_BIN_EXE_jujubepost"));
+    let dir = std::env::temp_dir().join(format!("jujubepost-dist-large-{}", std::process::id()));
+    let plan =
+        Plan { base_port: 28_570, balancers: 4, targets: 1, idle_routes: 300, ..Plan::default() };
+    let mut trial = Trial::start(&exe, &dir, Plan { relay_kib: 16, ..plan }).await.unwrap();
+    let all: Vec<(u8, u8)> = (0..2).flat_map(|z| (0..4).map(move |n| (z, n))).collect();
+    tokio::time::sleep(Duration::from_secs(9)).await;
+    // One that watched the parts takes over.
+    let (zone, n) = find_distributor(&dir, &all).expect("a distributor");
+    trial.stop(&format!("entry-{zone}-{n}")).await;
+    tokio::time::sleep(Duration::from_secs(9)).await;
+    let before = watch_calls(&trial).await;
+    tokio::time::sleep(Duration::from_secs(6)).await;
+    let idle = watch_calls(&trial).await - before;
+    assert!(idle <= MAX_IDLE_WATCHES, "{idle} watches in 6 s");
+    let store = Client::new(trial.store_addr().into(), 1_000 * MS, 1_000 * MS).await.unwrap();
+    let (_, listed) = store.list("jujubepost/distributors/").await.unwrap();
+    let running = all.iter().filter(|(zone, n)| distributes(&dir, *zone, *n)).count();
+    assert_eq!((listed.len(), running), (1, 1), "each one has a key, and there is one");
+    trial.shut_down().await;
+    let _ = std::fs::remove_dir_all(&dir);
+}
