--- a/src/store/distribution/mod.rs
+++ b/src/store/distribution/mod.rs
@@ -98,6 +98,7 @@
     /// Sets whether this process is a distributor. One that ceases to be so sends its
     /// subscribers elsewhere at once.
     pub fn set_distributing(&self, distributes: bool) {
+        metrics::set_state("distributes", distributes.into());
         if self.state.distributes.replace(distributes) && !distributes {
             self.log.close();
         }
@@ -153,7 +154,11 @@
         let mut all_full = false;
         while let Some(addr) = self.choose_distributor(Instant::now()) {
             self.state.subscribed.set(true);
-            match self.poll(addr, prefix, after).await {
+            let started = Instant::now();
+            let reply = self.poll(addr, prefix, after).await;
+            let current = matches!(reply, Ok(Poll::Changes { .. }));
+            metrics::record_store_call("poll", current, started.elapsed());
+            match reply {
                 Ok(Poll::Changes { rev, changes }) => {
                     self.state.all_full.set(false);
                     return Some(WatchBatch { rev, compacted: false, changes });
--- a/tests/distribution.rs
+++ b/tests/distribution.rs
@@ -340,6 +340,16 @@
     }
 }
 
+/// Time since a balancer last heard that its view of the store is current, in ms.
+async fn store_age_ms(trial: &Trial, zone: u8, n: u8) -> f64 {
+    let url = format!("http://{}/metrics", trial.metrics_addr(true, zone, n));
+    let client = ntex::client::Client::new().await;
+    let body = client.get(url).send().await.unwrap().body().await.unwrap();
+    let text = String::from_utf8_lossy(&body).into_owned();
+    let line = text.lines().find(|l| l.contains("\"store_age_ms\"")).unwrap();
+    line.rsplit(' ').next().unwrap().parse().unwrap()
+}
+
 /// Whether the log of a balancer says that it distributes.
 fn distributes(dir: &Path, zone: u8, n: u8) -> bool {
     let log = std::fs::read_to_string(dir.join(format!("entry-{zone}-{n}.log"))).unwrap();
@@ -365,6 +375,10 @@
     tokio::time::sleep(Duration::from_secs(6)).await;
     let idle = watch_calls(&trial).await - before;
     assert!(idle <= MAX_IDLE_WATCHES, "{idle} watches in 6 s");
+    for (zone, n) in &all {
+        let age = store_age_ms(&trial, *zone, *n).await;
+        assert!(age < 4_000.0, "operators take more as a fault: {age}");
+    }
     for (version, signal) in [(2, Signal::SIGSTOP), (3, Signal::SIGKILL)] {
         let (zone, n) = find_distributor(&dir, &all).expect("a distributor");
         let label = format!("entry-{zone}-{n}");
