--- a/tests/distribution.rs
+++ b/tests/distribution.rs
@@ -10,6 +10,7 @@
 use std::time::{Duration, Instant};
 
 use jujubepost::admin::{self, ProcessState};
+use jujubepost::edge::Settings;
 use jujubepost::platform::config;
 use jujubepost::platform::kv::Client;
 use jujubepost::relay::distributor::{Distributor, Term};
@@ -253,6 +254,24 @@
     }
 }
 
+/// A distributor that has lost the store unnoticed must know it well before changes must be in
+/// force at its subscribers.
+#[test]
+fn wait_follows_from_bounds() {
+    for (bounds, wait_ms) in [
+        ("\"config_ms\": 3000", 1_500),
+        ("\"config_ms\": 5000, \"evacuate_ms\": 4000", 2_000),
+        ("\"config_ms\": 5000, \"evacuate_ms\": 9000", 2_500),
+        ("\"config_ms\": 60000", 3_000),
+    ] {
+        let text = format!("{{ \"packets\": \"127.0.0.1:1\", \"bounds\": {{ {bounds} }} }}");
+        let settings = Settings::parse(&text).unwrap();
+        assert_eq!(settings.distributor_wait(), wait_ms * MS, "{bounds}");
+    }
+    let zero = "{ \"packets\": \"127.0.0.1:1\", \"bounds\": { \"config_ms\": 0 } }";
+    assert!(Settings::parse(zero).unwrap_err().to_string().contains("bounds.config_ms"));
+}
+
 fn balancer_at(n: u8, mbps: f64) -> Distributor {
     Distributor::new("gjw", Ipv4Addr::new(10, 1, 0, n), mbps)
 }
