--- a/src/admin/client.rs
+++ b/src/admin/client.rs
@@ -12,7 +12,7 @@
 
 use super::{AdminClient, Faults, Status};
 use crate::store::Snapshot;
-use crate::store::distribution::Poll;
+use crate::store::distribution::PollReply;
 
 /// A connection to the admin server of one process.
 #[derive(Clone, Debug)]
@@ -92,7 +92,7 @@
         subscriber: Ipv4Addr,
         prefix: &str,
         after: i64,
-    ) -> anyhow::Result<Poll> {
+    ) -> anyhow::Result<PollReply> {
         let res = self.client.poll_changes(self.context(), subscriber, prefix.into(), after).await;
         res.with_context(|| format!("admin: polling the changes of {}", self.addr))
     }
--- a/src/admin/server.rs
+++ b/src/admin/server.rs
@@ -12,7 +12,7 @@
 
 use super::{Admin, Faults, ProcessState, Status};
 use crate::store::Snapshot;
-use crate::store::distribution::Poll;
+use crate::store::distribution::PollReply;
 
 /// Largest number of calls of one connection that run at once.
 const MAX_CONCURRENT_CALLS: usize = 8;
@@ -82,7 +82,7 @@
         subscriber: Ipv4Addr,
         prefix: Arc<str>,
         after: i64,
-    ) -> Poll {
+    ) -> PollReply {
         self.0.change_log().poll(subscriber, &prefix, after).await
     }
 }
--- a/src/store/distribution/change_log.rs
+++ b/src/store/distribution/change_log.rs
@@ -38,7 +38,7 @@
 
 /// A distributor's reply to a poll.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Poll {
+pub enum PollReply {
     /// The changes after the subscriber's revision, oldest first.
     Changes {
         /// The store's revision that the distributor has read.
@@ -92,16 +92,16 @@
         !self.current || after < self.start || self.changes_after(prefix, after).next().is_some()
     }
 
-    fn reply(&self, prefix: &str, after: i64) -> Poll {
+    fn reply(&self, prefix: &str, after: i64) -> PollReply {
         if !self.current || self.rev < after {
-            return Poll::NotCurrent;
+            return PollReply::NotCurrent;
         }
         let changes: Vec<_> = self.changes_after(prefix, after).cloned().collect();
         let size: usize = changes.iter().map(value_len).sum();
         if after < self.start || size > self.max_reply {
-            return Poll::ReadStore;
+            return PollReply::ReadStore;
         }
-        Poll::Changes { rev: self.rev, changes }
+        PollReply::Changes { rev: self.rev, changes }
     }
 
     fn changes_after<'a>(
@@ -176,7 +176,7 @@
         self.0.send_modify(|log| log.record(after, batch));
     }
 
-    /// Replies [`Poll::NotCurrent`] until the next [`SharedLog::record`].
+    /// Replies [`PollReply::NotCurrent`] until the next [`SharedLog::record`].
     pub fn close(&self) {
         self.0.send_if_modified(|log| std::mem::take(&mut log.current));
     }
@@ -189,14 +189,14 @@
     }
 
     /// Waits up to [`POLL_WAIT`] for changes under `prefix` after revision `after`.
-    pub async fn poll(&self, subscriber: Ipv4Addr, prefix: &str, after: i64) -> Poll {
+    pub async fn poll(&self, subscriber: Ipv4Addr, prefix: &str, after: i64) -> PollReply {
         let mut admitted = true;
         self.0.send_if_modified(|log| {
             admitted = !log.current || log.admit(subscriber, Instant::now());
             false
         });
         if !admitted {
-            return Poll::Full;
+            return PollReply::Full;
         }
         let mut log = self.0.subscribe();
         let news = log.wait_for(|log| log.has_reply(prefix, after));
--- a/src/store/distribution/mod.rs
+++ b/src/store/distribution/mod.rs
@@ -14,7 +14,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-pub use change_log::{MAX_SUBSCRIBERS, POLL_WAIT, Poll, SharedLog, max_reply_bytes};
+pub use change_log::{MAX_SUBSCRIBERS, POLL_WAIT, PollReply, SharedLog, max_reply_bytes};
 
 use super::{Kv, WatchBatch, WatchStore};
 use crate::admin::Connection;
@@ -156,19 +156,19 @@
             self.state.subscribed.set(true);
             let started = Instant::now();
             let reply = self.poll(addr, prefix, after).await;
-            let current = matches!(reply, Ok(Poll::Changes { .. }));
+            let current = matches!(reply, Ok(PollReply::Changes { .. }));
             metrics::record_store_call("poll", current, started.elapsed());
             match reply {
-                Ok(Poll::Changes { rev, changes }) => {
+                Ok(PollReply::Changes { rev, changes }) => {
                     self.state.all_full.set(false);
                     return Some(WatchBatch { rev, compacted: false, changes });
                 }
-                Ok(Poll::ReadStore) => return None,
-                Ok(Poll::Full) => {
+                Ok(PollReply::ReadStore) => return None,
+                Ok(PollReply::Full) => {
                     all_full = true;
                     self.skip(addr, FULL_DELAY);
                 }
-                Ok(Poll::NotCurrent) => self.skip(addr, RETRY_DELAY),
+                Ok(PollReply::NotCurrent) => self.skip(addr, RETRY_DELAY),
                 Err(e) => {
                     log::info!(
                         event = events::DISTRIBUTOR_LOST, error:% = format!("{e:#}");
@@ -185,7 +185,7 @@
         None
     }
 
-    async fn poll(&self, addr: SocketAddr, prefix: &str, after: i64) -> anyhow::Result<Poll> {
+    async fn poll(&self, addr: SocketAddr, prefix: &str, after: i64) -> anyhow::Result<PollReply> {
         let known = self.state.connection.borrow().clone().filter(|(to, _)| *to == addr);
         let connection = match known {
             Some((_, connection)) => connection,
--- a/tests/distribution.rs
+++ b/tests/distribution.rs
@@ -15,7 +15,7 @@
 use jujubepost::platform::kv::Client;
 use jujubepost::relay::distributor::{Distributor, Term};
 use jujubepost::store::distribution::{
-    DistributedStore, MAX_SUBSCRIBERS, Poll, SharedLog, WatchTiming, max_reply_bytes,
+    DistributedStore, MAX_SUBSCRIBERS, PollReply, SharedLog, WatchTiming, max_reply_bytes,
 };
 use jujubepost::store::{Change, Kv, Snapshot, WatchBatch, WatchStore};
 use jujubepost::trial::{Plan, Trial};
@@ -165,7 +165,7 @@
     let s = distributed(&store, &log);
     s.set_distributing(true);
     s.watch("", 10, true).await.unwrap();
-    let current = Poll::Changes { rev: 11, changes: Vec::new() };
+    let current = PollReply::Changes { rev: 11, changes: Vec::new() };
     assert_eq!(log.poll(Ipv4Addr::LOCALHOST, "", 11).await, current);
     s.watch("", 11, true).await.unwrap();
     assert_eq!(*store.waited.borrow(), [false, true], "the first one opens the log at once");
@@ -175,13 +175,13 @@
     let started = Instant::now();
     let (reply, dropped) = futures_util::join!(poll, dropped);
     assert!(dropped.is_err(), "the store does not answer");
-    assert_eq!(reply, Poll::NotCurrent);
+    assert_eq!(reply, PollReply::NotCurrent);
     assert!(started.elapsed() < 500 * MS);
     // One that is no distributor any more does not open its log again.
     store.batch.replace(Some(batch(12, &[])));
     s.set_distributing(false);
     s.watch("", 11, true).await.unwrap();
-    assert_eq!(log.poll(Ipv4Addr::LOCALHOST, "", 11).await, Poll::NotCurrent);
+    assert_eq!(log.poll(Ipv4Addr::LOCALHOST, "", 11).await, PollReply::NotCurrent);
 }
 
 /// A gap in what a distributor read is never handed on as if nothing had happened in it.
@@ -193,15 +193,15 @@
     log.record(10, &batch(12, &[put("a/1", 12, 1)]));
     // Listed anew meanwhile, at revision 30.
     log.record(30, &batch(31, &[put("a/1", 31, 1)]));
-    assert_eq!(poll(12).await, Poll::ReadStore);
-    let newest = Poll::Changes { rev: 31, changes: vec![put("a/1", 31, 1)] };
+    assert_eq!(poll(12).await, PollReply::ReadStore);
+    let newest = PollReply::Changes { rev: 31, changes: vec![put("a/1", 31, 1)] };
     assert_eq!(poll(30).await, newest);
     // More changes than are kept.
     let many: Vec<_> = (0..2_000).map(|n| put("a/1", 40 + n, 0)).collect();
     log.record(31, &batch(2_040, &many));
-    assert_eq!(poll(31).await, Poll::ReadStore);
+    assert_eq!(poll(31).await, PollReply::ReadStore);
     assert!(
-        matches!(poll(2_030).await, Poll::Changes { rev: 2_040, changes } if changes.len() == 9)
+        matches!(poll(2_030).await, PollReply::Changes { rev: 2_040, changes } if changes.len() == 9)
     );
 }
 
@@ -213,7 +213,7 @@
     let (server, log) = distributor(addr, &batch(12, &[put("a/1", 12, 1)])).await;
     for n in 1..=MAX_SUBSCRIBERS {
         let subscriber = Ipv4Addr::new(10, 0, 0, u8::try_from(n).unwrap());
-        assert!(matches!(log.poll(subscriber, "", 10).await, Poll::Changes { .. }));
+        assert!(matches!(log.poll(subscriber, "", 10).await, PollReply::Changes { .. }));
     }
     assert_eq!(log.subscriber_count(Instant::now()), MAX_SUBSCRIBERS);
     let store = FakeStore::answering(14);
