--- a/src/edge/distributor.rs
+++ b/src/edge/distributor.rs
@@ -1,6 +1,7 @@
 //! Carries out the decisions of [`Distributor`]: holds the distributor's key and names the
 //! distributors to the [`DistributedStore`].
 
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -34,6 +35,9 @@
     pub(super) refresh: Arc<Notify>,
     /// Port at which balancers serve their change logs.
     pub(super) port: u16,
+    /// Whether this balancer needs only a part of the store's keys, as another one publishes a
+    /// large configuration in parts.
+    pub(super) parts_suffice: Cell<bool>,
 }
 
 impl Distribution {
@@ -53,7 +57,7 @@
                 if key.is_held() {
                     let subscribers = self.log.subscriber_count(Instant::now());
                     let term = Term { age: since.elapsed(), subscribers };
-                    if self.distributor.should_stop(snapshot, term) {
+                    if self.parts_suffice.get() || self.distributor.should_stop(snapshot, term) {
                         self.set_role(false);
                         key.release(true).await;
                     }
@@ -81,7 +85,12 @@
         }
     }
 
+    /// Whether, and after which delay, to become a distributor. Of a large configuration that is
+    /// one of the relays, which follow everything anyway.
     fn should_start(&self, snapshot: &Snapshot) -> Option<Duration> {
+        if self.parts_suffice.get() {
+            return None;
+        }
         self.distributor.should_start(snapshot, self.store.all_full(), &mut rand::rng())
     }
 
--- a/src/edge/entry.rs
+++ b/src/edge/entry.rs
@@ -1,7 +1,7 @@
 //! The balancer on an entry VM: receives callers' packets from the platform's
 //! routers and forwards each to an agent, as [`FlowSteering`] decides.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::net::SocketAddrV4;
 use std::path::Path;
 use std::rc::Rc;
@@ -163,6 +163,7 @@
         log,
         refresh,
         port: settings.message_addr().port(),
+        parts_suffice: Cell::new(false),
     }
 }
 
@@ -197,7 +198,6 @@
     let (snapshots, latest) = watch::channel(None);
     let relaying = relay::run(client.clone(), relay.clone(), steering.clone(), latest.clone());
     let (steering, process_state) = (steering.clone(), process_state.clone());
-    let store = distribution.store.clone();
     tokio::task::spawn_local(async move {
         let distributing = distribution.run(client, latest);
         let mut store_lost = false;
@@ -205,10 +205,10 @@
         let narrow_prefix = |snapshot: &Snapshot| {
             let steering = steering.borrow();
             let evacuations = steering.roster.evacuations.list();
-            let prefix = relay
-                .narrow_prefix(snapshot, steering.config_version(), evacuations)
-                // A distributor's subscribers may be relays, which need everything.
-                .filter(|_| !store.is_distributing());
+            let prefix = relay.narrow_prefix(snapshot, steering.config_version(), evacuations);
+            distribution.parts_suffice.set(prefix.is_some());
+            // A distributor's subscribers may be relays, which need everything.
+            let prefix = prefix.filter(|_| !distribution.store.is_distributing());
             metrics::set_state("follows_parts", prefix.is_some().into());
             prefix
         };
