--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -2,6 +2,7 @@
 //! data centre, the relay, watches the whole value in the store, and the others
 //! watch only the parts. A relay holds a key under a short lease. Writes are
 //! conditional on the revision of the index, so several relays may run at once.
+//! [`distributor`] decides who watches the store for the others.
 //! Only decisions are made here; [`crate::edge`] does the I/O.
 
 pub mod distributor;
