Store: the stand-in restores a backup; balancers show the store's era and their revision

Both interfaces name the era: the platform's in a header of every response, ours in the JSON header.

To tell the hypotheses of the incident apart: E727 and store_era say when the store was restored, snapshot_rev up to which revision a balancer follows it, and E704 that a listed configuration is older than the one in force. No decision changes.

--- a/src/ctl/mod.rs
+++ b/src/ctl/mod.rs
@@ -103,6 +103,12 @@
         /// Clear the history kept for watches, once.
         #[arg(long)]
         forget: bool,
+        /// Make a backup of all keys, once.
+        #[arg(long)]
+        backup: bool,
+        /// Restore the last backup, once: later changes are lost.
+        #[arg(long)]
+        restore: bool,
     },
 }
 
@@ -160,7 +166,7 @@
             println!("in force everywhere after {took:?}");
             Ok(())
         }
-        Command::Fault { outage, delay_ms, lose, lapse, forget } => {
+        Command::Fault { outage, delay_ms, lose, lapse, forget, backup, restore } => {
             set_store_faults(
                 &settings,
                 &Faults {
@@ -169,6 +175,8 @@
                     lost_responses: lose,
                     refuse_keepalives: lapse,
                     clear_history: forget,
+                    backup,
+                    restore,
                 },
             )
             .await
--- a/src/edge/entry.rs
+++ b/src/edge/entry.rs
@@ -214,6 +214,7 @@
         };
         let follow = mirror::follow(&source, narrow_prefix, |event| match event {
             MirrorEvent::Updated(snapshot) => {
+                metrics::set_state("snapshot_rev", snapshot.rev.unsigned_abs());
                 reader.apply_snapshot(&mut steering.borrow_mut(), snapshot);
                 process_state.set_ready(steering.borrow().is_ready());
                 let snapshot = Arc::new(snapshot.clone());
--- a/src/edge/snapshot.rs
+++ b/src/edge/snapshot.rs
@@ -161,6 +161,13 @@
 /// Applies `routes`; `decoded_parts` is only logged.
 fn apply_routes(steering: &mut FlowSteering, routes: Routes, rev: i64, decoded_parts: usize) {
     let (version, n) = (routes.version, routes.by_address.len());
+    let in_force = steering.config_version();
+    if in_force > Some(version) {
+        log::warn!(
+            event = events::EDGE_CONFIG, version = version, in_force:? = in_force, rev = rev;
+            "configuration is older than the one in force; ignored"
+        );
+    }
     if steering.apply_routes(routes) {
         log::info!(
             event = events::EDGE_CONFIG, version = version, routes = n, rev = rev,
--- a/src/events/mod.rs
+++ b/src/events/mod.rs
@@ -105,6 +105,8 @@
 pub const DISTRIBUTOR_ROLE: &str = "E725";
 /// A distributor did not answer; its subscriber watches the store itself.
 pub const DISTRIBUTOR_LOST: &str = "E726";
+/// The store was restored from an older copy.
+pub const STORE_RESTORED: &str = "E727";
 /// No agent answered an open in time; it is offered to the next.
 pub const OPEN_UNANSWERED: &str = "E716";
 /// An agent refused an open; its target received nothing.
--- a/src/platform/kv.rs
+++ b/src/platform/kv.rs
@@ -3,7 +3,9 @@
 //! Every error names the operation with its key, and the service's address. A
 //! call without a response may have taken effect, or may do so seconds later.
 
+use std::cell::Cell;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use anyhow::{Context, bail};
@@ -11,6 +13,7 @@
 use base64::engine::general_purpose::STANDARD as B64;
 use ntex::client::{ClientRequest, ClientResponse};
 use ntex::http::StatusCode;
+use ntex::http::header::HeaderName;
 use serde::{Deserialize, Serialize};
 
 use crate::store::{Change, Kv, LeaseStore, WatchBatch, WatchStore};
@@ -20,6 +23,9 @@
 /// JSON, with a margin.
 const MAX_RESPONSE_BYTES: usize = 4 << 20;
 
+/// Header with the store's era, which rises each time the store is restored from a backup.
+pub(super) const ERA_HEADER: HeaderName = HeaderName::from_static("store-era");
+
 /// Time limit on the response of a watch after its wait has ended.
 const WATCH_SLACK: Duration = Duration::from_millis(500);
 
@@ -30,6 +36,9 @@
     addr: SocketAddr,
     timeout: Duration,
     watch_wait: Duration,
+    /// Latest era that a response named, 0 if none did; shared by all clones. `None` before the
+    /// first response.
+    era: Rc<Cell<Option<u32>>>,
 }
 
 #[derive(Debug, Deserialize)]
@@ -142,7 +151,7 @@
         watch_wait: Duration,
     ) -> anyhow::Result<Self> {
         let http = super::connector::build_client(addr).await?;
-        Ok(Self { http, addr, timeout, watch_wait })
+        Ok(Self { http, addr, timeout, watch_wait, era: Rc::default() })
     }
 
     /// Replaces how long a watch waits for a change.
@@ -177,9 +186,27 @@
         let ok = matches!(&response, Ok(Ok(res)) if res.status().is_success());
         let call = operation.split(' ').next().unwrap_or_default();
         metrics::record_store_call(call, ok, started.elapsed());
-        response
+        let response = response
             .map_err(|_| anyhow::anyhow!("{operation} at store {}: timeout", self.addr))?
-            .map_err(|e| anyhow::anyhow!("{operation} at store {}: {e}", self.addr))
+            .map_err(|e| anyhow::anyhow!("{operation} at store {}: {e}", self.addr))?;
+        self.note_era(read_era(&response));
+        Ok(response)
+    }
+
+    /// Records the era that a response names.
+    fn note_era(&self, era: u32) {
+        let known = self.era.get();
+        if Some(era) <= known {
+            return;
+        }
+        self.era.set(Some(era));
+        metrics::set_state("store_era", era.into());
+        if let Some(known) = known {
+            log::warn!(
+                event = events::STORE_RESTORED, era = era, known_era = known;
+                "store was restored from an older copy"
+            );
+        }
     }
 
     async fn read_json<A: serde::de::DeserializeOwned>(
@@ -352,6 +379,12 @@
     }
 }
 
+/// The era that a response names; 0 if none.
+fn read_era(response: &ClientResponse) -> u32 {
+    let value = response.headers().get(ERA_HEADER).and_then(|v| v.to_str().ok());
+    value.and_then(|v| v.trim().parse().ok()).unwrap_or_default()
+}
+
 fn decode_kv(item: Item) -> anyhow::Result<Kv> {
     let value = B64.decode(&item.value).with_context(|| format!("value of {}", item.key))?;
     Ok(Kv { key: item.key.into(), value, rev: item.revision, lease: item.lease })
--- a/src/platform/server.rs
+++ b/src/platform/server.rs
@@ -6,11 +6,15 @@
 
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD as B64;
+use ntex::SharedCfg;
+use ntex::http::header::HeaderValue;
+use ntex::service::{Middleware, Service, ServiceCtx};
 use ntex::util::Bytes;
 use ntex::web::types::{Json, Path, Query, State};
-use ntex::web::{self, HttpResponse, ServiceConfig};
+use ntex::web::{self, HttpResponse, ServiceConfig, WebRequest, WebResponse};
 use serde::{Deserialize, Serialize};
 
+use super::kv::ERA_HEADER;
 use crate::store;
 use crate::store::server::{Db, Entry, ServerState, inject_faults, loses_response};
 
@@ -31,12 +35,58 @@
 
 /// Registers the handlers.
 fn routes(cfg: &mut ServiceConfig) {
-    cfg.route("/v1/kv-key", web::get().to(get_key))
-        .route("/v1/kv-range", web::get().to(range))
-        .route("/v1/kv-watch", web::get().to(watch))
-        .route("/v1/kv-txn", web::post().to(txn))
-        .route("/v1/kv-lease", web::post().to(grant_lease))
-        .route("/v1/kv-keep/{id}", web::post().to(renew_lease));
+    let calls = web::scope("/v1")
+        .middleware(EraHeader)
+        .route("/kv-key", web::get().to(get_key))
+        .route("/kv-range", web::get().to(range))
+        .route("/kv-watch", web::get().to(watch))
+        .route("/kv-txn", web::post().to(txn))
+        .route("/kv-lease", web::post().to(grant_lease))
+        .route("/kv-keep/{id}", web::post().to(renew_lease));
+    cfg.service(calls);
+}
+
+/// Adds the store's era to every response.
+#[derive(Clone, Copy, Debug)]
+struct EraHeader;
+
+impl<S> Middleware<S, SharedCfg> for EraHeader {
+    type Service = EraHeaderService<S>;
+
+    fn create(&self, service: S, _: SharedCfg) -> Self::Service {
+        EraHeaderService { service }
+    }
+}
+
+#[derive(Debug)]
+struct EraHeaderService<S> {
+    service: S,
+}
+
+impl<S, E> Service<WebRequest<E>> for EraHeaderService<S>
+where
+    S: Service<WebRequest<E>, Response = WebResponse>,
+{
+    type Response = WebResponse;
+    type Error = S::Error;
+
+    ntex::forward_poll!(service);
+    ntex::forward_ready!(service);
+    ntex::forward_shutdown!(service);
+
+    async fn call(
+        &self,
+        req: WebRequest<E>,
+        ctx: ServiceCtx<'_, Self>,
+    ) -> Result<WebResponse, S::Error> {
+        let state = req.app_state::<ServerState>().cloned();
+        let mut res = ctx.call(&self.service, req).await?;
+        if let Some(state) = state {
+            let era = HeaderValue::from(state.lock().era);
+            res.headers_mut().insert(ERA_HEADER, era);
+        }
+        Ok(res)
+    }
 }
 
 #[derive(Debug, Serialize)]
@@ -199,7 +249,11 @@
     if let Err(r) = inject_faults(&state).await {
         return r;
     }
-    state.lock().stats.watches += 1;
+    let era = {
+        let mut db = state.lock();
+        db.stats.watches += 1;
+        db.era
+    };
     let deadline = Instant::now() + Duration::from_millis(q.wait_ms);
     loop {
         let notified = state.notify.notified();
@@ -207,6 +261,9 @@
         notified.as_mut().enable();
         {
             let db = state.lock();
+            if db.era != era {
+                return HttpResponse::ServiceUnavailable().body("store: restored");
+            }
             let Some(events) = changes(&db, &q) else { return HttpResponse::Gone().finish() };
             if !events.is_empty() || Instant::now() >= deadline {
                 return HttpResponse::Ok().json(&Events { events, as_of: db.rev });
--- a/src/script/mod.rs
+++ b/src/script/mod.rs
@@ -90,6 +90,8 @@
                 Self::store_fault(|f| f.lost_responses = n)
             }
             ["store", "forget"] => Self::store_fault(|f| f.clear_history = true),
+            ["store", "backup"] => Self::store_fault(|f| f.backup = true),
+            ["store", "restore"] => Self::store_fault(|f| f.restore = true),
             ["store", "lapse"] => Self::store_fault(|f| f.refuse_keepalives = true),
             ["fabric", "lose", n] => {
                 Self::Fabric(Faults { lost_permille: n.parse()?, ..Faults::default() })
--- a/src/store/client.rs
+++ b/src/store/client.rs
@@ -193,7 +193,7 @@
     ///
     /// As [`Client::put`].
     pub async fn grant(&self, ttl: i64) -> anyhow::Result<i64> {
-        let req = Lease { id: 0, ttl };
+        let req = Lease { ttl, ..Lease::default() };
         let res: Lease = self.call("/v3/lease/grant", &req, self.timeout, "lease grant").await?;
         Ok(res.id)
     }
@@ -204,7 +204,7 @@
     ///
     /// As [`Client::list`].
     pub async fn keepalive(&self, id: i64) -> anyhow::Result<i64> {
-        let req = Lease { id, ttl: 0 };
+        let req = Lease { id, ..Lease::default() };
         let operation = format!("keepalive of lease {id}");
         let res: KeepAliveResponse =
             self.call("/v3/lease/keepalive", &req, self.timeout, &operation).await?;
--- a/src/store/server/calls.rs
+++ b/src/store/server/calls.rs
@@ -133,7 +133,7 @@
     if loses_response(&mut db) {
         return HttpResponse::GatewayTimeout().finish();
     }
-    HttpResponse::Ok().json(&Lease { id, ttl })
+    HttpResponse::Ok().json(&Lease { header: db.header(), id, ttl })
 }
 
 async fn keepalive(state: State<ServerState>, req: Json<Lease>) -> HttpResponse {
@@ -143,7 +143,8 @@
     let mut db = state.lock();
     db.stats.keepalives += 1;
     let ttl = db.renew(req.id).map_or(0, |ttl| ttl.as_secs() as i64);
-    HttpResponse::Ok().json(&KeepAliveResponse { result: Lease { id: req.id, ttl } })
+    let result = Lease { id: req.id, ttl, ..Lease::default() };
+    HttpResponse::Ok().json(&KeepAliveResponse { header: db.header(), result })
 }
 
 async fn watch(state: State<ServerState>, req: Json<WatchRequest>) -> HttpResponse {
@@ -155,7 +156,11 @@
         (Ok(s), Ok(e)) => (s, e),
         (Err(r), _) | (_, Err(r)) => return r,
     };
-    state.lock().stats.watches += 1;
+    let era = {
+        let mut db = state.lock();
+        db.stats.watches += 1;
+        db.era
+    };
     let deadline = Instant::now() + WATCH_WAIT;
     loop {
         let notified = state.notify.notified();
@@ -163,6 +168,9 @@
         notified.as_mut().enable();
         {
             let db = state.lock();
+            if db.era != era {
+                return HttpResponse::ServiceUnavailable().body("store: restored");
+            }
             if db.is_compacted(c.start_revision) {
                 let oldest = db.history.first().map_or(db.rev + 1, |(r, _)| *r);
                 let result = WatchResult {
--- a/src/store/server/db.rs
+++ b/src/store/server/db.rs
@@ -29,6 +29,11 @@
     /// Clears the history kept for watches, once.
     #[serde(rename = "forget")]
     pub clear_history: bool,
+    /// Makes a backup of all keys and leases, once.
+    pub backup: bool,
+    /// Restores the last backup, once: later changes are lost, revisions are given out again,
+    /// and the era rises by one.
+    pub restore: bool,
 }
 
 /// Number of calls by kind.
@@ -58,16 +63,28 @@
 }
 
 /// A granted lease.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(crate) struct LeaseState {
     ttl: Duration,
     deadline: Instant,
     keys: HashSet<Vec<u8>>,
 }
 
+/// The keys and leases at one moment.
+#[derive(Debug)]
+struct Backup {
+    rev: i64,
+    kvs: BTreeMap<Vec<u8>, Entry>,
+    leases: HashMap<i64, LeaseState>,
+    next_lease: i64,
+    taken_at: Instant,
+}
+
 /// Keys and leases, shared by the handlers of both protocols.
 #[derive(Debug, Default)]
 pub(crate) struct Db {
+    /// How often a backup was restored.
+    pub era: u32,
     /// Revision of the last change.
     pub rev: i64,
     /// Entries by key.
@@ -76,6 +93,7 @@
     /// Changes by revision, oldest first.
     pub history: Vec<(i64, Event)>,
     next_lease: i64,
+    backup: Option<Backup>,
     /// Injected faults.
     pub faults: Faults,
     /// Calls so far.
@@ -85,7 +103,33 @@
 impl Db {
     /// Header of a response.
     pub fn header(&self) -> Header {
-        Header { revision: self.rev }
+        Header { revision: self.rev, era: self.era }
+    }
+
+    /// Makes a backup of the keys and leases.
+    pub fn back_up(&mut self) {
+        self.backup = Some(Backup {
+            rev: self.rev,
+            kvs: self.kvs.clone(),
+            leases: self.leases.clone(),
+            next_lease: self.next_lease,
+            taken_at: Instant::now(),
+        });
+    }
+
+    /// Restores the last backup; returns whether there is one. Leases have as much time left as
+    /// they had in the backup.
+    pub fn restore(&mut self) -> bool {
+        let Some(backup) = self.backup.take() else { return false };
+        let elapsed = backup.taken_at.elapsed();
+        self.era += 1;
+        self.rev = backup.rev;
+        self.kvs = backup.kvs;
+        self.leases = backup.leases;
+        self.leases.values_mut().for_each(|l| l.deadline += elapsed);
+        self.next_lease = backup.next_lease;
+        self.history.retain(|(rev, _)| *rev <= backup.rev);
+        true
     }
 
     /// Encodes an entry for a response.
@@ -156,10 +200,12 @@
         Some(l.ttl)
     }
 
-    /// Whether the history lacks changes from revision `start` on.
+    /// Whether the history lacks changes from revision `start` on, or `start` is of the
+    /// changes that were lost in a restore.
     pub fn is_compacted(&self, start: i64) -> bool {
         let oldest = self.history.first().map_or(self.rev + 1, |(r, _)| *r);
-        start < oldest && start <= self.rev && self.rev > 0
+        let compacted = start < oldest && start <= self.rev && self.rev > 0;
+        compacted || start > self.rev + 1
     }
 
     fn append_history(&mut self, ev: Event) {
--- a/src/store/server/mod.rs
+++ b/src/store/server/mod.rs
@@ -75,6 +75,13 @@
     if req.clear_history {
         db.history.clear();
     }
+    if req.backup {
+        db.back_up();
+    }
+    if req.restore && db.restore() {
+        log::warn!("{} backup restored, era {}", events::STORE_FAULTS_SET, db.era);
+        state.notify.notify_waiters();
+    }
     db.faults = req.0;
     HttpResponse::Ok().finish()
 }
--- a/src/store/types.rs
+++ b/src/store/types.rs
@@ -43,6 +43,9 @@
     /// The store's revision when it responded.
     #[serde(default, with = "int64")]
     pub revision: i64,
+    /// How often the store was restored from a backup.
+    #[serde(default)]
+    pub era: u32,
 }
 
 /// A key with its value and revisions.
@@ -156,6 +159,9 @@
 /// `/v3/lease/grant` request and response, and `/v3/lease/keepalive` request.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct Lease {
+    /// Header of the response.
+    #[serde(default)]
+    pub header: Header,
     /// Lease identifier.
     #[serde(rename = "ID", default, with = "int64")]
     pub id: i64,
@@ -167,6 +173,9 @@
 /// `/v3/lease/keepalive` response.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct KeepAliveResponse {
+    /// Header of the response.
+    #[serde(default)]
+    pub header: Header,
     /// The lease; a TTL of 0 or less means it has expired.
     #[serde(default)]
     pub result: Lease,
