Store: a revision holds the store's era, so that a restored store is followed

What callers saw: requests were handled by version 19 of the configuration more than 3 s after version 22 had been acknowledged, on all balancers.

Cause: the store had been restored from a copy some seconds old. The listing it then took held version 29 at revision 19; version 19 had been decoded at revision 19, so it was not decoded again (until 31 s).

Ruled out: a store that does not answer or answers late (all calls of 19 to 25 s were answered).

Class: an order or identity taken from a number that the other side may give out again. A watch answered by another era than that of its start counts as compacted; a condition on a revision of an earlier era cannot hold and is not sent; pages of two eras are not put together. A subscriber's first call to the store after its distributor does not wait, as the store may have been restored unnoticed. Weighed against it: a pair type in all messages and records (the same order, a change of every format), and clearing all caches on a change of era (each new cache would have to think of it).

Red before, green now: change_applies_after_restore, reissued_revision_applies, own_interface_follows_restore.

--- a/src/balancer/view_updater.rs
+++ b/src/balancer/view_updater.rs
@@ -11,6 +11,7 @@
 use crate::events;
 use crate::metrics;
 use crate::store::mirror::{MirrorEvent, Snapshot, Source};
+use crate::store::revision::RevisionText;
 use crate::store::{self, KeyLayout};
 
 /// How often the hold of missing targets is checked for expiry.
@@ -42,7 +43,7 @@
             self.rebuild();
             let reverted = self.snapshot.rev < self.process_state.snapshot().rev;
             metrics::check_invariant(!reverted, "view_never_reverts", || {
-                format!("to {}", self.snapshot.rev)
+                format!("to {}", RevisionText(self.snapshot.rev))
             });
             self.process_state.set_snapshot(self.snapshot.clone());
             self.process_state.set_ready(true);
--- a/src/ctl/fleet.rs
+++ b/src/ctl/fleet.rs
@@ -9,6 +9,7 @@
 
 use crate::admin::{self, Status};
 use crate::settings::Settings;
+use crate::store::revision::RevisionText;
 use crate::store::{self, KeyLayout, Snapshot};
 
 /// Timeout of a status call to one process.
@@ -75,7 +76,8 @@
             .filter(|(p, _)| p.role != "fabric")
             .filter_map(|(p, st)| {
                 let st = st.ok()?;
-                (st.config_fingerprint != fingerprint).then(|| format!("{} at {}", p.name, st.rev))
+                (st.config_fingerprint != fingerprint)
+                    .then(|| format!("{} at {}", p.name, RevisionText(st.rev)))
             })
             .collect();
         if lagging.is_empty() {
@@ -84,7 +86,7 @@
         if start.elapsed() >= timeout {
             bail!(
                 "ctl: configuration of revision {} not in force within {timeout:?}: {}",
-                expected.rev,
+                RevisionText(expected.rev),
                 lagging.join(", ")
             );
         }
@@ -102,7 +104,7 @@
                     p.role,
                     p.name,
                     if s.ready { "ready" } else { "not-ready" },
-                    s.rev,
+                    RevisionText(s.rev),
                     s.config_fingerprint,
                     s.flows,
                     s.waiting
--- a/src/ctl/mod.rs
+++ b/src/ctl/mod.rs
@@ -19,6 +19,7 @@
 use crate::flow::Flow;
 use crate::record;
 use crate::settings::{ProfileSettings, Settings};
+use crate::store::revision::RevisionText;
 use crate::store::{self, Faults, KeyLayout};
 
 /// Arguments of `jujubepost ctl`.
@@ -47,7 +48,7 @@
         name: String,
         /// Revision on which the change is based, as `status` prints it.
         #[arg(long)]
-        rev: i64,
+        rev: RevisionText,
     },
     /// Takes a target out of service: after the drain grace it accepts no new flows.
     Drain {
@@ -143,7 +144,7 @@
                 .iter()
                 .find(|p| *p.name == *name)
                 .with_context(|| format!("ctl: no profile `{name}` in the settings"))?;
-            match write_profile(&store, &keys, spec, rev).await? {
+            match write_profile(&store, &keys, spec, rev.0).await? {
                 WriteOutcome::Written => Ok(()),
                 WriteOutcome::Conflict => {
                     bail!("ctl: profile `{name}` changed since revision {rev}: conflict")
@@ -356,7 +357,7 @@
 
 async fn print_store(store: &store::Client, keys: &KeyLayout) -> anyhow::Result<()> {
     let (rev, kvs) = store.list(&keys.root_prefix()).await?;
-    println!("store revision {rev}");
+    println!("store revision {}", RevisionText(rev));
     for kv in kvs {
         let Some((kind, name)) = keys.split(&kv.key) else { continue };
         let lease = if kv.lease == 0 { String::new() } else { format!(" lease {}", kv.lease) };
@@ -366,7 +367,7 @@
             }
             _ => String::new(),
         };
-        println!("{kind:<10} {name:<16} rev {}{lease}{since}", kv.rev);
+        println!("{kind:<10} {name:<16} rev {}{lease}{since}", RevisionText(kv.rev));
     }
     Ok(())
 }
--- a/src/edge/entry.rs
+++ b/src/edge/entry.rs
@@ -26,9 +26,9 @@
 use crate::relay::distributor::Distributor;
 use crate::relay::{Relay, SYSTEM_PREFIX};
 use crate::steering::{self, FlowSteering, RosterSource};
-use crate::store::Snapshot;
 use crate::store::distribution::{DistributedStore, WatchTiming, max_reply_bytes};
 use crate::store::mirror::{self, MirrorEvent, Source};
+use crate::store::{Snapshot, revision};
 use crate::{events, metrics};
 
 /// Size of the receive buffer; longer datagrams are truncated.
@@ -214,7 +214,7 @@
         };
         let follow = mirror::follow(&source, narrow_prefix, |event| match event {
             MirrorEvent::Updated(snapshot) => {
-                metrics::set_state("snapshot_rev", snapshot.rev.unsigned_abs());
+                metrics::set_state("snapshot_rev", revision::counter(snapshot.rev).unsigned_abs());
                 reader.apply_snapshot(&mut steering.borrow_mut(), snapshot);
                 process_state.set_ready(steering.borrow().is_ready());
                 let snapshot = Arc::new(snapshot.clone());
--- a/src/edge/snapshot.rs
+++ b/src/edge/snapshot.rs
@@ -10,6 +10,7 @@
 use super::AGENT_PREFIX;
 use crate::relay::{self, Index, Part};
 use crate::steering::{EvacuationList, FlowSteering, ListedAgent, Routes};
+use crate::store::revision::RevisionText;
 use crate::store::{Kv, Snapshot};
 use crate::{events, metrics, platform};
 
@@ -44,7 +45,7 @@
             if steering.roster.update(&agents, Instant::now()) {
                 log::info!(
                     event = events::EDGE_ROSTER, listed = agents.len(),
-                    believed = steering.roster.len(), rev = snapshot.rev;
+                    believed = steering.roster.len(), rev:% = RevisionText(snapshot.rev);
                     "list of registered agents changed"
                 );
             }
@@ -164,13 +165,14 @@
     let in_force = steering.config_version();
     if in_force > Some(version) {
         log::warn!(
-            event = events::EDGE_CONFIG, version = version, in_force:? = in_force, rev = rev;
+            event = events::EDGE_CONFIG, version = version, in_force:? = in_force,
+            rev:% = RevisionText(rev);
             "configuration is older than the one in force; ignored"
         );
     }
     if steering.apply_routes(routes) {
         log::info!(
-            event = events::EDGE_CONFIG, version = version, routes = n, rev = rev,
+            event = events::EDGE_CONFIG, version = version, routes = n, rev:% = RevisionText(rev),
             parts = decoded_parts;
             "configuration in force"
         );
@@ -180,7 +182,7 @@
 fn log_unreadable_config(kv: &Kv, e: &dyn std::fmt::Display) {
     metrics::count_drop("configuration_unreadable");
     log::error!(
-        event = events::EDGE_CONFIG, key:% = kv.key, rev = kv.rev, error:% = format!("{e:#}");
+        event = events::EDGE_CONFIG, key:% = kv.key, rev:% = RevisionText(kv.rev), error:% = format!("{e:#}");
         "configuration cannot be decoded; the last one stays in force"
     );
 }
--- a/src/platform/kv.rs
+++ b/src/platform/kv.rs
@@ -3,12 +3,10 @@
 //! Every error names the operation with its key, and the service's address. A
 //! call without a response may have taken effect, or may do so seconds later.
 
-use std::cell::Cell;
 use std::net::SocketAddr;
-use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use anyhow::{Context, bail};
+use anyhow::{Context, bail, ensure};
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD as B64;
 use ntex::client::{ClientRequest, ClientResponse};
@@ -16,6 +14,7 @@
 use ntex::http::header::HeaderName;
 use serde::{Deserialize, Serialize};
 
+use crate::store::revision::{self, LatestEra, RevisionText};
 use crate::store::{Change, Kv, LeaseStore, WatchBatch, WatchStore};
 use crate::{events, metrics};
 
@@ -36,9 +35,7 @@
     addr: SocketAddr,
     timeout: Duration,
     watch_wait: Duration,
-    /// Latest era that a response named, 0 if none did; shared by all clones. `None` before the
-    /// first response.
-    era: Rc<Cell<Option<u32>>>,
+    era: LatestEra,
 }
 
 #[derive(Debug, Deserialize)]
@@ -151,7 +148,7 @@
         watch_wait: Duration,
     ) -> anyhow::Result<Self> {
         let http = super::connector::build_client(addr).await?;
-        Ok(Self { http, addr, timeout, watch_wait, era: Rc::default() })
+        Ok(Self { http, addr, timeout, watch_wait, era: LatestEra::default() })
     }
 
     /// Replaces how long a watch waits for a change.
@@ -189,26 +186,10 @@
         let response = response
             .map_err(|_| anyhow::anyhow!("{operation} at store {}: timeout", self.addr))?
             .map_err(|e| anyhow::anyhow!("{operation} at store {}: {e}", self.addr))?;
-        self.note_era(read_era(&response));
+        self.era.record(read_era(&response));
         Ok(response)
     }
 
-    /// Records the era that a response names.
-    fn note_era(&self, era: u32) {
-        let known = self.era.get();
-        if Some(era) <= known {
-            return;
-        }
-        self.era.set(Some(era));
-        metrics::set_state("store_era", era.into());
-        if let Some(known) = known {
-            log::warn!(
-                event = events::STORE_RESTORED, era = era, known_era = known;
-                "store was restored from an older copy"
-            );
-        }
-    }
-
     async fn read_json<A: serde::de::DeserializeOwned>(
         &self,
         operation: &str,
@@ -244,8 +225,9 @@
         if res.status() == StatusCode::NOT_FOUND {
             return Ok(None);
         }
+        let era = read_era(&res);
         let item: Item = self.read_json(&operation, res).await?;
-        decode_kv(item).context(operation).map(Some)
+        decode_kv(item, era).context(operation).map(Some)
     }
 
     /// Writes `put` and removes `remove` atomically if `key` still has the
@@ -261,9 +243,13 @@
         put: &[(String, Vec<u8>)],
         remove: &[String],
     ) -> anyhow::Result<bool> {
-        let operation = format!("swap {key} at {rev}");
+        let operation = format!("swap {key} at {}", RevisionText(rev));
+        if rev != 0 && revision::era(rev) < self.era.get() {
+            // The restored store may have given the revision to another value.
+            return Ok(false);
+        }
         let txn = TxnRequest {
-            expected_rev: vec![Condition { key, revision: rev }],
+            expected_rev: vec![Condition { key, revision: revision::counter(rev) }],
             writes: put.iter().map(|(key, value)| Write::new(key, value, 0)).collect(),
             remove: remove.iter().map(String::as_str).collect(),
         };
@@ -300,12 +286,19 @@
             let req = self.http.get(self.url("/v1/kv-range"));
             let req = req.query(&RangeQuery { prefix, after: &after })?;
             let res = self.send(&operation, req, None, self.timeout).await?;
+            let era = read_era(&res);
             let page: Page = self.read_json(&operation, res).await?;
             // Pages may differ in revision: a watch after the first page's also
             // returns the changes made while the others were read.
-            let rev = *first_rev.get_or_insert(page.as_of);
+            let page_rev = revision::compose(era, page.as_of).context("list")?;
+            let rev = *first_rev.get_or_insert(page_rev);
+            ensure!(
+                revision::era(rev) == era,
+                "{operation} at store {}: restored while its pages were read",
+                self.addr
+            );
             let last_key = page.items.last().map(|i| i.key.clone());
-            kvs.extend(page.items.into_iter().filter_map(decode_or_skip));
+            kvs.extend(page.items.into_iter().filter_map(|item| decode_or_skip(item, era)));
             match last_key {
                 Some(key) if page.truncated => after = key,
                 _ => return Ok((rev, kvs)),
@@ -314,11 +307,11 @@
     }
 
     async fn watch(&self, prefix: &str, after: i64, wait: bool) -> anyhow::Result<WatchBatch> {
-        let operation = format!("watch {prefix} after {after}");
+        let operation = format!("watch {prefix} after {}", RevisionText(after));
         let wait = if wait { self.watch_wait } else { Duration::ZERO };
         let wait_ms = u64::try_from(wait.as_millis()).unwrap_or(u64::MAX);
         let req = self.http.get(self.url("/v1/kv-watch"));
-        let req = req.query(&WatchQuery { prefix, after, wait_ms })?;
+        let req = req.query(&WatchQuery { prefix, after: revision::counter(after), wait_ms })?;
         let res = self
             .send(
                 &operation,
@@ -327,19 +320,27 @@
                 if wait.is_zero() { self.timeout } else { wait + WATCH_SLACK },
             )
             .await?;
+        let compacted = WatchBatch { rev: after, compacted: true, changes: Vec::new() };
         if res.status() == StatusCode::GONE {
-            return Ok(WatchBatch { rev: after, compacted: true, changes: Vec::new() });
+            return Ok(compacted);
         }
+        let era = read_era(&res);
         let events: Events = self.read_json(&operation, res).await?;
+        if era != revision::era(after) {
+            // The restored store may have given out the requested revision again.
+            return Ok(compacted);
+        }
         let mut changes = Vec::with_capacity(events.events.len());
         for e in events.events {
             if e.tombstone {
-                changes.push(Change::Delete { key: e.key.into(), rev: e.revision });
+                let rev = revision::compose(era, e.revision)?;
+                changes.push(Change::Delete { key: e.key.into(), rev });
             } else {
-                changes.extend(decode_or_skip(e).map(Change::Put));
+                changes.extend(decode_or_skip(e, era).map(Change::Put));
             }
         }
-        Ok(WatchBatch { rev: events.as_of, compacted: false, changes })
+        let rev = revision::compose(era, events.as_of)?;
+        Ok(WatchBatch { rev, compacted: false, changes })
     }
 }
 
@@ -373,6 +374,10 @@
         Ok(self.read(KeyQuery { key, serializable: Some(1) }).await?.is_some())
     }
 
+    fn era(&self) -> u32 {
+        self.era.get()
+    }
+
     async fn delete(&self, key: &str) -> anyhow::Result<()> {
         let txn = TxnRequest { remove: vec![key], ..TxnRequest::default() };
         self.commit(&format!("delete {key}"), &txn).await
@@ -385,15 +390,16 @@
     value.and_then(|v| v.trim().parse().ok()).unwrap_or_default()
 }
 
-fn decode_kv(item: Item) -> anyhow::Result<Kv> {
+fn decode_kv(item: Item, era: u32) -> anyhow::Result<Kv> {
     let value = B64.decode(&item.value).with_context(|| format!("value of {}", item.key))?;
-    Ok(Kv { key: item.key.into(), value, rev: item.revision, lease: item.lease })
+    let rev = revision::compose(era, item.revision)?;
+    Ok(Kv { key: item.key.into(), value, rev, lease: item.lease })
 }
 
 /// Decodes an item; one that cannot be decoded is logged and skipped, so that it
 /// does not fail the whole call.
-fn decode_or_skip(item: Item) -> Option<Kv> {
-    decode_kv(item)
+fn decode_or_skip(item: Item, era: u32) -> Option<Kv> {
+    decode_kv(item, era)
         .inspect_err(|e| {
             metrics::count_drop("item_unreadable");
             log::error!(event = events::EDGE_STORE, error:% = format!("{e:#}"); "item cannot be decoded; skipping it");
--- a/src/steering/evacuation.rs
+++ b/src/steering/evacuation.rs
@@ -7,6 +7,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::store::revision::RevisionText;
 use crate::{events, metrics};
 
 /// How long after the end of an evacuation agents are told of it. Longer than targets'
@@ -89,18 +90,21 @@
             .map(|(zone, at)| {
                 let state = serde_json::json!({
                     "since_ms": now.duration_since(*at).as_millis(),
-                    "order_rev": self.list.zones.get(zone),
+                    "order_rev": self.list.zones.get(zone).map(|rev| RevisionText(*rev).to_string()),
                 });
                 (zone.to_string(), state)
             })
             .collect();
-        serde_json::json!({ "as_of_rev": self.list.as_of, "zones": zones })
+        serde_json::json!({
+            "as_of_rev": RevisionText(self.list.as_of).to_string(), "zones": zones,
+        })
     }
 }
 
 fn log_change(zone: &str, evacuated: bool, list: &EvacuationList) {
     log::info!(
-        event = events::EVACUATION, zone = zone, evacuated = evacuated, rev = list.as_of;
+        event = events::EVACUATION, zone = zone, evacuated = evacuated,
+        rev:% = RevisionText(list.as_of);
         "evacuation of a data centre changed"
     );
 }
--- a/src/store/client.rs
+++ b/src/store/client.rs
@@ -14,8 +14,9 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
+use super::revision::{self, LatestEra, RevisionText};
 use super::types::{
-    Compare, DeleteRequest, HeaderResponse, KeepAliveResponse, KeyValue, Lease, PutRequest,
+    Compare, DeleteRequest, Header, HeaderResponse, KeepAliveResponse, KeyValue, Lease, PutRequest,
     RangeRequest, RangeResponse, RequestOp, TxnRequest, TxnResponse, WatchCreate, WatchRequest,
     WatchResponse,
 };
@@ -41,6 +42,7 @@
     http: ntex::client::Client,
     addr: SocketAddr,
     timeout: Duration,
+    era: LatestEra,
 }
 
 impl Client {
@@ -48,7 +50,7 @@
     /// [`Client::watch`] time out after `timeout`.
     pub async fn new(addr: SocketAddr, timeout: Duration) -> Self {
         let http = ntex::client::Client::new().await;
-        Self { http, addr, timeout }
+        Self { http, addr, timeout, era: LatestEra::default() }
     }
 
     /// The store's address.
@@ -57,6 +59,30 @@
         self.addr
     }
 
+    /// The latest era that the store named; 0 before the first response.
+    #[must_use]
+    pub fn era(&self) -> u32 {
+        self.era.get()
+    }
+
+    /// Records the era that a response names, and returns the store's revision.
+    fn read_header(&self, header: &Header) -> anyhow::Result<i64> {
+        self.era.record(header.era);
+        revision::compose(header.era, header.revision)
+    }
+
+    /// The store's revision.
+    ///
+    /// # Errors
+    ///
+    /// As [`Client::list`].
+    pub async fn revision(&self) -> anyhow::Result<i64> {
+        // No key is empty, so that the response has only a header.
+        let req = RangeRequest::default();
+        let res: RangeResponse = self.call("/v3/kv/range", &req, self.timeout, "revision").await?;
+        self.read_header(&res.header)
+    }
+
     /// Error text for a response that cannot be decoded.
     fn decode_error(&self, operation: &str) -> String {
         format!("{operation} at store {}: decoding response", self.addr)
@@ -108,13 +134,14 @@
             RangeRequest { key: B64.encode(prefix), range_end: B64.encode(prefix_end(prefix)) };
         let operation = format!("list {prefix}");
         let res: RangeResponse = self.call("/v3/kv/range", &req, self.timeout, &operation).await?;
+        let rev = self.read_header(&res.header)?;
         let kvs = res
             .kvs
             .iter()
-            .map(decode_kv)
+            .map(|kv| decode_kv(kv, res.header.era))
             .collect::<anyhow::Result<_>>()
             .with_context(|| self.decode_error(&operation))?;
-        Ok((res.header.revision, kvs))
+        Ok((rev, kvs))
     }
 
     /// Reads one key.
@@ -126,7 +153,9 @@
         let req = RangeRequest { key: B64.encode(key), range_end: String::new() };
         let operation = format!("get {key}");
         let res: RangeResponse = self.call("/v3/kv/range", &req, self.timeout, &operation).await?;
-        res.kvs.first().map(decode_kv).transpose().with_context(|| self.decode_error(&operation))
+        self.read_header(&res.header)?;
+        let kv = res.kvs.first().map(|kv| decode_kv(kv, res.header.era));
+        kv.transpose().with_context(|| self.decode_error(&operation))
     }
 
     /// Writes one key under `lease` (0 for none).
@@ -138,8 +167,8 @@
     pub async fn put(&self, key: &str, value: &[u8], lease: i64) -> anyhow::Result<()> {
         let req = PutRequest { key: B64.encode(key), value: B64.encode(value), lease };
         let operation = format!("put {key}");
-        let _: HeaderResponse = self.call("/v3/kv/put", &req, self.timeout, &operation).await?;
-        Ok(())
+        let res: HeaderResponse = self.call("/v3/kv/put", &req, self.timeout, &operation).await?;
+        self.read_header(&res.header).map(drop)
     }
 
     /// Writes `value` only if the key's revision is still `rev` (0: the key
@@ -154,12 +183,17 @@
         value: &[u8],
         rev: i64,
     ) -> anyhow::Result<bool> {
+        let operation = format!("swap {key} at revision {}", RevisionText(rev));
+        if rev != 0 && revision::era(rev) < self.era.get() {
+            // The restored store may have given the revision to another value.
+            return Ok(false);
+        }
         let req = TxnRequest {
             compare: vec![Compare {
                 key: B64.encode(key),
                 target: "MOD".into(),
                 result: "EQUAL".into(),
-                mod_revision: rev,
+                mod_revision: revision::counter(rev),
             }],
             success: vec![RequestOp {
                 request_put: PutRequest {
@@ -169,8 +203,8 @@
                 },
             }],
         };
-        let operation = format!("swap {key} at revision {rev}");
         let res: TxnResponse = self.call("/v3/kv/txn", &req, self.timeout, &operation).await?;
+        self.read_header(&res.header)?;
         Ok(res.succeeded)
     }
 
@@ -182,9 +216,9 @@
     pub async fn delete(&self, key: &str) -> anyhow::Result<()> {
         let req = DeleteRequest { key: B64.encode(key) };
         let operation = format!("delete {key}");
-        let _: HeaderResponse =
+        let res: HeaderResponse =
             self.call("/v3/kv/deleterange", &req, self.timeout, &operation).await?;
-        Ok(())
+        self.read_header(&res.header).map(drop)
     }
 
     /// Grants a lease of `ttl` seconds; returns its identifier.
@@ -195,6 +229,7 @@
     pub async fn grant(&self, ttl: i64) -> anyhow::Result<i64> {
         let req = Lease { ttl, ..Lease::default() };
         let res: Lease = self.call("/v3/lease/grant", &req, self.timeout, "lease grant").await?;
+        self.read_header(&res.header)?;
         Ok(res.id)
     }
 
@@ -208,6 +243,7 @@
         let operation = format!("keepalive of lease {id}");
         let res: KeepAliveResponse =
             self.call("/v3/lease/keepalive", &req, self.timeout, &operation).await?;
+        self.read_header(&res.header)?;
         Ok(res.result.ttl)
     }
 
@@ -222,29 +258,36 @@
             create_request: WatchCreate {
                 key: B64.encode(prefix),
                 range_end: B64.encode(prefix_end(prefix)),
-                start_revision: start_rev,
+                start_revision: revision::counter(start_rev),
             },
         };
-        let operation = format!("watch {prefix} from {start_rev}");
+        let operation = format!("watch {prefix} from {}", RevisionText(start_rev));
         let timeout = Duration::from_millis(WATCH_TIMEOUT_MS);
         let res: WatchResponse = self.call("/v3/watch", &req, timeout, &operation).await?;
         let r = res.result;
+        let rev = self.read_header(&r.header)?;
+        if r.header.era != revision::era(start_rev) {
+            // The restored store may have given out the requested revision again.
+            return Ok(WatchBatch { rev, compacted: true, ..WatchBatch::default() });
+        }
         let mut changes = Vec::with_capacity(r.events.len());
         for ev in &r.events {
-            let kv = decode_kv(&ev.kv).with_context(|| self.decode_error(&operation))?;
+            let kv =
+                decode_kv(&ev.kv, r.header.era).with_context(|| self.decode_error(&operation))?;
             changes.push(if ev.kind == "DELETE" {
                 Change::Delete { key: kv.key, rev: kv.rev }
             } else {
                 Change::Put(kv)
             });
         }
-        Ok(WatchBatch { rev: r.header.revision, compacted: r.compact_revision > 0, changes })
+        Ok(WatchBatch { rev, compacted: r.compact_revision > 0, changes })
     }
 }
 
-fn decode_kv(raw: &KeyValue) -> anyhow::Result<Kv> {
+fn decode_kv(raw: &KeyValue, era: u32) -> anyhow::Result<Kv> {
     let key = B64.decode(&raw.key).context("key is not base64")?;
     let key = String::from_utf8(key).context("key is not UTF-8")?;
     let value = B64.decode(&raw.value).with_context(|| format!("value of {key} is not base64"))?;
-    Ok(Kv { key: Arc::from(key), value, rev: raw.mod_revision, lease: raw.lease })
+    let rev = revision::compose(era, raw.mod_revision)?;
+    Ok(Kv { key: Arc::from(key), value, rev, lease: raw.lease })
 }
--- a/src/store/distribution/mod.rs
+++ b/src/store/distribution/mod.rs
@@ -212,6 +212,9 @@
         if let Some(at) = batch_end.filter(|_| wait) {
             tokio::time::sleep_until(at.into()).await;
         }
+        // The first call after a distributor's replies does not wait: the store may have been
+        // restored unnoticed, and then waits for a revision that it does not have yet.
+        let wait = wait && !self.state.subscribed.get();
         let distributes = self.state.distributes.get() && prefix.is_empty();
         let store = if distributes { &self.distributor_store } else { &self.store };
         // Subscribers wait for a log to open.
--- a/src/store/mirror.rs
+++ b/src/store/mirror.rs
@@ -1,8 +1,8 @@
 //! A mirror: a local snapshot of every key under a prefix, kept current by a watch.
 //!
 //! While the store fails, the snapshot keeps its last contents and calls are
-//! retried; a watch whose start revision was compacted is replaced by a new
-//! listing. The revision never decreases. A process that starts during an
+//! retried; a watch whose start revision was compacted, or which the store lost in a
+//! restore, is replaced by a new listing. The revision never decreases. A process that starts during an
 //! outage fetches the newest snapshot of its peers.
 
 use std::collections::BTreeMap;
@@ -14,6 +14,7 @@
 use tokio::sync::Notify;
 use xxhash_rust::xxh3::Xxh3;
 
+use super::revision::RevisionText;
 use super::{Change, Kv, WatchStore};
 use crate::admin::Connection;
 use crate::metrics::{self, Retry};
@@ -284,10 +285,11 @@
 ) -> anyhow::Result<ReadOutcome> {
     let listed = Snapshot::list(&source.store, &source.prefix).await?;
     if listed.rev < snapshot.rev {
-        let (rev, prefix) = (listed.rev, &source.prefix);
         anyhow::bail!(
-            "list {prefix}: revision {rev} is older than the snapshot's {}",
-            snapshot.rev
+            "list {}: revision {} is older than the snapshot's {}",
+            source.prefix,
+            RevisionText(listed.rev),
+            RevisionText(snapshot.rev)
         );
     }
     // A snapshot updated only by a narrower watch may lack keys even at the same revision.
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -9,6 +9,7 @@
 pub mod distribution;
 pub mod lease;
 pub mod mirror;
+pub mod revision;
 pub mod server;
 mod traits;
 pub mod types;
@@ -29,7 +30,7 @@
     pub key: Arc<str>,
     /// The value.
     pub value: Vec<u8>,
-    /// Revision of the last change.
+    /// Revision of the last change; see [`revision`].
     pub rev: i64,
     /// Lease the key is attached to, or 0.
     pub lease: i64,
--- a/src/store/traits.rs
+++ b/src/store/traits.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use super::{Client, Kv, WatchBatch};
+use super::{Client, Kv, WatchBatch, revision};
 
 /// A store whose keys can be listed and watched.
 pub trait WatchStore: Clone {
@@ -63,6 +63,11 @@
     /// As [`LeaseStore::grant`].
     fn exists(&self, key: &str) -> impl Future<Output = anyhow::Result<bool>>;
 
+    /// The latest era that the service named; 0 if it names none.
+    fn era(&self) -> u32 {
+        0
+    }
+
     /// Removes one key.
     ///
     /// # Errors
@@ -76,7 +81,12 @@
         Client::list(self, prefix).await
     }
 
-    async fn watch(&self, prefix: &str, after: i64, _wait: bool) -> anyhow::Result<WatchBatch> {
+    /// Always waits for a change. Without `wait`, the era is checked first, as a watch of a
+    /// revision that the restored store does not have yet would wait for it.
+    async fn watch(&self, prefix: &str, after: i64, wait: bool) -> anyhow::Result<WatchBatch> {
+        if !wait && revision::era(self.revision().await?) != revision::era(after) {
+            return Ok(WatchBatch { rev: after, compacted: true, ..WatchBatch::default() });
+        }
         Client::watch(self, prefix, after + 1).await
     }
 }
@@ -99,6 +109,10 @@
         Ok(Client::get(self, key).await?.is_some())
     }
 
+    fn era(&self) -> u32 {
+        Client::era(self)
+    }
+
     async fn delete(&self, key: &str) -> anyhow::Result<()> {
         Client::delete(self, key).await
     }
--- a/tests/store_restore.rs
+++ b/tests/store_restore.rs
@@ -8,7 +8,7 @@
 
 use jujubepost::platform::{config, kv};
 use jujubepost::script::Action;
-use jujubepost::store::{Faults, LeaseStore, WatchStore};
+use jujubepost::store::{Faults, LeaseStore, WatchStore, revision};
 use jujubepost::trial::{Plan, Trial};
 use jujubepost::up::Signal;
 
@@ -126,7 +126,8 @@
     }
     let client = self::client(&trial).await;
     let written = client.get(config::CONFIG_KEY).await.unwrap().unwrap();
-    assert_eq!(counter(written.rev), counter(lost.rev), "the revision is given out again");
+    let counters = [written.rev, lost.rev].map(revision::counter);
+    assert_eq!(counters[0], counters[1], "the revision is given out again");
     for entry in trial.labels().iter().filter(|l| l.starts_with("entry")) {
         trial.send_signal(entry, Signal::SIGCONT);
     }
@@ -174,8 +175,3 @@
     assert_eq!(common::violation_count(&site).await, 0);
     site.shut_down().await;
 }
-
-/// The number of changes that a revision counts.
-const fn counter(rev: i64) -> i64 {
-    rev
-}
