Leases: a key is written again after the store was restored

What happens: an agent that registered after the copy was made stays unlisted once the store is restored. Its key is gone, and the identifier of its lease may belong to another process by then: renewals succeed and keep another's key alive. The key of an agent that had updated its record keeps the older one.

Cause, of the same class: a lease was taken for the one granted, by its number alone. Now it is held for the era in which it was granted; the first response of a later era, of whatever call, makes the process acquire a new lease and write its key.

--- a/src/store/lease.rs
+++ b/src/store/lease.rs
@@ -1,8 +1,9 @@
 //! Keeps a key in the store under a lease: the registration of an agent or a
 //! balancer, which disappears when its process dies.
 //!
-//! The lease is renewed at a third of its time to live. When it has expired or
-//! the key is missing, a new lease is granted and the key written again.
+//! The lease is renewed at a third of its time to live. When it has expired, the key is
+//! missing or the store was restored from an older copy, a new lease is granted and the key
+//! written again.
 
 use std::time::Duration;
 
@@ -32,9 +33,7 @@
     loop {
         let latest = value.borrow_and_update().clone();
         match acquire(store, key, &latest, ttl).await {
-            Ok(lease) => {
-                renew_until_expired(store, key, lease, &mut value, renew_interval, check).await
-            }
+            Ok(held) => renew_until_lost(store, key, held, &mut value, renew_interval, check).await,
             Err(e) => {
                 record_failure(&e);
                 tokio::time::sleep(MAX_RETRY_PAUSE.min(renew_interval)).await;
@@ -43,30 +42,40 @@
     }
 }
 
+/// A lease, and the store's era in which it was granted. After a restore the lease may be
+/// missing or belong to another process, and the key may have an older value.
+#[derive(Clone, Copy, Debug)]
+struct HeldLease {
+    id: i64,
+    era: u32,
+}
+
 async fn acquire<L: LeaseStore>(
     store: &L,
     key: &str,
     value: &[u8],
     ttl: Duration,
-) -> anyhow::Result<i64> {
-    let lease = store.grant(ttl).await?;
-    store.put(key, value, lease).await?;
-    Ok(lease)
+) -> anyhow::Result<HeldLease> {
+    let id = store.grant(ttl).await?;
+    let era = store.era();
+    store.put(key, value, id).await?;
+    Ok(HeldLease { id, era })
 }
 
-/// Renews `lease` and writes new values; returns when the lease has expired, the
-/// key is missing, or a write failed.
-async fn renew_until_expired<L: LeaseStore>(
+/// Renews `held` and writes new values; returns when the lease has expired, the
+/// key is missing, a write failed, or the store was restored.
+async fn renew_until_lost<L: LeaseStore>(
     store: &L,
     key: &str,
-    lease: i64,
+    held: HeldLease,
     value: &mut watch::Receiver<Vec<u8>>,
     renew_interval: Duration,
     check: &Notify,
 ) {
     // A fixed instant, so that checks and new values do not postpone the renewal.
     let mut renew_at = Instant::now() + renew_interval;
-    loop {
+    let lease = held.id;
+    while store.era() == held.era {
         tokio::select! {
             () = check.notified() => match store.exists(key).await {
                 Ok(true) => {}
@@ -105,6 +114,11 @@
             }
         }
     }
+    log::warn!(
+        event = events::AGENT_LEASE_EXPIRED, key = key, lease = lease;
+        "store was restored from an older copy; acquiring a new lease"
+    );
+    metrics::count_retry(Retry::LeaseExpired);
 }
 
 fn record_failure(e: &anyhow::Error) {
