Tests: a distributor and its subscribers in different eras of the store

first_call_after_distributor_returns_at_once was red without the line that it guards ([true, true] instead of [false, true]); other_era_is_read_from_store holds since revisions contain the era.

--- a/tests/distribution.rs
+++ b/tests/distribution.rs
@@ -17,7 +17,7 @@
 use jujubepost::store::distribution::{
     DistributedStore, MAX_SUBSCRIBERS, PollReply, SharedLog, WatchTiming, max_reply_bytes,
 };
-use jujubepost::store::{Change, Kv, Snapshot, WatchBatch, WatchStore};
+use jujubepost::store::{Change, Kv, Snapshot, WatchBatch, WatchStore, revision};
 use jujubepost::trial::{Plan, Trial};
 use jujubepost::up::Signal;
 use rand::SeedableRng;
@@ -242,6 +242,40 @@
     server.stop().await;
 }
 
+/// Guards against a watch that waits for a revision that the restored store gives out again: the
+/// first call after a distributor's replies returns at once.
+#[ntex::test]
+async fn first_call_after_distributor_returns_at_once() {
+    let addr: SocketAddr = "127.0.0.1:30465".parse().unwrap();
+    let (server, log) = distributor(addr, &batch(12, &[put("a/1", 12, 1)])).await;
+    let store = FakeStore::answering(14);
+    let s = distributed(&store, &SharedLog::default());
+    s.set_distributors(vec![addr]);
+    assert_eq!(s.watch("", 10, true).await.unwrap().rev, 12);
+    log.close();
+    s.watch("", 12, true).await.unwrap();
+    s.watch("", 14, true).await.unwrap();
+    assert_eq!(*store.waited.borrow(), [false, true]);
+    server.stop().await;
+}
+
+/// Guards against changes of one era applied to a snapshot of another: whoever is ahead or behind
+/// after a restore of the store reads the store itself.
+#[ntex::test]
+async fn other_era_is_read_from_store() {
+    let log = SharedLog::default();
+    log.set_max_reply(MAX_REPLY);
+    let rev = |era, n| revision::compose(era, n).unwrap();
+    let poll = |after| log.poll(Ipv4Addr::LOCALHOST, "", after);
+    log.record(rev(1, 10), &batch(rev(1, 12), &[put("a/1", rev(1, 12), 1)]));
+    assert_eq!(poll(rev(2, 5)).await, PollReply::NotCurrent, "the distributor is behind");
+    log.record(rev(2, 5), &batch(rev(2, 20), &[put("a/1", rev(2, 20), 1)]));
+    for after in [rev(1, 12), rev(1, 30)] {
+        assert_eq!(poll(after).await, PollReply::ReadStore, "the subscriber is behind");
+    }
+    assert!(matches!(poll(rev(2, 5)).await, PollReply::Changes { .. }));
+}
+
 /// Large replies to all subscribers must leave room for callers' packets on the link.
 #[test]
 fn replies_fit_the_link() {
