Relay: parts that do not match their index are published again

What could happen: a transaction that got no answer before a restore of the store may take effect after it, if the index has the expected revision again. It replaces some parts; the index then names others, no balancer can join them, and as the index has the version in force no relay wrote them again: balancers that follow the parts keep the older configuration until most parts change.

Cause, of the same class: a condition on a revision that is given out twice. The condition cannot be made to name the era, so the relay checks what the store holds: if the parts do not match the index, it writes all of them.

mixed_parts_are_published_again, red before (0 keys written instead of all), green now.

--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -119,7 +119,8 @@
     /// Returns the transaction that publishes `routes` and `evacuations`, which are in
     /// force here, or deletes the parts if the configuration has become small. Returns
     /// `None` if the store is up to date, another balancer is the relay or the operators'
-    /// configuration has not been read yet.
+    /// configuration has not been read yet. All parts are written again if those in the store
+    /// do not match their index, as after a late transaction on a restored store.
     ///
     /// # Errors
     ///
@@ -142,13 +143,14 @@
         }
         let old = read_index(snapshot).map(|(index, _)| index).unwrap_or_default();
         let same_zones = old.evacuations.as_ref().is_some_and(|e| e.zones == evacuations.zones);
+        let consistent = consistent_parts(snapshot, &old).is_some();
         if !self.should_relay(snapshot)
             || old.version > routes.version
-            || old.version == routes.version && same_zones
+            || old.version == routes.version && same_zones && consistent
         {
             return Ok(None);
         }
-        let same_parts = old.version == routes.version && !old.checksums.is_empty();
+        let same_parts = consistent && old.version == routes.version && !old.checksums.is_empty();
         let (mut next, values) = if same_parts {
             (old.clone(), Vec::new())
         } else {
@@ -158,7 +160,7 @@
         let mut puts: Vec<(String, Vec<u8>)> = values
             .into_iter()
             .enumerate()
-            .filter(|(n, _)| old.checksums.get(*n) != next.checksums.get(*n))
+            .filter(|(n, _)| !consistent || old.checksums.get(*n) != next.checksums.get(*n))
             .map(|(n, value)| (part_key(n), value))
             .collect();
         puts.push((INDEX_KEY.to_string(), serde_json::to_vec(&next)?));
--- a/tests/config_relay.rs
+++ b/tests/config_relay.rs
@@ -434,3 +434,25 @@
     }
     server.stop().await;
 }
+
+/// Guards against parts that match no index and are never written again: a transaction that was
+/// sent before a restore of the store, and took effect after it, replaced some of them.
+#[test]
+fn mixed_parts_are_published_again() {
+    let relay = relay_at(1);
+    let mut snapshot = large_config();
+    publish(&mut snapshot, &relay, &routes(1, 40));
+    let mut late = snapshot.clone();
+    publish(&mut late, &relay, &routes(2, 60));
+    publish(&mut snapshot, &relay, &routes(3, 80));
+    let part = part_key(0);
+    let one = &late.keys[part.as_str()];
+    assert_ne!(one.value, snapshot.keys[part.as_str()].value);
+    put(&mut snapshot, &part, one.value.clone());
+    let (index, _) = relay::read_index(&snapshot).unwrap();
+    assert!(relay::consistent_parts(&snapshot, &index).is_none(), "one part is of version 2");
+    assert_eq!(publish(&mut snapshot, &relay, &routes(3, 80)), PART_COUNT + 1);
+    let (index, _) = relay::read_index(&snapshot).unwrap();
+    assert!(relay::consistent_parts(&snapshot, &index).is_some());
+    assert_eq!(publish(&mut snapshot, &relay, &routes(3, 80)), 0);
+}
