Evacuations: an order that the store lost stays in force until it is written again

What could happen: the store is restored from a copy that was made before an evacuation was ordered. Its list lacks the order, and being of the later era it counts: all balancers offer new flows to the evacuated data centre until the operators have written the order again.

Two ways: (a) the restored list counts at once (as it stood); (b) orders that were in force and are missing from the first list of an era stay for 5 s, or until the store lists the data centre again; from then on its word counts. (b) is kept: (a) breaks what an evacuation promises. What (b) costs: an order that operators take back within the restore ends up to 5 s late. An order that they had ended and that the copy still holds applies in both, as a balancer that starts then cannot tell it from a new one. A relay goes on publishing while orders are held, as their end changes the index.

lost_order_stays_until_rewritten and lost_order_ends_if_not_rewritten, red before (offered to [1, 2, 3, 4] instead of [3, 4]); restored_order_applies and index_of_earlier_era_ignored hold since revisions contain the era.

--- a/src/edge/relay.rs
+++ b/src/edge/relay.rs
@@ -23,7 +23,7 @@
 /// value lets more balancers of a data centre become relays at once.
 const MAX_CAMPAIGN_DELAY: Duration = Duration::from_millis(500);
 
-/// Delay before publishing is retried after a failure.
+/// Delay before publishing is tried again without a change of the store.
 const RETRY_DELAY: Duration = Duration::from_millis(500);
 
 /// Becomes or ceases to be the relay as [`Relay`] decides, until `snapshots`
@@ -62,7 +62,8 @@
             Some(snapshot) => publish_parts(&store, &relay, &steering, snapshot).await,
             None => Ok(()),
         };
-        let failed = published.is_err();
+        // The end of a lost order changes the index without a change of the store.
+        let retry = published.is_err() || steering.borrow().roster.evacuations.holds_lost_orders();
         if let Err(e) = published {
             log::warn!(
                 event = events::EDGE_RELAY, error:% = format!("{e:#}");
@@ -71,7 +72,7 @@
         }
         tokio::select! {
             changed = snapshots.changed() => if changed.is_err() { return },
-            () = tokio::time::sleep(RETRY_DELAY), if failed => {}
+            () = tokio::time::sleep(RETRY_DELAY), if retry => {}
         }
     }
 }
--- a/src/steering/mod.rs
+++ b/src/steering/mod.rs
@@ -416,6 +416,7 @@
         while let Some(flow) = self.deadlines.pop_due(now) {
             self.handle_deadline(flow, now, out);
         }
+        self.roster.evacuations.end_lost_orders(now);
         self.roster.ping_suspects(now, out);
         self.queries.send_queued(now, out);
         let buffered = &mut self.buffered_bytes;
--- a/tests/evacuation.rs
+++ b/tests/evacuation.rs
@@ -16,7 +16,7 @@
 use jujubepost::protocol::{FlowStatus, FlowUpdate, ForwardMode};
 use jujubepost::relay::{self, Relay, SYSTEM_PREFIX};
 use jujubepost::steering::{EvacuationList, FlowSteering, ListedAgent};
-use jujubepost::store::{Change, Kv, Snapshot};
+use jujubepost::store::{Change, Kv, Snapshot, revision};
 
 const MS: Duration = Duration::from_millis(1);
 const OTHER_ZONE: &str = "gjw-b";
@@ -294,3 +294,67 @@
     assert!(in_zone.iter().any(|t| meter.served.contains_key(&*t.name)), "{meter:?}");
     assert!(ctl::evacuate_zone(&s, "nowhere").await.is_err());
 }
+
+/// The revision of change `n` after the store was restored `era` times.
+fn rev(era: u32, n: i64) -> i64 {
+    revision::compose(era, n).unwrap()
+}
+
+/// Guards against new flows at an evacuated data centre whose order the store has lost in a
+/// restore, until operators have written it again. Then the store's word counts at once.
+#[test]
+fn lost_order_stays_until_rewritten() {
+    let now = Instant::now();
+    let mut s = two_zones(now);
+    evacuate(&mut s, rev(1, 20), &[(ZONE, rev(1, 18))], now);
+    evacuate(&mut s, rev(2, 15), &[], now + 100 * MS);
+    assert_eq!(offered_to(&mut s, 1, now + 200 * MS), [3, 4]);
+    let now = now + 3_000 * MS;
+    evacuate(&mut s, rev(2, 16), &[(ZONE, rev(2, 16))], now);
+    assert_eq!(offered_to(&mut s, 2, now), [3, 4]);
+    let now = now + 2_000 * MS;
+    evacuate(&mut s, rev(2, 17), &[], now);
+    assert_eq!(offered_to(&mut s, 3, now), [1, 2, 3, 4], "operators ended it");
+}
+
+/// An order that operators do not write again ends after a while, without any change of the store.
+#[test]
+fn lost_order_ends_if_not_rewritten() {
+    let now = Instant::now();
+    let mut s = two_zones(now);
+    evacuate(&mut s, rev(1, 20), &[(ZONE, rev(1, 18))], now);
+    evacuate(&mut s, rev(2, 15), &[], now + 100 * MS);
+    evacuate(&mut s, rev(2, 16), &[], now + 200 * MS);
+    assert_eq!(offered_to(&mut s, 1, now + 300 * MS), [3, 4], "other keys changed");
+    // Restored once more meanwhile.
+    evacuate(&mut s, rev(3, 15), &[], now + 1_000 * MS);
+    assert_eq!(offered_to(&mut s, 2, now + 2_000 * MS), [3, 4]);
+    let now = now + 10_000 * MS;
+    s.tick(now, &mut Recorder::default());
+    assert_eq!(offered_to(&mut s, 3, now), [1, 2, 3, 4]);
+}
+
+/// An order that operators had ended, and that the restored copy still holds, is in force until
+/// they end it again: a balancer that starts then cannot tell it from a new one.
+#[test]
+fn restored_order_applies() {
+    let now = Instant::now();
+    let mut s = two_zones(now);
+    evacuate(&mut s, rev(1, 18), &[(ZONE, rev(1, 18))], now);
+    evacuate(&mut s, rev(1, 20), &[], now + 100 * MS);
+    evacuate(&mut s, rev(2, 19), &[(ZONE, rev(2, 18))], now + 200 * MS);
+    assert_eq!(offered_to(&mut s, 1, now + 300 * MS), [3, 4]);
+    evacuate(&mut s, rev(2, 20), &[], now + 400 * MS);
+    assert_eq!(offered_to(&mut s, 2, now + 500 * MS), [1, 2, 3, 4]);
+}
+
+/// Guards against an index that a relay published before a restore, whose list of evacuations
+/// counts more revisions than the restored store.
+#[test]
+fn index_of_earlier_era_ignored() {
+    let now = Instant::now();
+    let mut s = two_zones(now);
+    evacuate(&mut s, rev(2, 15), &[], now);
+    evacuate(&mut s, rev(1, 40), &[(ZONE, rev(1, 39))], now);
+    assert_eq!(offered_to(&mut s, 1, now), [1, 2, 3, 4]);
+}
