Store: a response without an era is no restore; the relay checks parts only where it may write

A refusal that does not name the era would have been taken for era 0, and the next response logged as a restore. Only relays compute the checksums of all parts.

--- a/src/platform/kv.rs
+++ b/src/platform/kv.rs
@@ -186,7 +186,9 @@
         let response = response
             .map_err(|_| anyhow::anyhow!("{operation} at store {}: timeout", self.addr))?
             .map_err(|e| anyhow::anyhow!("{operation} at store {}: {e}", self.addr))?;
-        self.era.record(read_era(&response));
+        if let Some(era) = read_era(&response) {
+            self.era.record(era);
+        }
         Ok(response)
     }
 
@@ -225,7 +227,7 @@
         if res.status() == StatusCode::NOT_FOUND {
             return Ok(None);
         }
-        let era = read_era(&res);
+        let era = read_era(&res).unwrap_or_default();
         let item: Item = self.read_json(&operation, res).await?;
         decode_kv(item, era).context(operation).map(Some)
     }
@@ -286,7 +288,7 @@
             let req = self.http.get(self.url("/v1/kv-range"));
             let req = req.query(&RangeQuery { prefix, after: &after })?;
             let res = self.send(&operation, req, None, self.timeout).await?;
-            let era = read_era(&res);
+            let era = read_era(&res).unwrap_or_default();
             let page: Page = self.read_json(&operation, res).await?;
             // Pages may differ in revision: a watch after the first page's also
             // returns the changes made while the others were read.
@@ -324,7 +326,7 @@
         if res.status() == StatusCode::GONE {
             return Ok(compacted);
         }
-        let era = read_era(&res);
+        let era = read_era(&res).unwrap_or_default();
         let events: Events = self.read_json(&operation, res).await?;
         if era != revision::era(after) {
             // The restored store may have given out the requested revision again.
@@ -384,10 +386,9 @@
     }
 }
 
-/// The era that a response names; 0 if none.
-fn read_era(response: &ClientResponse) -> u32 {
-    let value = response.headers().get(ERA_HEADER).and_then(|v| v.to_str().ok());
-    value.and_then(|v| v.trim().parse().ok()).unwrap_or_default()
+/// The era that a response names, if any.
+fn read_era(response: &ClientResponse) -> Option<u32> {
+    response.headers().get(ERA_HEADER)?.to_str().ok()?.trim().parse().ok()
 }
 
 fn decode_kv(item: Item, era: u32) -> anyhow::Result<Kv> {
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -143,11 +143,11 @@
         }
         let old = read_index(snapshot).map(|(index, _)| index).unwrap_or_default();
         let same_zones = old.evacuations.as_ref().is_some_and(|e| e.zones == evacuations.zones);
+        if !self.should_relay(snapshot) || old.version > routes.version {
+            return Ok(None);
+        }
         let consistent = consistent_parts(snapshot, &old).is_some();
-        if !self.should_relay(snapshot)
-            || old.version > routes.version
-            || old.version == routes.version && same_zones && consistent
-        {
+        if old.version == routes.version && same_zones && consistent {
             return Ok(None);
         }
         let same_parts = consistent && old.version == routes.version && !old.checksums.is_empty();
--- a/src/store/mirror.rs
+++ b/src/store/mirror.rs
@@ -1,9 +1,9 @@
 //! A mirror: a local snapshot of every key under a prefix, kept current by a watch.
 //!
 //! While the store fails, the snapshot keeps its last contents and calls are
-//! retried; a watch whose start revision was compacted, or which the store lost in a
-//! restore, is replaced by a new listing. The revision never decreases. A process that starts during an
-//! outage fetches the newest snapshot of its peers.
+//! retried; a watch whose start revision was compacted, or lost when the store was
+//! restored, is replaced by a new listing. The revision never decreases. A process
+//! that starts during an outage fetches the newest snapshot of its peers.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
