--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -4,6 +4,7 @@
 #![allow(dead_code)]
 
 pub mod fixtures;
+pub mod trials;
 
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener};
--- a/tests/restore_soak.rs
+++ b/tests/restore_soak.rs
@@ -9,6 +9,7 @@
 use std::path::PathBuf;
 use std::time::{Duration, Instant};
 
+use common::trials::{set_faults, wait_in_force};
 use jujubepost::platform::kv;
 use jujubepost::store::{Faults, WatchStore};
 use jujubepost::trial::{FlowHash, Plan, Trial};
@@ -21,9 +22,6 @@
 const DEFAULT_SEED: u64 = 20_261_203;
 const DEFAULT_LENGTH_S: u64 = 15;
 
-/// Time in which a configuration must be in force, as `bounds.config_ms` has it by default.
-const CONFIG_BOUND: Duration = Duration::from_secs(3);
-
 /// Time after which registrations that were lost must be back.
 const REGISTER_BOUND: Duration = Duration::from_secs(2);
 
@@ -77,34 +75,6 @@
     }
 }
 
-async fn set_faults(trial: &Trial, faults: Faults) {
-    let client = ntex::client::Client::new().await;
-    let url = format!("http://{}/fault", trial.store_addr());
-    assert!(client.post(url).send_json(&faults).await.unwrap().status().is_success());
-}
-
-async fn config_version(trial: &Trial, zone: u8, n: u8) -> Option<u64> {
-    let http = ntex::client::Client::new().await;
-    let url = format!("http://{}/beliefs", trial.metrics_addr(true, zone, n));
-    let body = http.get(url).send().await.ok()?.body().await.ok()?;
-    serde_json::from_slice::<serde_json::Value>(&body).ok()?["version"].as_u64()
-}
-
-async fn wait_in_force(trial: &Trial, version: u64, context: &str) {
-    let start = Instant::now();
-    loop {
-        let mut versions = Vec::new();
-        for (zone, n) in (0..2).flat_map(|z| (0..BALANCERS).map(move |n| (z, n))) {
-            versions.push(config_version(trial, zone, n).await);
-        }
-        if versions.iter().all(|v| *v == Some(version)) {
-            return;
-        }
-        assert!(start.elapsed() < CONFIG_BOUND, "{context}: {versions:?} instead of {version}");
-        tokio::time::sleep(50 * MS).await;
-    }
-}
-
 async fn pause(rng: &mut StdRng, max_ms: u64) {
     tokio::time::sleep(Duration::from_millis(rng.random_range(0..max_ms))).await;
 }
@@ -120,7 +90,7 @@
         trial.write_config(version).await.unwrap();
         pause(rng, 300).await;
     }
-    wait_in_force(trial, version, &format!("{context}, before")).await;
+    wait_in_force(trial, BALANCERS, version, &format!("{context}, before")).await;
     match &fault {
         Fault::Suspended(labels) => {
             labels.iter().for_each(|l| trial.send_signal(l, Signal::SIGSTOP))
@@ -158,7 +128,7 @@
     tokio::time::sleep(REGISTER_BOUND).await;
     version += 1;
     trial.write_config(version).await.unwrap();
-    wait_in_force(trial, version, &context).await;
+    wait_in_force(trial, BALANCERS, version, &context).await;
     let client = kv::Client::new(trial.store_addr().into(), 1_000 * MS, 1_000 * MS).await.unwrap();
     let (_, agents) = client.list("jujubepost/agents/").await.unwrap();
     assert_eq!(agents.len(), AGENTS, "{context}: agents");
--- a/tests/store_restore.rs
+++ b/tests/store_restore.rs
@@ -6,6 +6,7 @@
 use std::path::PathBuf;
 use std::time::{Duration, Instant};
 
+use common::trials::{CONFIG_BOUND, set_faults, wait_in_force};
 use jujubepost::platform::{config, kv};
 use jujubepost::script::Action;
 use jujubepost::store::{Faults, LeaseStore, WatchStore, revision};
@@ -14,9 +15,6 @@
 
 const MS: Duration = Duration::from_millis(1);
 
-/// Time in which a configuration must be in force, as `bounds.config_ms` has it by default.
-const CONFIG_BOUND: Duration = Duration::from_secs(3);
-
 /// Time after which registrations that were lost must be back.
 const REGISTER_BOUND: Duration = Duration::from_secs(2);
 
@@ -37,12 +35,6 @@
     let _ = std::fs::remove_dir_all(test_dir(name));
 }
 
-async fn set_faults(trial: &Trial, faults: Faults) {
-    let client = ntex::client::Client::new().await;
-    let url = format!("http://{}/fault", trial.store_addr());
-    assert!(client.post(url).send_json(&faults).await.unwrap().status().is_success());
-}
-
 async fn back_up(trial: &Trial) {
     set_faults(trial, Faults { backup: true, ..Faults::default() }).await;
 }
@@ -58,29 +50,6 @@
     kv::Client::new(trial.store_addr().into(), 1_000 * MS, 1_000 * MS).await.unwrap()
 }
 
-async fn config_version(trial: &Trial, zone: u8, n: u8) -> Option<u64> {
-    let http = ntex::client::Client::new().await;
-    let url = format!("http://{}/beliefs", trial.metrics_addr(true, zone, n));
-    let body = http.get(url).send().await.unwrap().body().await.unwrap();
-    serde_json::from_slice::<serde_json::Value>(&body).unwrap()["version"].as_u64()
-}
-
-/// Waits until every balancer has `version` in force.
-async fn wait_in_force(trial: &Trial, version: u64) {
-    let start = Instant::now();
-    loop {
-        let mut versions = Vec::new();
-        for (zone, n) in (0..2).flat_map(|z| (0..BALANCERS).map(move |n| (z, n))) {
-            versions.push(config_version(trial, zone, n).await);
-        }
-        if versions.iter().all(|v| *v == Some(version)) {
-            return;
-        }
-        assert!(start.elapsed() < CONFIG_BOUND, "{versions:?} instead of {version}");
-        tokio::time::sleep(50 * MS).await;
-    }
-}
-
 async fn registered(client: &kv::Client) -> usize {
     client.list("jujubepost/agents/").await.unwrap().1.len()
 }
@@ -94,13 +63,13 @@
     for version in 2..=9 {
         trial.write_config(version).await.unwrap();
     }
-    wait_in_force(&trial, 9).await;
+    wait_in_force(&trial, BALANCERS, 9, "before the restore").await;
     restore(&trial, 1_000 * MS).await;
     // Fewer changes than were lost, so that the revision stays below the earlier one.
     trial.write_config(9).await.unwrap();
     tokio::time::sleep(2_000 * MS).await;
     trial.write_config(10).await.unwrap();
-    wait_in_force(&trial, 10).await;
+    wait_in_force(&trial, BALANCERS, 10, "after the restore").await;
     stop("older", trial).await;
 }
 
@@ -113,7 +82,7 @@
     for version in 2..=4 {
         trial.write_config(version).await.unwrap();
     }
-    wait_in_force(&trial, 4).await;
+    wait_in_force(&trial, BALANCERS, 4, "before the restore").await;
     let lost = client.get(config::CONFIG_KEY).await.unwrap().unwrap();
     // Changes are made while the store cannot be read, so that its revision is the same when
     // balancers read it again.
@@ -131,7 +100,7 @@
     for entry in trial.labels().iter().filter(|l| l.starts_with("entry")) {
         trial.send_signal(entry, Signal::SIGCONT);
     }
-    wait_in_force(&trial, 6).await;
+    wait_in_force(&trial, BALANCERS, 6, "after the restore").await;
     stop("reissued", trial).await;
 }
 
