--- a/src/platform/kv.rs
+++ b/src/platform/kv.rs
@@ -211,6 +211,11 @@
         serde_json::from_slice(&body).with_context(|| format!("{operation} at store {}", self.addr))
     }
 
+    fn compose_rev(&self, operation: &str, era: u32, counter: i64) -> anyhow::Result<i64> {
+        revision::compose(era, counter)
+            .with_context(|| format!("{operation} at store {}", self.addr))
+    }
+
     /// Reads one key.
     ///
     /// # Errors
@@ -292,7 +297,7 @@
             let page: Page = self.read_json(&operation, res).await?;
             // Pages may differ in revision: a watch after the first page's also
             // returns the changes made while the others were read.
-            let page_rev = revision::compose(era, page.as_of).context("list")?;
+            let page_rev = self.compose_rev(&operation, era, page.as_of)?;
             let rev = *first_rev.get_or_insert(page_rev);
             ensure!(
                 revision::era(rev) == era,
@@ -335,13 +340,13 @@
         let mut changes = Vec::with_capacity(events.events.len());
         for e in events.events {
             if e.tombstone {
-                let rev = revision::compose(era, e.revision)?;
+                let rev = self.compose_rev(&operation, era, e.revision)?;
                 changes.push(Change::Delete { key: e.key.into(), rev });
             } else {
                 changes.extend(decode_or_skip(e, era).map(Change::Put));
             }
         }
-        let rev = revision::compose(era, events.as_of)?;
+        let rev = self.compose_rev(&operation, era, events.as_of)?;
         Ok(WatchBatch { rev, compacted: false, changes })
     }
 }
--- a/src/steering/evacuation.rs
+++ b/src/steering/evacuation.rs
@@ -74,7 +74,8 @@
     }
 
     /// Applies `list` unless a newer one is in force. An order that ended does not come
-    /// back.
+    /// back. One that is missing from the first list after a restore of the store stays
+    /// for [`LOST_ORDER_HOLD`], or until a list contains it again.
     pub fn apply(&mut self, mut list: EvacuationList, now: Instant) {
         if list.as_of < self.list.as_of {
             return;
--- a/src/store/client.rs
+++ b/src/store/client.rs
@@ -69,6 +69,7 @@
     fn read_header(&self, header: &Header) -> anyhow::Result<i64> {
         self.era.record(header.era);
         revision::compose(header.era, header.revision)
+            .with_context(|| format!("response of store {}", self.addr))
     }
 
     /// The store's revision.
