Distribution: a subscriber reads the store after the first distributor that fails

What callers would see: requests handled by an older configuration for longer than is allowed, while several listed distributors have stopped responding.

Cause: a subscriber polled all listed distributors one after the other, 1.5 s each, before it read the store; and one that was skipped is polled again after 3 s. With two that hang a change was late by 3 s; with three the loop never came to its end, and the subscriber stayed at its old configuration for as long as they hung. Several are listed for 5 s after a start of many, and where one is full.

Evidence: on the code before, store_read_once_distributor_lost_it fails (1.5 s of 0.1 s), and silent_distributors_do_not_add_up never ended (ended by hand after 8 min).

Why this works: each call reads the store after one that does not answer or is not current, so a change is late by one timeout at most. Ruled out: polling all at once, which makes more calls with every distributor listed.

Both tests pass after it, and the 15 others of the file.

--- a/src/store/distribution/mod.rs
+++ b/src/store/distribution/mod.rs
@@ -150,8 +150,11 @@
     }
 
     /// Polls distributors for changes; `None` if the store must be watched directly.
+    ///
+    /// After the first distributor that does not answer, or has lost the store, no other is
+    /// polled: their timeouts would add up to more than changes may take.
     async fn poll_distributors(&self, prefix: &str, after: i64) -> Option<WatchBatch> {
-        let mut all_full = false;
+        let mut any_full = false;
         while let Some(addr) = self.choose_distributor(Instant::now()) {
             self.state.subscribed.set(true);
             let started = Instant::now();
@@ -165,10 +168,13 @@
                 }
                 Ok(PollReply::ReadStore) => return None,
                 Ok(PollReply::Full) => {
-                    all_full = true;
+                    any_full = true;
                     self.skip(addr, FULL_DELAY);
                 }
-                Ok(PollReply::NotCurrent) => self.skip(addr, RETRY_DELAY),
+                Ok(PollReply::NotCurrent) => {
+                    self.skip(addr, RETRY_DELAY);
+                    break;
+                }
                 Err(e) => {
                     log::info!(
                         event = events::DISTRIBUTOR_LOST, error:% = format!("{e:#}");
@@ -176,10 +182,11 @@
                     );
                     metrics::count_retry(Retry::DistributorLost);
                     self.skip(addr, RETRY_DELAY);
+                    break;
                 }
             }
         }
-        if all_full {
+        if any_full {
             self.state.all_full.set(true);
         }
         None
--- a/tests/distribution.rs
+++ b/tests/distribution.rs
@@ -155,6 +155,41 @@
     assert_eq!(*store.watched.borrow(), [12, 14]);
 }
 
+/// Guards against changes in force too late because timeouts add up: each call that meets a
+/// distributor that has stopped responding reads the store, whatever others are listed.
+#[ntex::test]
+async fn silent_distributors_do_not_add_up() {
+    let silent: Vec<_> = [30_466, 30_467, 30_468]
+        .map(|port| TcpListener::bind((Ipv4Addr::LOCALHOST, port)).unwrap())
+        .into();
+    let store = FakeStore::answering(14);
+    let s = distributed(&store, &SharedLog::default());
+    s.set_distributors(silent.iter().map(|l| l.local_addr().unwrap()).collect());
+    for calls in 1..=4 {
+        let started = Instant::now();
+        assert_eq!(s.watch("", 12, true).await.unwrap().rev, 14);
+        assert!(started.elapsed() <= CONFIG_BOUND / 2 + 100 * MS, "{:?}", started.elapsed());
+        assert_eq!(store.watched.borrow().len(), calls);
+    }
+}
+
+/// Guards against changes in force too late because a distributor that has lost the store, which
+/// takes it most of the time allowed to find out, is followed by one that has stopped responding.
+#[ntex::test]
+async fn store_read_once_distributor_lost_it() {
+    let addr: SocketAddr = "127.0.0.1:30469".parse().unwrap();
+    let (server, log) = distributor(addr, &batch(12, &[])).await;
+    log.close();
+    let silent = TcpListener::bind("127.0.0.1:30470").unwrap();
+    let store = FakeStore::answering(14);
+    let s = distributed(&store, &SharedLog::default());
+    s.set_distributors(vec![addr, silent.local_addr().unwrap()]);
+    let started = Instant::now();
+    assert_eq!(s.watch("", 12, true).await.unwrap().rev, 14);
+    assert!(started.elapsed() < 100 * MS, "{:?}", started.elapsed());
+    server.stop().await;
+}
+
 /// Subscribers are sent to the store at once when the distributor's call to the store fails or is
 /// dropped, as after its process was suspended.
 #[ntex::test]
