Distribution: what a distributor tells counts only for a limited time

What callers would see: requests handled by an older configuration for up to 3.5 s after a change, by balancers that are in touch, where 3 s are allowed.

Cause: a distributor that loses the store finds out after 2 s (its wait and 0.5 s), after 3 s if only a response's body is missing. If it falls silent just before it can say so, its subscribers wait 1.5 s more. Nothing told them how old its word was. The class: a peer's answer taken as fresh.

Evidence, on the code before: distributor_silent_after_lost_store reads the store after 3.45 s; outdated_distributor_is_left never does. Both stay below 2.5 s now.

Why this works: a reply names how long ago the store was read and how long the poll was held; the rest of the time it took counts as age, too. A subscriber polls only for as long as what it knows is younger than a distributor's wait and 0.8 s, then reads the store. So that this does not end polls of a distributor that is well, one whose log is aged answers at its next read. Ruled out: a shorter wait of the distributor (half as many calls again, more than large_config_has_distributor and changes_apply_despite_lost_distributor allow) and shorter polls (3.0 s at best).

Connecting now counts into the time limit of a poll. A balancer and a distributor of different versions do not understand each other's replies; such a balancer watches the store.

--- a/src/admin/client.rs
+++ b/src/admin/client.rs
@@ -12,7 +12,7 @@
 
 use super::{AdminClient, Faults, Status};
 use crate::store::Snapshot;
-use crate::store::distribution::PollReply;
+use crate::store::distribution::DatedReply;
 
 /// A connection to the admin server of one process.
 #[derive(Clone, Debug)]
@@ -38,13 +38,6 @@
         Ok(Self { client, addr, timeout })
     }
 
-    /// Replaces the time limit of each call.
-    #[must_use]
-    pub const fn with_timeout(mut self, timeout: Duration) -> Self {
-        self.timeout = timeout;
-        self
-    }
-
     fn context(&self) -> Context {
         let mut ctx = context::current();
         ctx.deadline = Instant::now() + self.timeout;
@@ -92,7 +85,7 @@
         subscriber: Ipv4Addr,
         prefix: &str,
         after: i64,
-    ) -> anyhow::Result<PollReply> {
+    ) -> anyhow::Result<DatedReply> {
         let res = self.client.poll_changes(self.context(), subscriber, prefix.into(), after).await;
         res.with_context(|| format!("admin: polling the changes of {}", self.addr))
     }
--- a/src/admin/mod.rs
+++ b/src/admin/mod.rs
@@ -22,7 +22,7 @@
 
 use crate::metrics::CounterValue;
 use crate::store::Snapshot;
-use crate::store::distribution::{PollReply, SharedLog};
+use crate::store::distribution::{DatedReply, SharedLog};
 
 /// Calls that every balancer, agent and fabric answers.
 #[tarpc::service]
@@ -36,7 +36,7 @@
     /// Replaces the injected faults.
     async fn set_faults(faults: Faults);
     /// Waits for changes of the store's keys under `prefix` after revision `after`.
-    async fn poll_changes(subscriber: Ipv4Addr, prefix: Arc<str>, after: i64) -> PollReply;
+    async fn poll_changes(subscriber: Ipv4Addr, prefix: Arc<str>, after: i64) -> DatedReply;
 }
 
 /// Status of a process.
--- a/src/admin/server.rs
+++ b/src/admin/server.rs
@@ -2,6 +2,7 @@
 
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::Arc;
+use std::time::Instant;
 
 use anyhow::Context as _;
 use futures_util::StreamExt;
@@ -12,7 +13,7 @@
 
 use super::{Admin, Faults, ProcessState, Status};
 use crate::store::Snapshot;
-use crate::store::distribution::PollReply;
+use crate::store::distribution::DatedReply;
 
 /// Largest number of calls of one connection that run at once.
 const MAX_CONCURRENT_CALLS: usize = 8;
@@ -82,7 +83,10 @@
         subscriber: Ipv4Addr,
         prefix: Arc<str>,
         after: i64,
-    ) -> PollReply {
-        self.0.change_log().poll(subscriber, &prefix, after).await
+    ) -> DatedReply {
+        let log = self.0.change_log();
+        let started = Instant::now();
+        let reply = log.poll(subscriber, &prefix, after).await;
+        DatedReply { reply, age: log.age(), held: started.elapsed() }
     }
 }
--- a/src/edge/entry.rs
+++ b/src/edge/entry.rs
@@ -44,6 +44,9 @@
 /// of changes. A larger value delays the later changes of a burst.
 const BATCH_DELAY: Duration = Duration::from_millis(300);
 
+/// Time beyond its wait in which a distributor's watch is answered.
+const WATCH_SLACK: Duration = Duration::from_millis(500);
+
 /// How long a balancer watches the store itself after it could not decide on a flow by what a
 /// distributor told it: such flows come in bursts.
 const DIRECT_TIME: Duration = Duration::from_secs(3);
@@ -148,8 +151,13 @@
     process_state: &ProcessState,
     refresh: Arc<Notify>,
 ) -> Distribution {
-    let timing = WatchTiming { batch_delay: BATCH_DELAY, direct_time: DIRECT_TIME };
-    let distributor_client = client.clone().with_watch_wait(settings.distributor_wait());
+    let watch_wait = settings.distributor_wait();
+    let timing = WatchTiming {
+        batch_delay: BATCH_DELAY,
+        direct_time: DIRECT_TIME,
+        max_age: BATCH_DELAY + watch_wait + WATCH_SLACK,
+    };
+    let distributor_client = client.clone().with_watch_wait(watch_wait);
     let log = process_state.change_log().clone();
     log.set_max_reply(max_reply_bytes(settings.link_mbps));
     Distribution {
--- a/src/store/distribution/change_log.rs
+++ b/src/store/distribution/change_log.rs
@@ -54,6 +54,17 @@
     NotCurrent,
 }
 
+/// A reply, and how old what it tells is.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DatedReply {
+    /// The reply.
+    pub reply: PollReply,
+    /// How long before the reply the distributor had read the store.
+    pub age: Duration,
+    /// How long the distributor held the poll.
+    pub held: Duration,
+}
+
 /// The changes read since a revision.
 #[derive(Debug, Default)]
 struct ChangeLog {
@@ -63,6 +74,8 @@
     start: i64,
     /// Revision up to which the store was read.
     rev: i64,
+    /// When it was read.
+    read_at: Option<Instant>,
     changes: VecDeque<Change>,
     /// When each subscriber polled last.
     subscribers: BTreeMap<Ipv4Addr, Instant>,
@@ -77,6 +90,7 @@
             self.changes.clear();
         }
         self.rev = batch.rev.max(after);
+        self.read_at = Some(Instant::now());
         self.current = true;
         let max_len = self.max_reply + 1;
         self.changes.extend(batch.changes.iter().map(|c| with_short_value(c, max_len)));
@@ -87,6 +101,11 @@
         }
     }
 
+    /// Time since the store was read.
+    fn age(&self, now: Instant) -> Duration {
+        self.read_at.map_or(Duration::MAX, |at| now.saturating_duration_since(at))
+    }
+
     /// Whether a poll must be answered at once.
     fn has_reply(&self, prefix: &str, after: i64) -> bool {
         !self.current || after < self.start || self.changes_after(prefix, after).next().is_some()
@@ -188,6 +207,12 @@
         log.subscribers.values().filter(|at| now.duration_since(**at) < SUBSCRIBER_TTL).count()
     }
 
+    /// Time since the store was read.
+    #[must_use]
+    pub fn age(&self) -> Duration {
+        self.0.borrow().age(Instant::now())
+    }
+
     /// Waits up to [`POLL_WAIT`] for changes under `prefix` after revision `after`.
     pub async fn poll(&self, subscriber: Ipv4Addr, prefix: &str, after: i64) -> PollReply {
         let mut admitted = true;
@@ -198,8 +223,13 @@
         if !admitted {
             return PollReply::Full;
         }
+        let started = Instant::now();
         let mut log = self.0.subscribe();
-        let news = log.wait_for(|log| log.has_reply(prefix, after));
+        // Subscribers of an aged log are told of the next read before the log is too old for them.
+        let awaits_read = log.borrow().age(started) >= POLL_WAIT / 2;
+        let news = log.wait_for(|log| {
+            log.has_reply(prefix, after) || awaits_read && log.read_at > Some(started)
+        });
         // Both a timeout and a closed log are visible in the log itself.
         drop(tokio::time::timeout(POLL_WAIT, news).await);
         self.0.borrow().reply(prefix, after)
--- a/src/store/distribution/mod.rs
+++ b/src/store/distribution/mod.rs
@@ -14,15 +14,19 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-pub use change_log::{MAX_SUBSCRIBERS, POLL_WAIT, PollReply, SharedLog, max_reply_bytes};
+pub use change_log::{
+    DatedReply, MAX_SUBSCRIBERS, POLL_WAIT, PollReply, SharedLog, max_reply_bytes,
+};
+
+use anyhow::Context;
 
 use super::{Kv, WatchBatch, WatchStore};
 use crate::admin::Connection;
 use crate::events;
 use crate::metrics::{self, Retry};
 
-/// Time limit on connecting to a distributor, and on its reply beyond [`POLL_WAIT`].
-const POLL_SLACK: Duration = Duration::from_millis(500);
+/// Time limit on a poll, which includes connecting to the distributor.
+const POLL_TIMEOUT: Duration = Duration::from_millis(1_500);
 
 /// How long a distributor that did not answer, or is not current, is not polled again. A
 /// larger value costs calls to the store; a smaller one delays changes repeatedly.
@@ -39,6 +43,9 @@
     pub batch_delay: Duration,
     /// How long to watch the store directly after [`DistributedStore::watch_directly`].
     pub direct_time: Duration,
+    /// Time after a distributor's read of the store in which its subscribers rely on it. Must
+    /// cover the time between two reads.
+    pub max_age: Duration,
 }
 
 /// A store whose watches are answered by a distributor where there is one. Clones share their
@@ -70,6 +77,8 @@
     subscribed: Cell<bool>,
     /// Until when the store is watched directly.
     direct_until: Cell<Option<Instant>>,
+    /// Until when what is known counts as current; `None` before the first read.
+    fresh_until: Cell<Option<Instant>>,
     /// When the store last returned a change.
     changed_at: Cell<Option<Instant>>,
 }
@@ -144,6 +153,12 @@
         state.distributors.borrow().iter().find(|addr| !skipped.contains_key(addr)).copied()
     }
 
+    /// Time limit on a poll that begins now: what is known must not become too old meanwhile.
+    fn poll_timeout(&self, now: Instant) -> Duration {
+        let fresh_until = self.state.fresh_until.get();
+        fresh_until.map_or(POLL_TIMEOUT, |at| POLL_TIMEOUT.min(at.saturating_duration_since(now)))
+    }
+
     fn skip(&self, addr: SocketAddr, delay: Duration) {
         self.state.connection.replace(None);
         self.state.skipped.borrow_mut().insert(addr, Instant::now() + delay);
@@ -158,9 +173,14 @@
         while let Some(addr) = self.choose_distributor(Instant::now()) {
             self.state.subscribed.set(true);
             let started = Instant::now();
-            let reply = self.poll(addr, prefix, after).await;
-            let current = matches!(reply, Ok(PollReply::Changes { .. }));
+            let timeout = self.poll_timeout(started);
+            if timeout.is_zero() {
+                break;
+            }
+            let reply = self.poll(addr, prefix, after, timeout).await;
+            let current = matches!(&reply, Ok(r) if matches!(r.reply, PollReply::Changes { .. }));
             metrics::record_store_call("poll", current, started.elapsed());
+            let reply = reply.map(|dated| self.check_age(dated, started));
             match reply {
                 Ok(PollReply::Changes { rev, changes }) => {
                     self.state.all_full.set(false);
@@ -192,18 +212,43 @@
         None
     }
 
-    async fn poll(&self, addr: SocketAddr, prefix: &str, after: i64) -> anyhow::Result<PollReply> {
-        let known = self.state.connection.borrow().clone().filter(|(to, _)| *to == addr);
-        let connection = match known {
-            Some((_, connection)) => connection,
-            None => {
-                let connection = Connection::connect(addr, POLL_SLACK).await?;
-                let connection = connection.with_timeout(POLL_WAIT + POLL_SLACK);
-                self.state.connection.replace(Some((addr, connection.clone())));
-                connection
-            }
+    /// Returns the reply to a poll that began at `started`, or [`PollReply::NotCurrent`] if it is
+    /// too old.
+    fn check_age(&self, dated: DatedReply, started: Instant) -> PollReply {
+        if !matches!(dated.reply, PollReply::Changes { .. }) {
+            return dated.reply;
+        }
+        let Some(remaining) = self.timing.max_age.checked_sub(dated.age) else {
+            return PollReply::NotCurrent;
+        };
+        // The distributor replied no earlier than that. Time in transit counts as age.
+        let replied_at = started + dated.held.min(started.elapsed());
+        self.state.fresh_until.set(Some(replied_at + remaining));
+        dated.reply
+    }
+
+    async fn poll(
+        &self,
+        addr: SocketAddr,
+        prefix: &str,
+        after: i64,
+        timeout: Duration,
+    ) -> anyhow::Result<DatedReply> {
+        let poll = async {
+            let known = self.state.connection.borrow().clone().filter(|(to, _)| *to == addr);
+            let connection = match known {
+                Some((_, connection)) => connection,
+                None => {
+                    let connection = Connection::connect(addr, POLL_TIMEOUT).await?;
+                    self.state.connection.replace(Some((addr, connection.clone())));
+                    connection
+                }
+            };
+            connection.poll_changes(self.own_ip, prefix, after).await
         };
-        connection.poll_changes(self.own_ip, prefix, after).await
+        tokio::time::timeout(timeout, poll)
+            .await
+            .with_context(|| format!("polling {addr}: no reply in {timeout:?}"))?
     }
 }
 
@@ -237,6 +282,7 @@
         }
         close.keep_open();
         self.state.subscribed.set(false);
+        self.state.fresh_until.set(Some(Instant::now() + self.timing.max_age));
         if !batch.changes.is_empty() {
             self.state.changed_at.set(Some(Instant::now()));
         }
--- a/tests/distribution.rs
+++ b/tests/distribution.rs
@@ -22,12 +22,17 @@
 use jujubepost::up::Signal;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
+use tokio::sync::watch;
 
 const MS: Duration = Duration::from_millis(1);
 
 /// Time in which a configuration must be in force, as `bounds.config_ms` has it by default.
 const CONFIG_BOUND: Duration = Duration::from_secs(3);
 
+/// Time without a read of the store after which a subscriber reads it itself, which leaves 0.5 s of
+/// [`CONFIG_BOUND`] for that.
+const MAX_UNREAD: Duration = Duration::from_millis(2_500);
+
 /// Values in one reply at most, in bytes.
 const MAX_REPLY: usize = 1_000;
 
@@ -72,7 +77,12 @@
 }
 
 fn distributed(store: &FakeStore, log: &SharedLog) -> DistributedStore<FakeStore> {
-    let timing = WatchTiming { batch_delay: Duration::ZERO, direct_time: 500 * MS };
+    let timing = WatchTiming {
+        batch_delay: Duration::ZERO,
+        direct_time: 500 * MS,
+        // As on the platform, where a distributor's watch waits for half of the bound.
+        max_age: CONFIG_BOUND / 2 + 800 * MS,
+    };
     DistributedStore::new(store.clone(), store.clone(), Ipv4Addr::LOCALHOST, timing, log.clone())
 }
 
@@ -190,6 +200,91 @@
     server.stop().await;
 }
 
+/// Guards against changes in force too late because a distributor's word counts for as long as it
+/// is given: the store is read in time where the distributor's own read of it is too old.
+#[ntex::test]
+async fn outdated_distributor_is_left() {
+    let addr: SocketAddr = "127.0.0.1:30471".parse().unwrap();
+    // Never reads the store again, and does not find out.
+    let (server, _log) = distributor(addr, &batch(12, &[])).await;
+    let read = Instant::now();
+    let store = FakeStore::answering(14);
+    let s = distributed(&store, &SharedLog::default());
+    s.set_distributors(vec![addr]);
+    let took = store_read_after(&s, &store, read).await;
+    assert!(took < MAX_UNREAD, "{took:?}");
+    server.stop().await;
+}
+
+/// Guards against changes in force too late because two timeouts add up: the distributor's, after
+/// which it knows that it has lost the store, and then its subscriber's, as it falls silent itself.
+#[ntex::test]
+async fn distributor_silent_after_lost_store() {
+    let addr: SocketAddr = "127.0.0.1:30472".parse().unwrap();
+    let (server, log) = distributor(addr, &batch(12, &[])).await;
+    let read = Instant::now();
+    let proxy = StallingProxy::start("127.0.0.1:30473", addr).await;
+    let store = FakeStore::answering(14);
+    let s = distributed(&store, &SharedLog::default());
+    s.set_distributors(vec![proxy.addr]);
+    tokio::time::sleep(950 * MS).await;
+    let faults = async {
+        tokio::time::sleep_until((read + 1_970 * MS).into()).await;
+        proxy.stall();
+        log.close();
+    };
+    let (took, ()) = futures_util::join!(store_read_after(&s, &store, read), faults);
+    assert!(took < MAX_UNREAD, "{took:?}");
+    server.stop().await;
+}
+
+/// Watches until the store itself is called; returns how long after `read` that was.
+async fn store_read_after(
+    s: &DistributedStore<FakeStore>,
+    store: &FakeStore,
+    read: Instant,
+) -> Duration {
+    let calls = async {
+        while store.watched.borrow().is_empty() {
+            s.watch("", 12, true).await.unwrap();
+        }
+    };
+    tokio::time::timeout(3 * CONFIG_BOUND, calls).await.expect("the store is never read");
+    read.elapsed()
+}
+
+/// Forwards connections to an address until it stalls: they then stay open, and silent.
+struct StallingProxy {
+    addr: SocketAddr,
+    stalled: watch::Sender<bool>,
+}
+
+impl StallingProxy {
+    async fn start(from: &str, to: SocketAddr) -> Self {
+        let listener = tokio::net::TcpListener::bind(from).await.unwrap();
+        let addr = listener.local_addr().unwrap();
+        let (stalled, stall) = watch::channel(false);
+        tokio::task::spawn_local(async move {
+            while let Ok((mut near, _)) = listener.accept().await {
+                let mut far = tokio::net::TcpStream::connect(to).await.unwrap();
+                let mut stall = stall.clone();
+                tokio::task::spawn_local(async move {
+                    tokio::select! {
+                        _ = tokio::io::copy_bidirectional(&mut near, &mut far) => return,
+                        _ = stall.wait_for(|stalled| *stalled) => {}
+                    }
+                    std::future::pending::<()>().await;
+                });
+            }
+        });
+        Self { addr, stalled }
+    }
+
+    fn stall(&self) {
+        self.stalled.send_replace(true);
+    }
+}
+
 /// Subscribers are sent to the store at once when the distributor's call to the store fails or is
 /// dropped, as after its process was suspended.
 #[ntex::test]
