Pauses: a suspended VM is a pause, too

What callers would see: after a VM was suspended for seconds its balancer serves by the configuration, evacuations and agents it knew before, until its held call to the store times out, and takes flows that all agents known to it deny as lost.

Cause: pauses were found by the monotonic clock alone, which stands still while a VM is suspended; CLOCK_BOOTTIME does not. The class: an interval counted over time in which the process did not run, here the other way round.

Why this works: each wake-up compares how far both clocks went; what only the boot clock shows counts as a pause from 0.5 s on. The store is read at once and counts as unreachable until it answers, as after any pause; time that the monotonic clock does not show shifts no timer.

--- a/src/edge/entry.rs
+++ b/src/edge/entry.rs
@@ -14,9 +14,10 @@
 
 use super::distributor::Distribution;
 use super::inspect::{self, Inspect};
+use super::pause::{ClockReading, PauseDetector};
 use super::snapshot::SnapshotReader;
 use super::socket::Socket;
-use super::{Settings, connect_store, pause, relay};
+use super::{Settings, connect_store, relay};
 use crate::admin::{self, ProcessState};
 use crate::flow::Flow;
 use crate::http::{HttpResponse, Server};
@@ -293,6 +294,7 @@
         let Self { sockets, caller_port, .. } = self;
         let mut buf = vec![0; RECV_BUFFER_BYTES];
         let mut scratch = Vec::with_capacity(protocol::MAX_DATAGRAM_BYTES);
+        let mut pauses = PauseDetector::new(ClockReading::now());
         loop {
             let before = Instant::now();
             let due = self.steering.borrow().next_deadline(before);
@@ -304,9 +306,10 @@
             }
             let mut steering = self.steering.borrow_mut();
             let mut out = PacketSender { sockets, caller_port: *caller_port, buf: &mut scratch };
-            let now = Instant::now();
-            if let Some(paused) = pause::detect(before + wait, now) {
-                steering.resume(paused);
+            let clocks = ClockReading::now();
+            let now = clocks.monotonic;
+            if let Some(pause) = pauses.detect(before + wait, clocks) {
+                steering.resume(pause.late);
                 self.refresh.notify_one();
             }
             steering.set_roster_source(self.roster_source(), now, &mut out);
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -6,7 +6,7 @@
 pub mod entry;
 mod held_key;
 mod inspect;
-mod pause;
+pub mod pause;
 mod port;
 mod registration;
 mod relay;
--- a/src/edge/sidecar.rs
+++ b/src/edge/sidecar.rs
@@ -13,13 +13,14 @@
 use tokio::task::JoinSet;
 
 use super::inspect::{self, Inspect};
+use super::pause::{ClockReading, PauseDetector};
 use super::port::{self, PortState};
 use super::registration::{
     PreviousRegistration, Registration, deregister, maintain_registration,
     read_previous_registration,
 };
 use super::socket::Socket;
-use super::{AGENT_PREFIX, Settings, connect_store, pause, reports};
+use super::{AGENT_PREFIX, Settings, connect_store, reports};
 use crate::flow::Flow;
 use crate::http::{HttpResponse, Server};
 use crate::platform::packet;
@@ -279,6 +280,7 @@
     let mut last_rewrite: Option<Instant> = None;
     let mut probes = JoinSet::new();
     let mut last_received = Instant::now();
+    let mut pauses = PauseDetector::new(ClockReading::now());
     loop {
         let before = Instant::now();
         if before.duration_since(last_received) >= SILENCE_TIMEOUT {
@@ -301,10 +303,11 @@
         }
         let mut tracker = tracker.borrow_mut();
         let mut out = PacketSender { sockets, buf: &mut scratch };
-        let now = Instant::now();
+        let clocks = ClockReading::now();
+        let now = clocks.monotonic;
         // Only logged: an agent's decisions do not depend on how long others were
         // silent.
-        pause::detect(before + wait, now);
+        pauses.detect(before + wait, clocks);
         if let Some(port_state) = probed {
             port::apply_probe(&mut tracker, port_state, sockets.target, now, &mut out);
         }
