Distribution: the log is closed when a delayed call is dropped

What callers would see: as with any distributor whose word is too old, changes in force late at its subscribers.

Cause: a distributor that was suspended closes its log as its call to the store is dropped, so that its subscribers read the store. After a change the call is delayed by 0.3 s, and a call dropped in that delay left the log open.

Evidence: dropped_delay_closes_log, red on the code before (the log answers 'no changes'). Found by reading.

Why this works: what closes the log now exists from the start of the call.

--- a/src/store/distribution/mod.rs
+++ b/src/store/distribution/mod.rs
@@ -260,6 +260,8 @@
         after: i64,
         wait: bool,
     ) -> anyhow::Result<WatchBatch> {
+        // Closes the log also when the call is dropped, as the process may have been suspended.
+        let close = CloseOnDrop(&self.log);
         let batch_end = self.state.changed_at.get().map(|at| at + self.timing.batch_delay);
         if let Some(at) = batch_end.filter(|_| wait) {
             tokio::time::sleep_until(at.into()).await;
@@ -271,8 +273,6 @@
         let store = if distributes { &self.distributor_store } else { &self.store };
         // Subscribers wait for a log to open.
         let wait = wait && (!distributes || self.log.is_open());
-        // Closes the log also when the call is dropped, as the process may have been suspended.
-        let close = CloseOnDrop(distributes.then_some(&self.log));
         let batch = store.watch(prefix, after, wait).await?;
         if batch.compacted {
             return Ok(batch);
@@ -305,18 +305,16 @@
 }
 
 /// Closes a log when dropped.
-struct CloseOnDrop<'a>(Option<&'a SharedLog>);
+struct CloseOnDrop<'a>(&'a SharedLog);
 
 impl CloseOnDrop<'_> {
-    fn keep_open(mut self) {
-        self.0 = None;
+    fn keep_open(self) {
+        std::mem::forget(self);
     }
 }
 
 impl Drop for CloseOnDrop<'_> {
     fn drop(&mut self) {
-        if let Some(log) = self.0 {
-            log.close();
-        }
+        self.0.close();
     }
 }
--- a/tests/distribution.rs
+++ b/tests/distribution.rs
@@ -77,8 +77,16 @@
 }
 
 fn distributed(store: &FakeStore, log: &SharedLog) -> DistributedStore<FakeStore> {
+    distributed_with_delay(store, log, Duration::ZERO)
+}
+
+fn distributed_with_delay(
+    store: &FakeStore,
+    log: &SharedLog,
+    batch_delay: Duration,
+) -> DistributedStore<FakeStore> {
     let timing = WatchTiming {
-        batch_delay: Duration::ZERO,
+        batch_delay,
         direct_time: 500 * MS,
         // As on the platform, where a distributor's watch waits for half of the bound.
         max_age: CONFIG_BOUND / 2 + 800 * MS,
@@ -314,6 +322,23 @@
     assert_eq!(log.poll(Ipv4Addr::LOCALHOST, "", 11).await, PollReply::NotCurrent);
 }
 
+/// Guards against subscribers relying on a distributor that was suspended right after a change,
+/// while its next call to the store was delayed to gather more of them.
+#[ntex::test]
+async fn dropped_delay_closes_log() {
+    let log = SharedLog::default();
+    log.set_max_reply(MAX_REPLY);
+    let store = FakeStore::answering(11);
+    store.batch.replace(Some(batch(11, &[put("a/1", 11, 1)])));
+    let s = distributed_with_delay(&store, &log, 300 * MS);
+    s.set_distributing(true);
+    s.watch("", 10, true).await.unwrap();
+    assert!(log.is_open());
+    let dropped = tokio::time::timeout(100 * MS, s.watch("", 11, true)).await;
+    assert!(dropped.is_err(), "the call is delayed");
+    assert_eq!(log.poll(Ipv4Addr::LOCALHOST, "", 11).await, PollReply::NotCurrent);
+}
+
 /// A gap in what a distributor read is never handed on as if nothing had happened in it.
 #[ntex::test]
 async fn gap_is_read_from_store() {
