Agents: a record from before a restore of the store is no proof

What callers would see: open flows reset, after an agent restarts beside a target that started in the seconds whose writes the restore lost.

Cause: an agent that meets its target within 0.2 s of its own start, among the target's first four reports, knows all flows if its record names an earlier start. A restored copy may name an earlier start though a process before it served the current one. The class: content of the store taken as the latest that was written there.

Evidence: record_before_restore_is_no_proof fails with the comparison of eras left out (the copy's incarnation instead of none).

Why this works: a record holds the store's era at its writing, the store's response its present one. Where they differ, the previous incarnation is unknown, so flows are tried at the target instead of denied. A running agent writes its record again once it learns of a restore, or of the era at all. Ruled out: asking balancers, which know no starts.

cut_off_process_follows_peers: a process that cannot reach the store while it is restored for others follows its peers to the later era.

--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -22,6 +22,7 @@
 use anyhow::Context;
 use tokio::signal::unix::{SignalKind, signal};
 
+pub use registration::Record;
 pub use settings::{Settings, TimeLimits};
 pub use snapshot::SnapshotReader;
 
--- a/src/edge/registration.rs
+++ b/src/edge/registration.rs
@@ -1,16 +1,19 @@
 //! The agent's registration in the store: reading what a previous process left,
 //! holding it under a lease, updating and deleting it.
 
+use std::cell::RefCell;
 use std::net::SocketAddrV4;
 use std::rc::Rc;
 use std::time::Duration;
 
 use tokio::sync::{Notify, watch};
 
+use serde::{Deserialize, Serialize};
+
 use super::AGENT_LEASE_MS;
 use crate::platform;
 use crate::steering::ListedAgent;
-use crate::store::{LeaseStore, lease};
+use crate::store::{Kv, LeaseStore, lease, revision};
 use crate::tracker::Incarnation;
 use crate::{events, metrics};
 
@@ -62,22 +65,80 @@
     }
 }
 
+/// What an agent writes to the store: itself, and the store's era at that time.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Record {
+    /// The agent, as balancers read it.
+    #[serde(flatten)]
+    pub agent: ListedAgent,
+    /// Era of the store when the agent named its target's incarnation.
+    #[serde(default)]
+    pub era: u32,
+}
+
+impl Record {
+    /// Reads the incarnation that the process which wrote `kv` served last. It is unknown if the
+    /// store was restored since: a later record may have been lost.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the value is not a record.
+    pub fn served_incarnation(kv: &Kv) -> serde_json::Result<Option<Incarnation>> {
+        let record: Self = serde_json::from_slice(&kv.value)?;
+        Ok(record.agent.incarnation.filter(|_| record.era == revision::era(kv.rev)))
+    }
+}
+
 /// The agent's registration in the store.
 pub(super) struct Registration {
-    pub(super) record: ListedAgent,
     /// Address at which the target receives packets.
     pub(super) target: SocketAddrV4,
-    pub(super) value: watch::Sender<Vec<u8>>,
     /// Requests a check that the registration still exists.
     pub(super) lease_check: Rc<Notify>,
+    record: RefCell<Record>,
+    value: watch::Sender<Vec<u8>>,
+    store: platform::kv::Client,
 }
 
 impl Registration {
+    /// The registration of `agent`, beside the target at `target`, and what is to be written.
+    pub(super) fn new(
+        agent: ListedAgent,
+        target: SocketAddrV4,
+        store: platform::kv::Client,
+    ) -> (Self, watch::Receiver<Vec<u8>>) {
+        let (value, values) = watch::channel(Vec::new());
+        let record = RefCell::new(Record { agent, era: 0 });
+        (Self { target, lease_check: Rc::default(), record, value, store }, values)
+    }
+
     /// Stores the target's current incarnation, so that a restarted agent knows which
     /// one its predecessor served.
     pub(super) fn set_incarnation(&self, incarnation: Incarnation) {
-        let record = ListedAgent { incarnation: Some(incarnation), ..self.record.clone() };
-        match serde_json::to_vec(&record) {
+        self.record.borrow_mut().agent.incarnation = Some(incarnation);
+        self.write_if_changed();
+    }
+
+    /// Writes the record again once it is known that the store was restored, so that it counts
+    /// as proof. Does nothing before the target's first report.
+    pub(super) fn follow_era(&self) {
+        let record = self.record.borrow();
+        let outdated = record.agent.incarnation.is_some() && record.era != self.store.era();
+        drop(record);
+        if outdated {
+            self.write_if_changed();
+        }
+    }
+
+    /// Writes the record although it has not changed.
+    pub(super) fn write_again(&self) {
+        self.value.send_modify(|_| {});
+    }
+
+    fn write_if_changed(&self) {
+        let mut record = self.record.borrow_mut();
+        record.era = self.store.era();
+        match serde_json::to_vec(&*record) {
             Ok(value) => {
                 self.value.send_if_modified(|old| {
                     *old != value && {
@@ -120,8 +181,8 @@
             return PreviousRegistration::Unknown;
         }
     };
-    match serde_json::from_slice::<ListedAgent>(&kv.value) {
-        Ok(record) => PreviousRegistration::Present(record.incarnation),
+    match Record::served_incarnation(&kv) {
+        Ok(incarnation) => PreviousRegistration::Present(incarnation),
         Err(e) => {
             metrics::count_drop("entry_unreadable");
             log::error!(
--- a/src/edge/sidecar.rs
+++ b/src/edge/sidecar.rs
@@ -9,7 +9,6 @@
 
 use anyhow::Context;
 use ntex::http::StatusCode;
-use tokio::sync::{Notify, watch};
 use tokio::task::JoinSet;
 
 use super::inspect::{self, Inspect};
@@ -129,16 +128,14 @@
             tracker.borrow_mut().set_predecessor(incarnation, Instant::now())
         }
     }
-    let record = ListedAgent {
+    let agent = ListedAgent {
         addr: settings.message_addr(),
         zone: settings.zone.clone(),
         service,
         incarnation: None,
     };
-    let (value, values) = watch::channel(serde_json::to_vec(&record)?);
-    let target = sockets.target;
-    let registration =
-        Rc::new(Registration { record, target, value, lease_check: Rc::new(Notify::new()) });
+    let (registration, values) = Registration::new(agent, sockets.target, store.clone());
+    let registration = Rc::new(registration);
     let report_addr = settings.reports.with_context(missing_field("reports"))?;
     let report_server = reports::serve(report_addr, tracker.clone(), registration.clone()).await?;
     let ready_server = match settings.ready {
@@ -318,6 +315,7 @@
         if activity.received {
             last_received = now;
         }
+        registration.follow_era();
         let target_alive = tracker.target().is_some_and(Target::is_alive);
         if activity.unregistered
             && target_alive
@@ -328,7 +326,7 @@
                 event = events::EDGE_STORE;
                 "registration is missing in the store; writing it again"
             );
-            registration.value.send_modify(|_| {});
+            registration.write_again();
         }
     }
 }
--- a/tests/store_restore.rs
+++ b/tests/store_restore.rs
@@ -3,13 +3,22 @@
 
 mod common;
 
+use std::cell::RefCell;
+use std::net::SocketAddr;
 use std::path::PathBuf;
+use std::rc::Rc;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use anyhow::Context;
 use common::trials::{CONFIG_BOUND, set_faults, wait_in_force};
+use jujubepost::admin::{self, ProcessState};
+use jujubepost::edge::Record;
 use jujubepost::platform::{config, kv};
 use jujubepost::script::Action;
-use jujubepost::store::{Faults, LeaseStore, WatchStore, revision};
+use jujubepost::steering::ListedAgent;
+use jujubepost::store::mirror::{self, MirrorEvent, PeerFallback, Source};
+use jujubepost::store::{Faults, Kv, LeaseStore, Snapshot, WatchBatch, WatchStore, revision};
 use jujubepost::trial::{Plan, Trial};
 use jujubepost::up::Signal;
 
@@ -127,6 +136,96 @@
     stop("leases", trial).await;
 }
 
+/// Guards against an agent that denies living flows: it takes the copy's record, which names an
+/// earlier start of its target, as proof that no process before it served the current one.
+#[test]
+fn record_before_restore_is_no_proof() {
+    let agent = ListedAgent {
+        addr: "10.0.0.1:7720".parse().unwrap(),
+        zone: "gjw-a".into(),
+        service: "meter".into(),
+        incarnation: Some("i-1".into()),
+    };
+    let value = serde_json::to_vec(&Record { agent: agent.clone(), era: 3 }).unwrap();
+    let written = |era| {
+        let rev = revision::compose(era, 12).unwrap();
+        Kv { key: "jujubepost/agents/10.0.0.1".into(), value: value.clone(), rev, lease: 1 }
+    };
+    let served = |era| Record::served_incarnation(&written(era)).unwrap();
+    assert_eq!(served(3), agent.incarnation);
+    assert_eq!(served(4), None, "restored since");
+    // Balancers read the same value, those of earlier releases too.
+    assert_eq!(serde_json::from_slice::<ListedAgent>(&value).unwrap(), agent);
+}
+
+/// A store that answers one listing, after which this process is cut off from it.
+#[derive(Clone)]
+struct CutOffStore {
+    listing: Rc<RefCell<Option<(i64, Vec<Kv>)>>>,
+}
+
+impl WatchStore for CutOffStore {
+    async fn list(&self, _: &str) -> anyhow::Result<(i64, Vec<Kv>)> {
+        self.listing.take().context("cut off")
+    }
+
+    async fn watch(&self, _: &str, _: i64, _: bool) -> anyhow::Result<WatchBatch> {
+        anyhow::bail!("cut off")
+    }
+}
+
+/// A key with a version as its value, at `counter` of `era`.
+fn versioned_key(version: u8, era: u32, counter: i64) -> Kv {
+    let rev = revision::compose(era, counter).unwrap();
+    Kv { key: "op/config".into(), value: vec![version], rev, lease: 0 }
+}
+
+/// Guards against a process that is cut off from the store while it is restored for others: it
+/// follows its peers to the store's later era, though that counts fewer changes, and not back.
+#[ntex::test]
+async fn cut_off_process_follows_peers() {
+    let addr: SocketAddr = "127.0.0.1:30474".parse().unwrap();
+    let peer = ProcessState::new("peer".into(), "op/".into());
+    let hold = |kv: Kv| {
+        let keys = [(kv.key.clone(), kv.clone())].into();
+        peer.set_snapshot(Arc::new(Snapshot { rev: kv.rev, complete_rev: kv.rev, keys }));
+    };
+    hold(versioned_key(2, 1, 30));
+    let server = admin::Server::start(addr, peer.clone()).await.unwrap();
+    let listed = versioned_key(3, 2, 12);
+    let source = Source {
+        store: CutOffStore { listing: Rc::new(RefCell::new(Some((listed.rev, vec![listed])))) },
+        prefix: String::new(),
+        start_order: Vec::new(),
+        peers: vec![addr],
+        peer_fallback: PeerFallback::Always,
+        batch_delay: Duration::ZERO,
+        refresh: Arc::default(),
+    };
+    let seen = RefCell::new(Vec::new());
+    let follow = mirror::follow(
+        &source,
+        |_| None,
+        |event| {
+            if let MirrorEvent::Updated(snapshot) = event {
+                seen.borrow_mut().push(snapshot.keys["op/config"].value[0]);
+            }
+        },
+    );
+    let restore = async {
+        tokio::time::sleep(1_000 * MS).await;
+        assert_eq!(*seen.borrow(), [3], "the peer is of an earlier era");
+        hold(versioned_key(4, 3, 5));
+        tokio::time::sleep(1_500 * MS).await;
+        assert_eq!(*seen.borrow(), [3, 4]);
+    };
+    tokio::select! {
+        () = follow => {}
+        () = restore => {}
+    }
+    server.stop().await;
+}
+
 /// Guards against the own interface's processes rejecting the restored store: a limit that is
 /// changed after the restore is in force in time.
 #[ntex::test]
