Distribution: the change log is bounded by the size of its values

Cause: the log kept 1,024 changes of up to a tenth of a second of the link each (390 KB at 1,000 Mbit/s): 400 MB at worst. Values that no reply can hold were kept, too, up to that size. The class: a window bounded by count.

Why this works: values of four of the largest replies are kept; a subscriber that needs more than one reads the store as before. Values too large for a reply are not kept.

--- a/src/store/distribution/change_log.rs
+++ b/src/store/distribution/change_log.rs
@@ -23,6 +23,9 @@
 /// Changes kept for subscribers that are behind.
 const MAX_CHANGES: usize = 1_024;
 
+/// Values kept for them, in replies of the largest size. Whoever needs more reads the store.
+const MAX_KEPT_REPLIES: usize = 4;
+
 /// Share of a second for which the replies to all subscribers may occupy the distributor's link,
 /// which carries callers' packets too.
 const LINK_SHARE: f64 = 0.1;
@@ -65,6 +68,14 @@
     pub held: Duration,
 }
 
+/// A change, without its value if no reply can hold it.
+#[derive(Debug)]
+struct Entry {
+    change: Change,
+    /// Whether the value was left out.
+    too_large: bool,
+}
+
 /// The changes read since a revision.
 #[derive(Debug, Default)]
 struct ChangeLog {
@@ -76,7 +87,9 @@
     rev: i64,
     /// When it was read.
     read_at: Option<Instant>,
-    changes: VecDeque<Change>,
+    entries: VecDeque<Entry>,
+    /// Size of the values in `entries`, in bytes.
+    value_bytes: usize,
     /// When each subscriber polled last.
     subscribers: BTreeMap<Ipv4Addr, Instant>,
     /// Values of one reply at most, in bytes.
@@ -87,17 +100,23 @@
     fn record(&mut self, after: i64, batch: &WatchBatch) {
         if self.rev != after {
             self.start = after;
-            self.changes.clear();
+            self.entries.clear();
+            self.value_bytes = 0;
         }
         self.rev = batch.rev.max(after);
         self.read_at = Some(Instant::now());
         self.current = true;
-        let max_len = self.max_reply + 1;
-        self.changes.extend(batch.changes.iter().map(|c| with_short_value(c, max_len)));
-        while self.changes.len() > MAX_CHANGES {
-            if let Some(dropped) = self.changes.pop_front() {
-                self.start = dropped.rev();
-            }
+        for change in &batch.changes {
+            let too_large = value_len(change) > self.max_reply;
+            let change = if too_large { without_value(change) } else { change.clone() };
+            self.value_bytes += value_len(&change);
+            self.entries.push_back(Entry { change, too_large });
+        }
+        let max_bytes = self.max_reply.saturating_mul(MAX_KEPT_REPLIES);
+        while self.entries.len() > MAX_CHANGES || self.value_bytes > max_bytes {
+            let Some(dropped) = self.entries.pop_front() else { break };
+            self.value_bytes -= value_len(&dropped.change);
+            self.start = dropped.change.rev();
         }
     }
 
@@ -108,28 +127,25 @@
 
     /// Whether a poll must be answered at once.
     fn has_reply(&self, prefix: &str, after: i64) -> bool {
-        !self.current || after < self.start || self.changes_after(prefix, after).next().is_some()
+        !self.current || after < self.start || self.entries_after(prefix, after).next().is_some()
     }
 
     fn reply(&self, prefix: &str, after: i64) -> PollReply {
         if !self.current || self.rev < after {
             return PollReply::NotCurrent;
         }
-        let changes: Vec<_> = self.changes_after(prefix, after).cloned().collect();
-        let size: usize = changes.iter().map(value_len).sum();
-        if after < self.start || size > self.max_reply {
+        let entries = || self.entries_after(prefix, after);
+        let size: usize = entries().map(|e| value_len(&e.change)).sum();
+        if after < self.start || size > self.max_reply || entries().any(|e| e.too_large) {
             return PollReply::ReadStore;
         }
+        let changes = entries().map(|e| e.change.clone()).collect();
         PollReply::Changes { rev: self.rev, changes }
     }
 
-    fn changes_after<'a>(
-        &'a self,
-        prefix: &'a str,
-        after: i64,
-    ) -> impl Iterator<Item = &'a Change> {
-        let first = self.changes.partition_point(|c| c.rev() <= after);
-        self.changes.range(first..).filter(move |c| c.key().starts_with(prefix))
+    fn entries_after<'a>(&'a self, prefix: &'a str, after: i64) -> impl Iterator<Item = &'a Entry> {
+        let first = self.entries.partition_point(|e| e.change.rev() <= after);
+        self.entries.range(first..).filter(move |e| e.change.key().starts_with(prefix))
     }
 
     /// Counts `subscriber`, unless there are too many others.
@@ -151,13 +167,9 @@
     }
 }
 
-/// A copy of `change` whose value is cut to `max_len` bytes.
-fn with_short_value(change: &Change, max_len: usize) -> Change {
+fn without_value(change: &Change) -> Change {
     match change {
-        Change::Put(kv) => {
-            let value = kv.value[..kv.value.len().min(max_len)].to_vec();
-            Change::Put(Kv { key: kv.key.clone(), value, ..*kv })
-        }
+        Change::Put(kv) => Change::Put(Kv { key: kv.key.clone(), value: Vec::new(), ..*kv }),
         Change::Delete { .. } => change.clone(),
     }
 }
@@ -207,6 +219,12 @@
         log.subscribers.values().filter(|at| now.duration_since(**at) < SUBSCRIBER_TTL).count()
     }
 
+    /// Size of the values that are kept, in bytes.
+    #[must_use]
+    pub fn value_bytes(&self) -> usize {
+        self.0.borrow().value_bytes
+    }
+
     /// Time since the store was read.
     #[must_use]
     pub fn age(&self) -> Duration {
--- a/tests/distribution.rs
+++ b/tests/distribution.rs
@@ -360,6 +360,26 @@
     );
 }
 
+/// Guards against a distributor that runs out of memory after hundreds of changes: the log is
+/// bounded by the size of its values, not only by their number.
+#[ntex::test]
+async fn kept_values_are_bounded() {
+    let log = SharedLog::default();
+    log.set_max_reply(MAX_REPLY);
+    for rev in 11..=500 {
+        // Every second value is too large for any reply.
+        let len = if rev % 2 == 0 { MAX_REPLY - 1 } else { 100 * MAX_REPLY };
+        log.record(rev - 1, &batch(rev, &[put("a/1", rev, len)]));
+    }
+    assert!(log.value_bytes() <= 10 * MAX_REPLY, "{} bytes", log.value_bytes());
+    let poll = |after| log.poll(Ipv4Addr::LOCALHOST, "", after);
+    let newest = PollReply::Changes { rev: 500, changes: vec![put("a/1", 500, MAX_REPLY - 1)] };
+    assert_eq!(poll(499).await, newest);
+    for after in [498, 495, 10] {
+        assert_eq!(poll(after).await, PollReply::ReadStore);
+    }
+}
+
 /// The load on one distributor is bounded; those it refuses watch the store, and one of them
 /// becomes the next distributor.
 #[ntex::test]
