--- a/src/steering/mod.rs
+++ b/src/steering/mod.rs
@@ -159,12 +159,9 @@
 
     /// Applies `routes` if its version is newer than the current one; returns whether
     /// it was.
-    pub fn apply_routes(&mut self, mut routes: Routes) -> bool {
+    pub fn apply_routes(&mut self, routes: Routes) -> bool {
         let newer = self.config_version().is_none_or(|v| v < routes.version);
         if newer {
-            if let Some(previous) = &self.routes {
-                routes.share_names(previous);
-            }
             self.routes = Some(routes);
         }
         newer
--- a/src/steering/routes.rs
+++ b/src/steering/routes.rs
@@ -1,6 +1,6 @@
 //! The route table: which service handles the flows to an address.
 
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddrV4;
 use std::sync::Arc;
 use std::time::Duration;
@@ -47,18 +47,6 @@
 }
 
 impl Routes {
-    /// Uses the names of `previous` for services that it has, too. Flows keep the name that they
-    /// were routed by: names of their own would keep parts of each version's memory in use.
-    pub fn share_names(&mut self, previous: &Self) {
-        let services = previous.by_address.values().flat_map(|r| &r.services);
-        let known: HashSet<Arc<str>> = services.map(|s| s.service.clone()).collect();
-        for weighted in self.by_address.values_mut().flat_map(|r| &mut r.services) {
-            if let Some(name) = known.get(&weighted.service) {
-                weighted.service = name.clone();
-            }
-        }
-    }
-
     /// The service for `flow`, chosen by the flow's hash: the same at every balancer
     /// with this version.
     #[must_use]
