--- a/tests/store_restore.rs
+++ b/tests/store_restore.rs
@@ -158,14 +158,17 @@
     assert_eq!(serde_json::from_slice::<ListedAgent>(&value).unwrap(), agent);
 }
 
+/// A revision of the store, and the keys at it.
+type Listing = (i64, Vec<Kv>);
+
 /// A store that answers one listing, after which this process is cut off from it.
 #[derive(Clone)]
 struct CutOffStore {
-    listing: Rc<RefCell<Option<(i64, Vec<Kv>)>>>,
+    listing: Rc<RefCell<Option<Listing>>>,
 }
 
 impl WatchStore for CutOffStore {
-    async fn list(&self, _: &str) -> anyhow::Result<(i64, Vec<Kv>)> {
+    async fn list(&self, _: &str) -> anyhow::Result<Listing> {
         self.listing.take().context("cut off")
     }
 
