--- a/src/edge/entry.rs
+++ b/src/edge/entry.rs
@@ -21,7 +21,7 @@
 use crate::admin::{self, ProcessState};
 use crate::flow::Flow;
 use crate::http::{HttpResponse, Server};
-use crate::platform::kv::Client;
+use crate::platform::kv::{Client, WATCH_SLACK};
 use crate::platform::{self, packet};
 use crate::protocol::{self, Message};
 use crate::relay::distributor::Distributor;
@@ -45,9 +45,6 @@
 /// of changes. A larger value delays the later changes of a burst.
 const BATCH_DELAY: Duration = Duration::from_millis(300);
 
-/// Time beyond its wait in which a distributor's watch is answered.
-const WATCH_SLACK: Duration = Duration::from_millis(500);
-
 /// How long a balancer watches the store itself after it could not decide on a flow by what a
 /// distributor told it: such flows come in bursts.
 const DIRECT_TIME: Duration = Duration::from_secs(3);
--- a/src/platform/kv.rs
+++ b/src/platform/kv.rs
@@ -26,7 +26,7 @@
 pub(super) const ERA_HEADER: HeaderName = HeaderName::from_static("store-era");
 
 /// Time limit on the response of a watch after its wait has ended.
-const WATCH_SLACK: Duration = Duration::from_millis(500);
+pub const WATCH_SLACK: Duration = Duration::from_millis(500);
 
 /// Client of the platform's key-value service.
 #[derive(Clone)]
--- a/src/store/distribution/mod.rs
+++ b/src/store/distribution/mod.rs
@@ -14,12 +14,11 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use anyhow::Context;
 pub use change_log::{
     DatedReply, MAX_SUBSCRIBERS, POLL_WAIT, PollReply, SharedLog, max_reply_bytes,
 };
 
-use anyhow::Context;
-
 use super::{Kv, WatchBatch, WatchStore};
 use crate::admin::Connection;
 use crate::events;
