HTTP server: one configuration for all connections

Cause: each connection built a configuration of the HTTP library, which keeps every one for the life of the process.

What was thought before, fragmentation of the heap, is struck out.

Conclusion: the main of it is mended. The rest is not traced; a service built once for all connections left the same 1,230 bytes (tried, not kept).

--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -90,6 +90,8 @@
     listener: TcpListener,
     handle: Rc<H>,
 ) {
+    // Built once: the HTTP library never frees a configuration.
+    let cfg = SharedCfg::new("http").build();
     let mut connections = JoinSet::new();
     loop {
         let accepted = tokio::select! {
@@ -98,7 +100,7 @@
         };
         match accepted {
             Ok((stream, _)) => {
-                connections.spawn_local(serve_connection(stream, handle.clone()));
+                connections.spawn_local(serve_connection(stream, cfg.clone(), handle.clone()));
             }
             Err(e) => {
                 log::warn!(event = crate::events::HTTP_FAILED, error:% = e; "accepting a connection failed; retrying");
@@ -114,18 +116,19 @@
 
 async fn serve_connection<H: Fn(HttpRequest) -> HttpResponse + 'static>(
     stream: TcpStream,
+    cfg: SharedCfg,
     handle: Rc<H>,
 ) {
-    if let Err(e) = serve_stream(stream, handle).await {
+    if let Err(e) = serve_stream(stream, cfg, handle).await {
         log::debug!(event = crate::events::HTTP_FAILED, error:% = format!("{e:#}"); "serving a connection failed; connection closed");
     }
 }
 
 async fn serve_stream<H: Fn(HttpRequest) -> HttpResponse + 'static>(
     stream: TcpStream,
+    cfg: SharedCfg,
     handle: Rc<H>,
 ) -> anyhow::Result<()> {
-    let cfg = SharedCfg::new("http").build();
     let io = ntex::rt::from_tcp_stream(stream.into_std()?, cfg.clone())?;
     let service = HttpService::h1(move |req: Request| {
         let handle = handle.clone();
