--- a/examples/view.rs
+++ b/examples/view.rs
@@ -27,7 +27,7 @@
 
 fn insert(snapshot: &mut KeyMap, key: String, value: Vec<u8>) {
     let key: Arc<str> = key.into();
-    snapshot.insert(key.clone(), Kv { key, value, rev: 1, lease: 0 });
+    snapshot.insert(key.clone(), Kv { key, value, rev: 1, lease: 0, created: 0 });
 }
 
 fn service(i: u32) -> Service {
--- a/src/admin/client.rs
+++ b/src/admin/client.rs
@@ -1,6 +1,6 @@
 //! Client of the [`Admin`](super::Admin) service.
 
-use std::net::{Ipv4Addr, SocketAddr};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -12,7 +12,7 @@
 
 use super::{AdminClient, Faults, Status};
 use crate::store::Snapshot;
-use crate::store::distribution::DatedReply;
+use crate::store::distribution::{DatedReply, Subscriber};
 
 /// A connection to the admin server of one process.
 #[derive(Clone, Debug)]
@@ -82,7 +82,7 @@
     /// As [`Connection::fetch_status`].
     pub async fn poll_changes(
         &self,
-        subscriber: Ipv4Addr,
+        subscriber: Subscriber,
         prefix: &str,
         after: i64,
     ) -> anyhow::Result<DatedReply> {
--- a/src/admin/mod.rs
+++ b/src/admin/mod.rs
@@ -10,7 +10,6 @@
 pub mod faults;
 mod server;
 
-use std::net::Ipv4Addr;
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 
@@ -22,7 +21,7 @@
 
 use crate::metrics::CounterValue;
 use crate::store::Snapshot;
-use crate::store::distribution::{DatedReply, SharedLog};
+use crate::store::distribution::{DatedReply, SharedLog, Subscriber};
 
 /// Calls that every balancer, agent and fabric answers.
 #[tarpc::service]
@@ -36,7 +35,7 @@
     /// Replaces the injected faults.
     async fn set_faults(faults: Faults);
     /// Waits for changes of the store's keys under `prefix` after revision `after`.
-    async fn poll_changes(subscriber: Ipv4Addr, prefix: Arc<str>, after: i64) -> DatedReply;
+    async fn poll_changes(subscriber: Subscriber, prefix: Arc<str>, after: i64) -> DatedReply;
 }
 
 /// Status of a process.
--- a/src/admin/server.rs
+++ b/src/admin/server.rs
@@ -1,6 +1,6 @@
 //! Server of the [`Admin`] service, over TCP.
 
-use std::net::{Ipv4Addr, SocketAddr};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Instant;
 
@@ -13,7 +13,7 @@
 
 use super::{Admin, Faults, ProcessState, Status};
 use crate::store::Snapshot;
-use crate::store::distribution::DatedReply;
+use crate::store::distribution::{DatedReply, Subscriber};
 
 /// Largest number of calls of one connection that run at once.
 const MAX_CONCURRENT_CALLS: usize = 8;
@@ -80,13 +80,14 @@
     async fn poll_changes(
         self,
         _: Context,
-        subscriber: Ipv4Addr,
+        subscriber: Subscriber,
         prefix: Arc<str>,
         after: i64,
     ) -> DatedReply {
         let log = self.0.change_log();
         let started = Instant::now();
         let reply = log.poll(subscriber, &prefix, after).await;
-        DatedReply { reply, age: log.age(), held: started.elapsed() }
+        let (age, held) = (log.age(), started.elapsed());
+        DatedReply { reply, age, held, ancestors: log.ancestors() }
     }
 }
--- a/src/edge/distributor.rs
+++ b/src/edge/distributor.rs
@@ -48,7 +48,7 @@
         client: Client,
         mut snapshots: watch::Receiver<Option<Arc<Snapshot>>>,
     ) {
-        let mut key = HeldKey::new(client, self.distributor.key(), LEASE_MS);
+        let mut key = HeldKey::new(client.clone(), self.distributor.key(), LEASE_MS);
         let mut since = Instant::now();
         loop {
             let snapshot = snapshots.borrow_and_update().clone();
@@ -62,9 +62,7 @@
                         key.release(true).await;
                     }
                 } else if let Some(delay) = self.should_start(snapshot) {
-                    tokio::time::sleep(delay).await;
-                    let latest = snapshots.borrow().clone();
-                    if latest.is_some_and(|s| self.should_start(&s).is_some()) {
+                    if self.campaign(delay, &mut snapshots).await && self.is_vacant(&client).await {
                         since = Instant::now();
                         self.set_role(true);
                         // Others are to find a log that is open already.
@@ -94,6 +92,50 @@
         self.distributor.should_start(snapshot, self.store.all_full(), &mut rand::rng())
     }
 
+    /// Waits for `delay`, naming the distributors that are listed meanwhile. Returns whether this
+    /// balancer should still become one.
+    async fn campaign(
+        &self,
+        delay: Duration,
+        snapshots: &mut watch::Receiver<Option<Arc<Snapshot>>>,
+    ) -> bool {
+        let deadline = Instant::now() + delay;
+        loop {
+            let waited = tokio::time::timeout_at(deadline.into(), snapshots.changed()).await;
+            let latest = snapshots.borrow_and_update().clone();
+            if let Some(snapshot) = &latest {
+                self.name_distributors(snapshot);
+            }
+            let wanted = latest.is_some_and(|s| self.should_start(&s).is_some());
+            match waited {
+                Ok(Ok(())) if wanted => {}
+                Ok(_) => return false,
+                Err(_) => return wanted,
+            }
+        }
+    }
+
+    /// Whether the store lists no distributor that this balancer could poll instead of becoming
+    /// one. What it knows itself may be older than the campaign of another.
+    async fn is_vacant(&self, client: &Client) -> bool {
+        match Snapshot::list(client, self.distributor.region_prefix()).await {
+            Ok(listed) => {
+                let vacant = self.should_start(&listed).is_some();
+                if !vacant {
+                    self.name_distributors(&listed);
+                }
+                vacant
+            }
+            Err(e) => {
+                log::warn!(
+                    event = events::EDGE_STORE, error:% = format!("{e:#}");
+                    "listing the distributors failed; this balancer does not become one"
+                );
+                false
+            }
+        }
+    }
+
     fn name_distributors(&self, snapshot: &Snapshot) {
         let others = self.distributor.others(snapshot).into_iter();
         self.store
--- a/src/edge/entry.rs
+++ b/src/edge/entry.rs
@@ -24,7 +24,7 @@
 use crate::platform::kv::{Client, WATCH_SLACK};
 use crate::platform::{self, packet};
 use crate::protocol::{self, Message};
-use crate::relay::distributor::Distributor;
+use crate::relay::distributor::{Distributor, is_strong_link};
 use crate::relay::{Relay, SYSTEM_PREFIX};
 use crate::steering::{self, FlowSteering, RosterSource};
 use crate::store::distribution::{DistributedStore, WatchTiming, max_reply_bytes};
@@ -158,15 +158,12 @@
     let distributor_client = client.clone().with_watch_wait(watch_wait);
     let log = process_state.change_log().clone();
     log.set_max_reply(max_reply_bytes(settings.link_mbps));
+    let store =
+        DistributedStore::new(client.clone(), distributor_client, settings.ip, timing, log.clone());
+    store.set_redistributing(is_strong_link(settings.link_mbps));
     Distribution {
         distributor: Distributor::new(&settings.region, settings.ip, settings.link_mbps),
-        store: DistributedStore::new(
-            client.clone(),
-            distributor_client,
-            settings.ip,
-            timing,
-            log.clone(),
-        ),
+        store,
         log,
         refresh,
         port: settings.message_addr().port(),
--- a/src/metrics/mod.rs
+++ b/src/metrics/mod.rs
@@ -125,6 +125,35 @@
     HandedOver,
 }
 
+/// Why a process watches the store itself instead of polling another one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, derive_more::Display)]
+pub enum WatchReason {
+    /// It does so for the others.
+    #[display("distributor")]
+    Distributor,
+    /// No process does so for the others yet.
+    #[display("no_distributor")]
+    NoDistributor,
+    /// Every process that could be polled has enough subscribers.
+    #[display("full")]
+    Full,
+    /// The polled process did not answer, or has lost the store.
+    #[display("lost")]
+    Lost,
+    /// All processes that could be polled failed, or were full, a short time ago.
+    #[display("skipped")]
+    Skipped,
+    /// The polled process no longer keeps the changes.
+    #[display("behind")]
+    Behind,
+    /// A decision needs what the store holds now.
+    #[display("direct")]
+    Direct,
+    /// The first call after a start or a failure, which does not wait.
+    #[display("check")]
+    Check,
+}
+
 /// A manual reader that the meter provider and [`counter_values`] share.
 #[derive(Clone, Debug)]
 struct SharedReader(Arc<ManualReader>);
@@ -167,6 +196,7 @@
     violations: Counter<u64>,
     drops: Counter<u64>,
     outliers: Counter<u64>,
+    watches: Counter<u64>,
     answer_times: Histogram<f64>,
     queue_waits: Histogram<f64>,
     store_call_times: Histogram<f64>,
@@ -197,6 +227,7 @@
         let violations = meter.u64_counter("jujubepost.violations").build();
         let drops = meter.u64_counter("jujubepost.drops").build();
         let outliers = meter.u64_counter("jujubepost.outliers").build();
+        let watches = meter.u64_counter("jujubepost.store.watches").build();
         let latency_histogram = |name| {
             meter
                 .f64_histogram(name)
@@ -220,6 +251,7 @@
             violations,
             drops,
             outliers,
+            watches,
             answer_times,
             queue_waits,
             store_call_times,
@@ -240,6 +272,11 @@
     instruments().retries.add(1, &[KeyValue::new("reason", reason.to_string())]);
 }
 
+/// Counts one watch of the key-value service.
+pub fn count_watch(reason: WatchReason) {
+    instruments().watches.add(1, &[KeyValue::new("reason", reason.to_string())]);
+}
+
 /// Counts one datagram or stored item that was dropped for `reason`.
 pub fn count_drop(reason: impl std::fmt::Display) {
     instruments().drops.add(1, &[KeyValue::new("reason", reason.to_string())]);
--- a/src/platform/kv.rs
+++ b/src/platform/kv.rs
@@ -3,7 +3,9 @@
 //! Every error names the operation with its key, and the service's address. A
 //! call without a response may have taken effect, or may do so seconds later.
 
+use std::cell::Cell;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use anyhow::{Context, bail, ensure};
@@ -36,6 +38,16 @@
     timeout: Duration,
     watch_wait: Duration,
     era: LatestEra,
+    first_commit: Rc<Cell<Option<FirstCommit>>>,
+}
+
+/// The first write that a client and its clones made.
+#[derive(Clone, Copy, Debug)]
+pub struct FirstCommit {
+    /// Its revision; 0 if unknown, as one before was not answered.
+    pub rev: i64,
+    /// When that was known.
+    pub at: Instant,
 }
 
 #[derive(Debug, Deserialize)]
@@ -46,6 +58,9 @@
     /// Revision of the last change.
     #[serde(default)]
     revision: i64,
+    /// Revision at which the key was created.
+    #[serde(default)]
+    created: i64,
     #[serde(default)]
     lease: i64,
     /// Whether the key was removed at `revision`.
@@ -68,11 +83,17 @@
     as_of: i64,
 }
 
+/// Value of `serializable` in queries whose responses may be some seconds old, which costs a tenth
+/// of a call.
+const STALE: Option<u8> = Some(1);
+
 #[derive(Debug, Serialize)]
 struct RangeQuery<'a> {
     prefix: &'a str,
     #[serde(skip_serializing_if = "str::is_empty")]
     after: &'a str,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    serializable: Option<u8>,
 }
 
 #[derive(Debug, Serialize)]
@@ -85,7 +106,6 @@
 #[derive(Debug, Serialize)]
 struct KeyQuery<'a> {
     key: &'a str,
-    /// 1 if the response may be some seconds old, which costs a tenth of a call.
     #[serde(skip_serializing_if = "Option::is_none")]
     serializable: Option<u8>,
 }
@@ -126,8 +146,7 @@
 
 #[derive(Debug, Deserialize)]
 struct TxnResult {
-    #[serde(rename = "revision")]
-    _rev: i64,
+    revision: i64,
 }
 
 #[derive(Debug, Deserialize)]
@@ -148,7 +167,8 @@
         watch_wait: Duration,
     ) -> anyhow::Result<Self> {
         let http = super::connector::build_client(addr).await?;
-        Ok(Self { http, addr, timeout, watch_wait, era: LatestEra::default() })
+        let (era, first_commit) = (LatestEra::default(), Rc::default());
+        Ok(Self { http, addr, timeout, watch_wait, era, first_commit })
     }
 
     /// Replaces how long a watch waits for a change.
@@ -211,6 +231,43 @@
         serde_json::from_slice(&body).with_context(|| format!("{operation} at store {}", self.addr))
     }
 
+    /// Reads every page of the keys under `prefix`; returns them with a revision after which no
+    /// change is missing.
+    async fn list_pages(
+        &self,
+        prefix: &str,
+        serializable: Option<u8>,
+    ) -> anyhow::Result<(i64, Vec<Kv>)> {
+        let call = if serializable == STALE { "stale-list" } else { "list" };
+        let operation = format!("{call} {prefix}");
+        let mut kvs: Vec<Kv> = Vec::new();
+        let mut oldest_rev = None;
+        let mut after = String::new();
+        loop {
+            let req = self.http.get(self.url("/v1/kv-range"));
+            let req = req.query(&RangeQuery { prefix, after: &after, serializable })?;
+            let res = self.send(&operation, req, None, self.timeout).await?;
+            let era = read_era(&res).unwrap_or_default();
+            let page: Page = self.read_json(&operation, res).await?;
+            // Pages may differ in revision: a watch after the oldest one's also returns the
+            // changes made while the others were read.
+            let page_rev = self.compose_rev(&operation, era, page.as_of)?;
+            let rev = oldest_rev.map_or(page_rev, |rev: i64| rev.min(page_rev));
+            oldest_rev = Some(rev);
+            ensure!(
+                revision::era(rev) == era,
+                "{operation} at store {}: restored while its pages were read",
+                self.addr
+            );
+            let last_key = page.items.last().map(|i| i.key.clone());
+            kvs.extend(page.items.into_iter().filter_map(|item| decode_or_skip(item, era)));
+            match last_key {
+                Some(key) if page.truncated => after = key,
+                _ => return Ok((rev, kvs)),
+            }
+        }
+    }
+
     fn compose_rev(&self, operation: &str, era: u32, counter: i64) -> anyhow::Result<i64> {
         revision::compose(era, counter)
             .with_context(|| format!("{operation} at store {}", self.addr))
@@ -225,8 +282,18 @@
         self.read(KeyQuery { key, serializable: None }).await
     }
 
+    /// As [`Client::get`], but the response may be some seconds old.
+    ///
+    /// # Errors
+    ///
+    /// As [`Client::get`].
+    pub async fn get_stale(&self, key: &str) -> anyhow::Result<Option<Kv>> {
+        self.read(KeyQuery { key, serializable: STALE }).await
+    }
+
     async fn read(&self, query: KeyQuery<'_>) -> anyhow::Result<Option<Kv>> {
-        let operation = format!("read {}", query.key);
+        let call = if query.serializable == STALE { "stale-read" } else { "read" };
+        let operation = format!("{call} {}", query.key);
         let req = self.http.get(self.url("/v1/kv-key")).query(&query)?;
         let res = self.send(&operation, req, None, self.timeout).await?;
         if res.status() == StatusCode::NOT_FOUND {
@@ -277,44 +344,41 @@
     }
 
     async fn commit(&self, operation: &str, txn: &TxnRequest<'_>) -> anyhow::Result<()> {
-        let res = self.send_txn(operation, txn).await?;
+        let sent = self.send_txn(operation, txn).await;
+        if sent.is_err() && self.first_commit.get().is_none() {
+            // It may have been executed, or may be later.
+            self.first_commit.set(Some(FirstCommit { rev: 0, at: Instant::now() }));
+        }
+        let res = sent?;
+        let era = read_era(&res).unwrap_or_default();
         // An unread response body would break the next call on the connection.
-        self.read_json::<TxnResult>(operation, res).await.map(|_| ())
+        let result: TxnResult = self.read_json(operation, res).await?;
+        if self.first_commit.get().is_none() {
+            let rev = self.compose_rev(operation, era, result.revision)?;
+            self.first_commit.set(Some(FirstCommit { rev, at: Instant::now() }));
+        }
+        Ok(())
+    }
+
+    /// The first write of this client and its clones.
+    #[must_use]
+    pub fn first_commit(&self) -> Option<FirstCommit> {
+        self.first_commit.get()
     }
 }
 
 impl WatchStore for Client {
     async fn list(&self, prefix: &str) -> anyhow::Result<(i64, Vec<Kv>)> {
-        let operation = format!("list {prefix}");
-        let mut kvs: Vec<Kv> = Vec::new();
-        let mut first_rev = None;
-        let mut after = String::new();
-        loop {
-            let req = self.http.get(self.url("/v1/kv-range"));
-            let req = req.query(&RangeQuery { prefix, after: &after })?;
-            let res = self.send(&operation, req, None, self.timeout).await?;
-            let era = read_era(&res).unwrap_or_default();
-            let page: Page = self.read_json(&operation, res).await?;
-            // Pages may differ in revision: a watch after the first page's also
-            // returns the changes made while the others were read.
-            let page_rev = self.compose_rev(&operation, era, page.as_of)?;
-            let rev = *first_rev.get_or_insert(page_rev);
-            ensure!(
-                revision::era(rev) == era,
-                "{operation} at store {}: restored while its pages were read",
-                self.addr
-            );
-            let last_key = page.items.last().map(|i| i.key.clone());
-            kvs.extend(page.items.into_iter().filter_map(|item| decode_or_skip(item, era)));
-            match last_key {
-                Some(key) if page.truncated => after = key,
-                _ => return Ok((rev, kvs)),
-            }
-        }
+        self.list_pages(prefix, None).await
+    }
+
+    async fn list_stale(&self, prefix: &str) -> anyhow::Result<(i64, Vec<Kv>)> {
+        self.list_pages(prefix, STALE).await
     }
 
     async fn watch(&self, prefix: &str, after: i64, wait: bool) -> anyhow::Result<WatchBatch> {
-        let operation = format!("watch {prefix} after {}", RevisionText(after));
+        let call = if wait { "watch" } else { "check" };
+        let operation = format!("{call} {prefix} after {}", RevisionText(after));
         let wait = if wait { self.watch_wait } else { Duration::ZERO };
         let wait_ms = u64::try_from(wait.as_millis()).unwrap_or(u64::MAX);
         let req = self.http.get(self.url("/v1/kv-watch"));
@@ -378,7 +442,11 @@
     }
 
     async fn exists(&self, key: &str) -> anyhow::Result<bool> {
-        Ok(self.read(KeyQuery { key, serializable: Some(1) }).await?.is_some())
+        Ok(self.get_stale(key).await?.is_some())
+    }
+
+    async fn exists_now(&self, key: &str) -> anyhow::Result<bool> {
+        Ok(self.get(key).await?.is_some())
     }
 
     fn era(&self) -> u32 {
@@ -399,7 +467,8 @@
 fn decode_kv(item: Item, era: u32) -> anyhow::Result<Kv> {
     let value = B64.decode(&item.value).with_context(|| format!("value of {}", item.key))?;
     let rev = revision::compose(era, item.revision)?;
-    Ok(Kv { key: item.key.into(), value, rev, lease: item.lease })
+    let created = revision::compose(era, item.created)?;
+    Ok(Kv { key: item.key.into(), value, rev, lease: item.lease, created })
 }
 
 /// Decodes an item; one that cannot be decoded is logged and skipped, so that it
--- a/src/relay/distributor.rs
+++ b/src/relay/distributor.rs
@@ -43,12 +43,18 @@
     is_strong: bool,
 }
 
+/// Whether a VM with a link of `mbps` Mbit/s is preferred for handing on what it reads.
+#[must_use]
+pub fn is_strong_link(mbps: f64) -> bool {
+    mbps >= STRONG_LINK_MBPS
+}
+
 impl Distributor {
     /// Creates the state of the balancer at `ip` in `region`, on a link of `link_mbps`.
     #[must_use]
     pub fn new(region: &str, ip: Ipv4Addr, link_mbps: f64) -> Self {
         let region_prefix = format!("{DISTRIBUTOR_PREFIX}{region}/");
-        let is_strong = link_mbps >= STRONG_LINK_MBPS;
+        let is_strong = is_strong_link(link_mbps);
         // Keys sort by preference, then by address: fixed-width hexadecimal.
         let preference = if is_strong { 'a' } else { 'b' };
         let key = format!("{region_prefix}{preference}{:08x}", u32::from(ip));
@@ -61,6 +67,12 @@
         &self.key
     }
 
+    /// Prefix of the keys that the region's distributors hold.
+    #[must_use]
+    pub fn region_prefix(&self) -> &str {
+        &self.region_prefix
+    }
+
     /// The other distributors of the region, the preferred one first.
     #[must_use]
     pub fn others(&self, snapshot: &Snapshot) -> Vec<Ipv4Addr> {
--- a/src/store/client.rs
+++ b/src/store/client.rs
@@ -290,5 +290,6 @@
     let key = String::from_utf8(key).context("key is not UTF-8")?;
     let value = B64.decode(&raw.value).with_context(|| format!("value of {key} is not base64"))?;
     let rev = revision::compose(era, raw.mod_revision)?;
-    Ok(Kv { key: Arc::from(key), value, rev, lease: raw.lease })
+    let created = revision::compose(era, raw.create_revision)?;
+    Ok(Kv { key: Arc::from(key), value, rev, lease: raw.lease, created })
 }
--- a/src/store/distribution/change_log.rs
+++ b/src/store/distribution/change_log.rs
@@ -5,10 +5,11 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use rand::seq::SliceRandom;
 use serde::{Deserialize, Serialize};
 use tokio::sync::watch;
 
-use crate::store::{Change, Kv, WatchBatch};
+use crate::store::{Change, Kv, Snapshot, WatchBatch, revision};
 
 /// How long a subscriber waits for a change. A larger value delays the detection of a
 /// distributor that has stopped responding.
@@ -17,6 +18,9 @@
 /// Subscribers of one distributor at most, to bound its CPU time and bandwidth.
 pub const MAX_SUBSCRIBERS: usize = 32;
 
+/// Subscribers named in one referral at most.
+const MAX_REFERRALS: usize = 8;
+
 /// Time after its last poll in which a subscriber counts.
 const SUBSCRIBER_TTL: Duration = Duration::from_secs(5);
 
@@ -55,6 +59,24 @@
     Full,
     /// It does not watch the store for others, or the store does not answer it.
     NotCurrent,
+    /// It has as many subscribers as it can serve, and these of them serve others.
+    Referred(Vec<Ipv4Addr>),
+}
+
+/// A process that polls a change log.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Subscriber {
+    /// Its address.
+    pub ip: Ipv4Addr,
+    /// Whether it hands on what it reads to subscribers of its own.
+    pub redistributes: bool,
+}
+
+impl From<Ipv4Addr> for Subscriber {
+    /// A subscriber that serves no others.
+    fn from(ip: Ipv4Addr) -> Self {
+        Self { ip, redistributes: false }
+    }
 }
 
 /// A reply, and how old what it tells is.
@@ -66,6 +88,9 @@
     pub age: Duration,
     /// How long the distributor held the poll.
     pub held: Duration,
+    /// The processes through which the replying one gets its changes, its parent last; empty if it
+    /// reads the store.
+    pub ancestors: Vec<Ipv4Addr>,
 }
 
 /// A change, without its value if no reply can hold it.
@@ -87,24 +112,29 @@
     rev: i64,
     /// When it was read.
     read_at: Option<Instant>,
+    /// As [`DatedReply::ancestors`].
+    ancestors: Vec<Ipv4Addr>,
+    /// Prefix of the keys whose changes are kept.
+    prefix: String,
     entries: VecDeque<Entry>,
     /// Size of the values in `entries`, in bytes.
     value_bytes: usize,
-    /// When each subscriber polled last.
-    subscribers: BTreeMap<Ipv4Addr, Instant>,
+    /// When each subscriber polled last, and whether it serves others.
+    subscribers: BTreeMap<Ipv4Addr, (Instant, bool)>,
     /// Values of one reply at most, in bytes.
     max_reply: usize,
 }
 
 impl ChangeLog {
-    fn record(&mut self, after: i64, batch: &WatchBatch) {
-        if self.rev != after {
+    fn record(&mut self, prefix: &str, after: i64, batch: &WatchBatch, read_at: Instant) {
+        if self.rev != after || self.prefix != prefix {
             self.start = after;
+            self.prefix = prefix.to_string();
             self.entries.clear();
             self.value_bytes = 0;
         }
         self.rev = batch.rev.max(after);
-        self.read_at = Some(Instant::now());
+        self.read_at = Some(read_at);
         self.current = true;
         for change in &batch.changes {
             let too_large = value_len(change) > self.max_reply;
@@ -127,11 +157,14 @@
 
     /// Whether a poll must be answered at once.
     fn has_reply(&self, prefix: &str, after: i64) -> bool {
-        !self.current || after < self.start || self.entries_after(prefix, after).next().is_some()
+        !self.current
+            || !prefix.starts_with(&self.prefix)
+            || after < self.start
+            || self.entries_after(prefix, after).next().is_some()
     }
 
     fn reply(&self, prefix: &str, after: i64) -> PollReply {
-        if !self.current || self.rev < after {
+        if !self.current || self.rev < after || !prefix.starts_with(&self.prefix) {
             return PollReply::NotCurrent;
         }
         let entries = || self.entries_after(prefix, after);
@@ -148,15 +181,33 @@
         self.entries.range(first..).filter(move |e| e.change.key().starts_with(prefix))
     }
 
-    /// Counts `subscriber`, unless there are too many others.
-    fn admit(&mut self, subscriber: Ipv4Addr, now: Instant) -> bool {
-        self.subscribers.retain(|_, at| now.duration_since(*at) < SUBSCRIBER_TTL);
-        let admitted =
-            self.subscribers.len() < MAX_SUBSCRIBERS || self.subscribers.contains_key(&subscriber);
-        if admitted {
-            self.subscribers.insert(subscriber, now);
+    /// Counts `subscriber`, unless there are too many others. Returns the reply to it then. One
+    /// that serves others takes the place of one that does not, which it can serve then.
+    fn admit(&mut self, subscriber: Subscriber, now: Instant) -> Result<(), PollReply> {
+        self.subscribers.retain(|_, (at, _)| now.duration_since(*at) < SUBSCRIBER_TTL);
+        let known = self.subscribers.contains_key(&subscriber.ip);
+        if !known && self.subscribers.len() >= MAX_SUBSCRIBERS {
+            let serves_none =
+                self.subscribers.iter().find(|(_, (_, redistributes))| !redistributes);
+            match serves_none.map(|(ip, _)| *ip) {
+                Some(displaced) if subscriber.redistributes => {
+                    self.subscribers.remove(&displaced);
+                }
+                _ => return Err(self.refer()),
+            }
         }
-        admitted
+        self.subscribers.insert(subscriber.ip, (now, subscriber.redistributes));
+        Ok(())
+    }
+
+    /// Sends a process to subscribers that serve others, a different choice each time, so that
+    /// these fill evenly.
+    fn refer(&self) -> PollReply {
+        let serving = self.subscribers.iter().filter(|(_, (_, redistributes))| *redistributes);
+        let mut ips: Vec<_> = serving.map(|(ip, _)| *ip).collect();
+        ips.shuffle(&mut rand::rng());
+        ips.truncate(MAX_REFERRALS);
+        if ips.is_empty() { PollReply::Full } else { PollReply::Referred(ips) }
     }
 }
 
@@ -204,7 +255,29 @@
 
     /// Adds the result of a watch on all keys after revision `after`.
     pub fn record(&self, after: i64, batch: &WatchBatch) {
-        self.0.send_modify(|log| log.record(after, batch));
+        self.record_read("", after, batch, Instant::now());
+    }
+
+    /// Adds the changes under `prefix` after revision `after` that were read from the store at
+    /// `read_at`, by this process or by the one that it polls.
+    pub fn record_read(&self, prefix: &str, after: i64, batch: &WatchBatch, read_at: Instant) {
+        self.0.send_modify(|log| log.record(prefix, after, batch, read_at));
+    }
+
+    /// Adds the changes that turn `old` into `new`, which was listed anew, so that subscribers
+    /// need not list it as well. Closes the log if it does not end with `old`, or if the store was
+    /// restored since and gives out revisions again.
+    pub fn record_listing(&self, old: &Snapshot, new: &Snapshot) {
+        let ends_with_old = {
+            let log = self.0.borrow();
+            log.current && log.rev == old.rev && log.prefix.is_empty()
+        };
+        if ends_with_old && revision::era(old.rev) == revision::era(new.rev) {
+            let changes = old.changes_to(new);
+            self.record(old.rev, &WatchBatch { rev: new.rev, compacted: false, changes });
+        } else {
+            self.close();
+        }
     }
 
     /// Replies [`PollReply::NotCurrent`] until the next [`SharedLog::record`].
@@ -212,11 +285,26 @@
         self.0.send_if_modified(|log| std::mem::take(&mut log.current));
     }
 
+    /// Sets through which processes the changes come.
+    pub fn set_ancestors(&self, ancestors: Vec<Ipv4Addr>) {
+        self.0.send_if_modified(|log| {
+            log.ancestors = ancestors;
+            false
+        });
+    }
+
+    /// The processes through which the changes come, as [`DatedReply::ancestors`].
+    #[must_use]
+    pub fn ancestors(&self) -> Vec<Ipv4Addr> {
+        self.0.borrow().ancestors.clone()
+    }
+
     /// Number of subscribers that polled recently.
     #[must_use]
     pub fn subscriber_count(&self, now: Instant) -> usize {
         let log = self.0.borrow();
-        log.subscribers.values().filter(|at| now.duration_since(**at) < SUBSCRIBER_TTL).count()
+        let recent = |(at, _): &&(Instant, bool)| now.duration_since(*at) < SUBSCRIBER_TTL;
+        log.subscribers.values().filter(recent).count()
     }
 
     /// Size of the values that are kept, in bytes.
@@ -232,21 +320,29 @@
     }
 
     /// Waits up to [`POLL_WAIT`] for changes under `prefix` after revision `after`.
-    pub async fn poll(&self, subscriber: Ipv4Addr, prefix: &str, after: i64) -> PollReply {
-        let mut admitted = true;
+    pub async fn poll(
+        &self,
+        subscriber: impl Into<Subscriber>,
+        prefix: &str,
+        after: i64,
+    ) -> PollReply {
+        let mut admitted = Ok(());
         self.0.send_if_modified(|log| {
-            admitted = !log.current || log.admit(subscriber, Instant::now());
+            if log.current {
+                admitted = log.admit(subscriber.into(), Instant::now());
+            }
             false
         });
-        if !admitted {
-            return PollReply::Full;
+        if let Err(refusal) = admitted {
+            return refusal;
         }
         let started = Instant::now();
         let mut log = self.0.subscribe();
         // Subscribers of an aged log are told of the next read before the log is too old for them.
+        let known_read = log.borrow().read_at;
         let awaits_read = log.borrow().age(started) >= POLL_WAIT / 2;
         let news = log.wait_for(|log| {
-            log.has_reply(prefix, after) || awaits_read && log.read_at > Some(started)
+            log.has_reply(prefix, after) || awaits_read && log.read_at > known_read
         });
         // Both a timeout and a closed log are visible in the log itself.
         drop(tokio::time::timeout(POLL_WAIT, news).await);
--- a/src/store/distribution/mod.rs
+++ b/src/store/distribution/mod.rs
@@ -2,27 +2,30 @@
 //! others, its subscribers, get the changes from it. The load on the store so does not grow
 //! with the number of processes.
 //!
-//! A subscriber watches the store itself whenever no distributor answers it. What it
-//! knows may be older than the store for as long as a failed distributor takes to be
-//! detected; [`DistributedStore::is_subscribed`] tells when that is so.
+//! A distributor that serves enough subscribers refers others to those of them that redistribute
+//! what they read, so that a tree forms. A subscriber watches the store itself whenever the process
+//! that it polls, its parent, does not answer; those below it do not notice.
+//!
+//! What a subscriber knows may be older than the store for as long as a failed distributor takes to
+//! be detected; [`DistributedStore::is_subscribed`] tells when that is so.
 
 mod change_log;
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
-use std::net::{Ipv4Addr, SocketAddr};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use anyhow::Context;
 pub use change_log::{
-    DatedReply, MAX_SUBSCRIBERS, POLL_WAIT, PollReply, SharedLog, max_reply_bytes,
+    DatedReply, MAX_SUBSCRIBERS, POLL_WAIT, PollReply, SharedLog, Subscriber, max_reply_bytes,
 };
 
-use super::{Kv, WatchBatch, WatchStore};
+use super::{Kv, Snapshot, WatchBatch, WatchStore};
 use crate::admin::Connection;
 use crate::events;
-use crate::metrics::{self, Retry};
+use crate::metrics::{self, Retry, WatchReason};
 
 /// Time limit on a poll, which includes connecting to the distributor.
 const POLL_TIMEOUT: Duration = Duration::from_millis(1_500);
@@ -34,6 +37,17 @@
 /// How long one that is full is not polled again.
 const FULL_DELAY: Duration = Duration::from_secs(30);
 
+/// [`WatchTiming::batch_delay`] while there is no distributor with room, and so many processes may
+/// watch the store.
+const CAMPAIGN_DELAY: Duration = Duration::from_secs(1);
+
+/// Processes asked in one call to find one with room: more than the levels of any tree.
+const MAX_HOPS: usize = 8;
+
+/// How much earlier than its subscribers a process leaves a parent that does not answer, so that
+/// it has read the store before they would have to.
+const HANDOVER_MARGIN: Duration = Duration::from_millis(200);
+
 /// How a [`DistributedStore`] watches.
 #[derive(Clone, Copy, Debug)]
 pub struct WatchTiming {
@@ -65,6 +79,9 @@
 struct State {
     /// Distributors, the preferred one first.
     distributors: RefCell<Vec<SocketAddr>>,
+    /// The process that is polled, if it is not a distributor: one that a distributor referred
+    /// this one to.
+    parent: Cell<Option<SocketAddr>>,
     connection: RefCell<Option<(SocketAddr, Connection)>>,
     /// Distributors that are not polled, and until when.
     skipped: RefCell<HashMap<SocketAddr, Instant>>,
@@ -72,6 +89,11 @@
     all_full: Cell<bool>,
     /// Whether this process is a distributor.
     distributes: Cell<bool>,
+    /// Whether this process hands on what it reads although it is no distributor.
+    redistributes: Cell<bool>,
+    /// Whether the next watch of the store is delayed by more than
+    /// [`WatchTiming::batch_delay`].
+    delayed: Cell<bool>,
     /// Whether the last known changes may come from a distributor.
     subscribed: Cell<bool>,
     /// Until when the store is watched directly.
@@ -112,17 +134,23 @@
         }
     }
 
+    /// Sets whether this process, while it is no distributor, hands on what it reads to others
+    /// that a distributor refers to it.
+    pub fn set_redistributing(&self, redistributes: bool) {
+        self.state.redistributes.set(redistributes);
+    }
+
     /// Whether this process is a distributor.
     #[must_use]
     pub fn is_distributing(&self) -> bool {
         self.state.distributes.get()
     }
 
-    /// Whether the last known changes may come from a distributor, and so be older
-    /// than the store for longer than a call takes.
+    /// Whether the last known changes may come from a distributor, or the next watch is delayed, so
+    /// that what is known may be older than the store for longer than a call takes.
     #[must_use]
     pub fn is_subscribed(&self) -> bool {
-        self.state.subscribed.get()
+        self.state.subscribed.get() || self.state.delayed.get()
     }
 
     /// Whether every distributor has refused this process as it serves enough others.
@@ -141,25 +169,58 @@
         !running
     }
 
-    /// The distributor to poll, unless the store is to be watched directly.
-    fn choose_distributor(&self, now: Instant) -> Option<SocketAddr> {
+    /// The process to poll, or why the store is to be watched directly.
+    fn choose_distributor(&self, now: Instant) -> Result<SocketAddr, WatchReason> {
         let state = &self.state;
-        if state.distributes.get() || state.direct_until.get().is_some_and(|at| now < at) {
-            return None;
+        if state.distributes.get() {
+            return Err(WatchReason::Distributor);
+        }
+        if state.direct_until.get().is_some_and(|at| now < at) {
+            return Err(WatchReason::Direct);
         }
         state.skipped.borrow_mut().retain(|_, until| now < *until);
         let skipped = state.skipped.borrow();
-        state.distributors.borrow().iter().find(|addr| !skipped.contains_key(addr)).copied()
+        let parent = state.parent.get();
+        let distributors = state.distributors.borrow();
+        let mut all = parent.iter().chain(distributors.iter());
+        match all.find(|addr| !skipped.contains_key(addr)) {
+            Some(addr) => Ok(*addr),
+            None if distributors.is_empty() => Err(WatchReason::NoDistributor),
+            None => Err(WatchReason::Skipped),
+        }
+    }
+
+    /// Polls one of the processes that `from` referred this one to, or else none of them for some
+    /// time.
+    fn follow_referral(&self, from: SocketAddr, ips: &[Ipv4Addr]) {
+        let skipped = self.state.skipped.borrow();
+        let addrs = ips.iter().map(|ip| SocketAddr::new((*ip).into(), from.port()));
+        let is_open =
+            |addr: &SocketAddr| !skipped.contains_key(addr) && addr.ip() != IpAddr::V4(self.own_ip);
+        let next = addrs.into_iter().find(is_open);
+        drop(skipped);
+        self.state.parent.set(next);
+        if next.is_none() {
+            self.skip(from, RETRY_DELAY);
+        }
     }
 
     /// Time limit on a poll that begins now: what is known must not become too old meanwhile.
     fn poll_timeout(&self, now: Instant) -> Duration {
-        let fresh_until = self.state.fresh_until.get();
-        fresh_until.map_or(POLL_TIMEOUT, |at| POLL_TIMEOUT.min(at.saturating_duration_since(now)))
+        let margin = if self.serves_others() { HANDOVER_MARGIN } else { Duration::ZERO };
+        let remaining = |at: Instant| at.saturating_duration_since(now).saturating_sub(margin);
+        self.state.fresh_until.get().map_or(POLL_TIMEOUT, |at| POLL_TIMEOUT.min(remaining(at)))
+    }
+
+    fn serves_others(&self) -> bool {
+        self.state.distributes.get() || self.state.redistributes.get()
     }
 
     fn skip(&self, addr: SocketAddr, delay: Duration) {
         self.state.connection.replace(None);
+        if self.state.parent.get() == Some(addr) {
+            self.state.parent.set(None);
+        }
         self.state.skipped.borrow_mut().insert(addr, Instant::now() + delay);
     }
 
@@ -167,31 +228,47 @@
     ///
     /// After the first distributor that does not answer, or has lost the store, no other is
     /// polled: their timeouts would add up to more than changes may take.
-    async fn poll_distributors(&self, prefix: &str, after: i64) -> Option<WatchBatch> {
-        let mut any_full = false;
-        while let Some(addr) = self.choose_distributor(Instant::now()) {
+    async fn poll_distributors(&self, prefix: &str, after: i64) -> Result<WatchBatch, WatchReason> {
+        let mut reason = WatchReason::Skipped;
+        for _ in 0..MAX_HOPS {
+            let addr = match self.choose_distributor(Instant::now()) {
+                Ok(addr) => addr,
+                Err(other) if reason == WatchReason::Skipped => return Err(other),
+                Err(_) => break,
+            };
             self.state.subscribed.set(true);
             let started = Instant::now();
             let timeout = self.poll_timeout(started);
             if timeout.is_zero() {
+                reason = WatchReason::Lost;
                 break;
             }
             let reply = self.poll(addr, prefix, after, timeout).await;
             let current = matches!(&reply, Ok(r) if matches!(r.reply, PollReply::Changes { .. }));
             metrics::record_store_call("poll", current, started.elapsed());
-            let reply = reply.map(|dated| self.check_age(dated, started));
-            match reply {
-                Ok(PollReply::Changes { rev, changes }) => {
+            let ancestors = reply.as_ref().map_or_else(|_| Vec::new(), |r| r.ancestors.clone());
+            match reply.map(|dated| self.check_reply(dated, started)) {
+                Ok((PollReply::Changes { rev, changes }, read_at)) => {
                     self.state.all_full.set(false);
-                    return Some(WatchBatch { rev, compacted: false, changes });
+                    self.record_parent(addr, ancestors);
+                    let batch = WatchBatch { rev, compacted: false, changes };
+                    if self.state.redistributes.get() {
+                        self.log.record_read(prefix, after, &batch, read_at);
+                    }
+                    return Ok(batch);
                 }
-                Ok(PollReply::ReadStore) => return None,
-                Ok(PollReply::Full) => {
-                    any_full = true;
+                Ok((PollReply::ReadStore, _)) => return Err(WatchReason::Behind),
+                Ok((PollReply::Referred(ips), _)) => {
+                    reason = WatchReason::Full;
+                    self.follow_referral(addr, &ips);
+                }
+                Ok((PollReply::Full, _)) => {
+                    reason = WatchReason::Full;
                     self.skip(addr, FULL_DELAY);
                 }
-                Ok(PollReply::NotCurrent) => {
+                Ok((PollReply::NotCurrent, _)) => {
                     self.skip(addr, RETRY_DELAY);
+                    reason = WatchReason::Lost;
                     break;
                 }
                 Err(e) => {
@@ -201,29 +278,44 @@
                     );
                     metrics::count_retry(Retry::DistributorLost);
                     self.skip(addr, RETRY_DELAY);
+                    reason = WatchReason::Lost;
                     break;
                 }
             }
         }
-        if any_full {
+        if reason == WatchReason::Full {
             self.state.all_full.set(true);
         }
-        None
+        Err(reason)
     }
 
-    /// Returns the reply to a poll that began at `started`, or [`PollReply::NotCurrent`] if it is
-    /// too old.
-    fn check_age(&self, dated: DatedReply, started: Instant) -> PollReply {
-        if !matches!(dated.reply, PollReply::Changes { .. }) {
-            return dated.reply;
+    /// Records through which processes the changes come that the one at `addr` hands on.
+    fn record_parent(&self, addr: SocketAddr, mut ancestors: Vec<Ipv4Addr>) {
+        if let IpAddr::V4(parent) = addr.ip() {
+            ancestors.push(parent);
         }
-        let Some(remaining) = self.timing.max_age.checked_sub(dated.age) else {
-            return PollReply::NotCurrent;
-        };
+        self.log.set_ancestors(ancestors);
+    }
+
+    /// Returns the reply to a poll that began at `started`, or [`PollReply::NotCurrent`] if it is
+    /// too old or comes from this process itself, and when the store was read for it.
+    fn check_reply(&self, dated: DatedReply, started: Instant) -> (PollReply, Instant) {
         // The distributor replied no earlier than that. Time in transit counts as age.
         let replied_at = started + dated.held.min(started.elapsed());
-        self.state.fresh_until.set(Some(replied_at + remaining));
-        dated.reply
+        if !matches!(dated.reply, PollReply::Changes { .. }) {
+            return (dated.reply, replied_at);
+        }
+        if dated.ancestors.contains(&self.own_ip) {
+            return (PollReply::NotCurrent, replied_at);
+        }
+        let read_at = replied_at.checked_sub(dated.age);
+        match read_at.zip(self.timing.max_age.checked_sub(dated.age)) {
+            Some((read_at, remaining)) => {
+                self.state.fresh_until.set(Some(replied_at + remaining));
+                (dated.reply, read_at)
+            }
+            None => (PollReply::NotCurrent, replied_at),
+        }
     }
 
     async fn poll(
@@ -243,7 +335,9 @@
                     connection
                 }
             };
-            connection.poll_changes(self.own_ip, prefix, after).await
+            let redistributes = self.state.redistributes.get();
+            let subscriber = Subscriber { ip: self.own_ip, redistributes };
+            connection.poll_changes(subscriber, prefix, after).await
         };
         tokio::time::timeout(timeout, poll)
             .await
@@ -252,18 +346,16 @@
 }
 
 impl<S: WatchStore> DistributedStore<S> {
-    /// Watches the store itself. As a distributor, adds what it reads to the log.
+    /// Watches the store itself, for `reason`.
     async fn watch_store(
         &self,
         prefix: &str,
         after: i64,
         wait: bool,
+        reason: WatchReason,
     ) -> anyhow::Result<WatchBatch> {
-        // Closes the log also when the call is dropped, as the process may have been suspended.
-        let close = CloseOnDrop(&self.log);
-        let batch_end = self.state.changed_at.get().map(|at| at + self.timing.batch_delay);
-        if let Some(at) = batch_end.filter(|_| wait) {
-            tokio::time::sleep_until(at.into()).await;
+        if wait {
+            self.delay_watch(reason).await;
         }
         // The first call after a distributor's replies does not wait: the store may have been
         // restored unnoticed, and then waits for a revision that it does not have yet.
@@ -272,34 +364,81 @@
         let store = if distributes { &self.distributor_store } else { &self.store };
         // Subscribers wait for a log to open.
         let wait = wait && (!distributes || self.log.is_open());
+        metrics::count_watch(reason);
         let batch = store.watch(prefix, after, wait).await?;
         if batch.compacted {
             return Ok(batch);
         }
-        if distributes {
-            self.log.record(after, &batch);
+        let read_at = Instant::now();
+        if distributes || self.state.redistributes.get() {
+            self.log.record_read(prefix, after, &batch, read_at);
         }
-        close.keep_open();
+        self.log.set_ancestors(Vec::new());
         self.state.subscribed.set(false);
-        self.state.fresh_until.set(Some(Instant::now() + self.timing.max_age));
+        self.state.fresh_until.set(Some(read_at + self.timing.max_age));
         if !batch.changes.is_empty() {
-            self.state.changed_at.set(Some(Instant::now()));
+            self.state.changed_at.set(Some(read_at));
         }
         Ok(batch)
     }
+
+    /// Waits until the changes of a burst can be read in one call: for longer while many other
+    /// processes read them, too.
+    async fn delay_watch(&self, reason: WatchReason) {
+        let delay = match reason {
+            WatchReason::NoDistributor | WatchReason::Full | WatchReason::Skipped => {
+                self.timing.batch_delay.max(CAMPAIGN_DELAY)
+            }
+            _ => self.timing.batch_delay,
+        };
+        let Some(changed_at) = self.state.changed_at.get() else { return };
+        self.state.delayed.set(delay > self.timing.batch_delay);
+        // Also when the call is dropped.
+        let _not_delayed = Reset(&self.state.delayed);
+        tokio::time::sleep_until((changed_at + delay).into()).await;
+    }
 }
 
 impl<S: WatchStore> WatchStore for DistributedStore<S> {
     async fn list(&self, prefix: &str) -> anyhow::Result<(i64, Vec<Kv>)> {
-        self.store.list(prefix).await
+        let close = CloseOnDrop(&self.log);
+        let listed = self.store.list(prefix).await?;
+        close.keep_open();
+        Ok(listed)
+    }
+
+    async fn list_stale(&self, prefix: &str) -> anyhow::Result<(i64, Vec<Kv>)> {
+        self.store.list_stale(prefix).await
     }
 
     /// A call that does not wait always goes to the store.
     async fn watch(&self, prefix: &str, after: i64, wait: bool) -> anyhow::Result<WatchBatch> {
-        if wait && let Some(batch) = self.poll_distributors(prefix, after).await {
-            return Ok(batch);
-        }
-        self.watch_store(prefix, after, wait).await
+        // Closes the log also when the call is dropped, as the process may have been suspended.
+        let close = CloseOnDrop(&self.log);
+        let polled = match wait {
+            true => self.poll_distributors(prefix, after).await,
+            false => Err(WatchReason::Check),
+        };
+        let batch = match polled {
+            Ok(batch) => batch,
+            Err(reason) => self.watch_store(prefix, after, wait, reason).await?,
+        };
+        // What a compacted history lacks is listed next.
+        close.keep_open();
+        Ok(batch)
+    }
+
+    fn note_listing(&self, old: &Snapshot, new: &Snapshot) {
+        self.log.record_listing(old, new);
+    }
+}
+
+/// Clears a flag when dropped.
+struct Reset<'a>(&'a Cell<bool>);
+
+impl Drop for Reset<'_> {
+    fn drop(&mut self) {
+        self.0.set(false);
     }
 }
 
--- a/src/store/lease.rs
+++ b/src/store/lease.rs
@@ -77,7 +77,7 @@
     let lease = held.id;
     while store.era() == held.era {
         tokio::select! {
-            () = check.notified() => match store.exists(key).await {
+            () = check.notified() => match is_listed(store, key).await {
                 Ok(true) => {}
                 Ok(false) => {
                     log::warn!(
@@ -121,6 +121,11 @@
     metrics::count_retry(Retry::LeaseExpired);
 }
 
+/// Whether the key exists. One that was written in the last seconds may be missing in an old read.
+async fn is_listed<L: LeaseStore>(store: &L, key: &str) -> anyhow::Result<bool> {
+    Ok(store.exists(key).await? || store.exists_now(key).await?)
+}
+
 fn record_failure(e: &anyhow::Error) {
     log::warn!(
         event = events::AGENT_STORE_UNREACHABLE, error:% = format!("{e:#}");
--- a/src/store/mirror.rs
+++ b/src/store/mirror.rs
@@ -89,6 +89,16 @@
         newer
     }
 
+    /// The changes that turn this snapshot into `other`, in no particular order.
+    #[must_use]
+    pub fn changes_to(&self, other: &Self) -> Vec<Change> {
+        let rev_of = |keys: &KeyMap, key: &str| keys.get(key).map(|kv| kv.rev);
+        let puts = other.keys.values().filter(|kv| rev_of(&self.keys, &kv.key) != Some(kv.rev));
+        let gone = self.keys.keys().filter(|key| !other.keys.contains_key(*key));
+        let deletes = gone.map(|key| Change::Delete { key: key.clone(), rev: other.rev });
+        puts.cloned().map(Change::Put).chain(deletes).collect()
+    }
+
     /// Hash of the keys under `prefix` and their revisions, for comparing the
     /// snapshots of two processes.
     #[must_use]
@@ -121,7 +131,8 @@
     /// Prefix of the mirrored keys.
     pub prefix: String,
     /// Prefixes of all keys that the caller uses, in the order in which a mirror that has
-    /// no snapshot reads and reports them. Empty: all keys are read at once.
+    /// no snapshot reads and reports them. What it reads may be some seconds old until the watch
+    /// that follows. Empty: all keys are read at once.
     pub start_order: Vec<String>,
     /// Processes whose own snapshots include this prefix.
     pub peers: Vec<SocketAddr>,
@@ -198,19 +209,20 @@
                 }
             } => outcome,
         };
-        if outcome.is_ok() && recovering {
+        // Listings at the start may be old and so do not show that the store works.
+        if matches!(outcome, Ok(ReadOutcome::Changed | ReadOutcome::Unchanged)) && recovering {
             recovering = false;
             on_event(MirrorEvent::Recovered);
         }
         match outcome {
             Ok(ReadOutcome::Unchanged) => needs_list = false,
-            Ok(ReadOutcome::Incomplete) => {
+            Ok(ReadOutcome::Started) => {
                 start_reads += 1;
+                needs_list &= start_reads < source.start_order.len();
                 on_event(MirrorEvent::Updated(&snapshot));
             }
             Ok(ReadOutcome::Changed) => {
                 needs_list = false;
-                start_reads = source.start_order.len();
                 on_event(MirrorEvent::Updated(&snapshot));
                 if !source.batch_delay.is_zero() {
                     tokio::time::sleep(source.batch_delay).await;
@@ -241,27 +253,24 @@
     Unchanged,
     Changed,
     Compacted,
-    /// Some keys of [`Source::start_order`] are read, others are not.
-    Incomplete,
+    /// The keys under one prefix of [`Source::start_order`] are read.
+    Started,
 }
 
 /// Reads the keys under the `n`-th prefix of [`Source::start_order`]. As in a listing that is read
-/// in pages, later ones may be newer than the snapshot's revision.
+/// in pages, some may be newer than the snapshot's revision.
 async fn read_start<S: WatchStore>(
     source: &Source<S>,
     n: usize,
     snapshot: &mut Snapshot,
 ) -> anyhow::Result<ReadOutcome> {
-    let listed = Snapshot::list(&source.store, &source.start_order[n]).await?;
-    if snapshot.rev == 0 {
-        snapshot.rev = listed.rev;
-    }
-    snapshot.keys.extend(listed.keys);
-    if n + 1 < source.start_order.len() {
-        return Ok(ReadOutcome::Incomplete);
+    let (rev, kvs) = source.store.list_stale(&source.start_order[n]).await?;
+    snapshot.rev = if n == 0 { rev } else { snapshot.rev.min(rev) };
+    snapshot.keys.extend(kvs.into_iter().map(|kv| (kv.key.clone(), kv)));
+    if n + 1 == source.start_order.len() {
+        snapshot.complete_rev = snapshot.rev;
     }
-    snapshot.complete_rev = snapshot.rev;
-    Ok(ReadOutcome::Changed)
+    Ok(ReadOutcome::Started)
 }
 
 /// Lists all keys if `needs_list`, else watches for changes.
@@ -294,6 +303,7 @@
     }
     // A snapshot updated only by a narrower watch may lack keys even at the same revision.
     let changed = snapshot.rev == 0 || listed != *snapshot;
+    source.store.note_listing(snapshot, &listed);
     *snapshot = listed;
     Ok(if changed { ReadOutcome::Changed } else { ReadOutcome::Unchanged })
 }
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -34,6 +34,8 @@
     pub rev: i64,
     /// Lease the key is attached to, or 0.
     pub lease: i64,
+    /// Revision at which the key was created; 0 if unknown.
+    pub created: i64,
 }
 
 /// One change returned by a watch.
--- a/src/store/traits.rs
+++ b/src/store/traits.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use super::{Client, Kv, WatchBatch, revision};
+use super::{Client, Kv, Snapshot, WatchBatch, revision};
 
 /// A store whose keys can be listed and watched.
 pub trait WatchStore: Clone {
@@ -16,6 +16,16 @@
     /// Fails when the service is unreachable, slow past the timeout or down.
     fn list(&self, prefix: &str) -> impl Future<Output = anyhow::Result<(i64, Vec<Kv>)>>;
 
+    /// As [`WatchStore::list`], but what is returned may be some seconds old if the service
+    /// reads that with less effort. A watch after the returned revision brings it up to date.
+    ///
+    /// # Errors
+    ///
+    /// As [`WatchStore::list`].
+    fn list_stale(&self, prefix: &str) -> impl Future<Output = anyhow::Result<(i64, Vec<Kv>)>> {
+        self.list(prefix)
+    }
+
     /// Returns the changes under `prefix` after revision `after`. With `wait`,
     /// waits for a change, and returns none after the service's own time limit.
     /// Without, returns at once if the service supports it.
@@ -29,6 +39,9 @@
         after: i64,
         wait: bool,
     ) -> impl Future<Output = anyhow::Result<WatchBatch>>;
+
+    /// Notes that a snapshot `old` was replaced by `new`, which was listed anew.
+    fn note_listing(&self, _old: &Snapshot, _new: &Snapshot) {}
 }
 
 /// A store whose keys can be attached to leases.
@@ -63,6 +76,15 @@
     /// As [`LeaseStore::grant`].
     fn exists(&self, key: &str) -> impl Future<Output = anyhow::Result<bool>>;
 
+    /// As [`LeaseStore::exists`], but as of now.
+    ///
+    /// # Errors
+    ///
+    /// As [`LeaseStore::grant`].
+    fn exists_now(&self, key: &str) -> impl Future<Output = anyhow::Result<bool>> {
+        self.exists(key)
+    }
+
     /// The latest era that the service named; 0 if it names none.
     fn era(&self) -> u32 {
         0
--- a/tests/config_relay.rs
+++ b/tests/config_relay.rs
@@ -51,7 +51,8 @@
 
 fn put(snapshot: &mut Snapshot, key: &str, value: Vec<u8>) {
     let rev = snapshot.rev + 1;
-    snapshot.apply(rev, vec![Change::Put(Kv { key: key.into(), value, rev, lease: 0 })]);
+    snapshot
+        .apply(rev, vec![Change::Put(Kv { key: key.into(), value, rev, lease: 0, created: 0 })]);
 }
 
 /// Applies the transaction that `relay` has pending; returns the number of keys
@@ -177,7 +178,7 @@
 }
 
 fn kv(key: &str, rev: i64, value: &[u8]) -> Kv {
-    Kv { key: key.into(), value: value.to_vec(), rev, lease: 0 }
+    Kv { key: key.into(), value: value.to_vec(), rev, lease: 0, created: 0 }
 }
 
 impl WatchStore for DeadRelayStore {
--- a/tests/distribution.rs
+++ b/tests/distribution.rs
@@ -4,6 +4,7 @@
 mod common;
 
 use std::cell::RefCell;
+use std::collections::HashMap;
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
@@ -15,7 +16,8 @@
 use jujubepost::platform::kv::Client;
 use jujubepost::relay::distributor::{Distributor, Term};
 use jujubepost::store::distribution::{
-    DistributedStore, MAX_SUBSCRIBERS, PollReply, SharedLog, WatchTiming, max_reply_bytes,
+    DistributedStore, MAX_SUBSCRIBERS, PollReply, SharedLog, Subscriber, WatchTiming,
+    max_reply_bytes,
 };
 use jujubepost::store::{Change, Kv, Snapshot, WatchBatch, WatchStore, revision};
 use jujubepost::trial::{Plan, Trial};
@@ -69,7 +71,7 @@
 }
 
 fn put(key: &str, rev: i64, len: usize) -> Change {
-    Change::Put(Kv { key: key.into(), value: vec![7; len], rev, lease: 0 })
+    Change::Put(Kv { key: key.into(), value: vec![7; len], rev, lease: 0, created: 0 })
 }
 
 fn batch(rev: i64, changes: &[Change]) -> WatchBatch {
@@ -400,6 +402,131 @@
     server.stop().await;
 }
 
+/// Where a process that polls `root` ends up, by referrals alone; counts the levels.
+async fn attach(logs: &HashMap<Ipv4Addr, SharedLog>, root: Ipv4Addr, ip: Ipv4Addr) -> usize {
+    let subscriber = Subscriber { ip, redistributes: logs.contains_key(&ip) };
+    let mut parent = root;
+    for level in 1..=8 {
+        match logs[&parent].poll(subscriber, "", 10).await {
+            PollReply::Changes { .. } => return level,
+            PollReply::Referred(ips) => parent = ips[0],
+            other => panic!("{other:?} of {parent} at level {level}"),
+        }
+    }
+    panic!("no room for {ip}");
+}
+
+/// Guards against processes that watch the store because distributors are full: one distributor is
+/// enough for a fleet of any size, of whose processes every sixth has a wide link.
+#[ntex::test]
+async fn referrals_serve_a_fleet() {
+    for processes in [30_u32, 300, 2_800] {
+        let ip = |n: u32| Ipv4Addr::from(0x0a00_0000 + n);
+        let log = || {
+            let log = SharedLog::default();
+            log.set_max_reply(MAX_REPLY);
+            log.record(10, &batch(12, &[put("a/1", 12, 1)]));
+            log
+        };
+        let logs: HashMap<_, _> = (0..processes).step_by(6).map(|n| (ip(n), log())).collect();
+        let mut depth = 0;
+        for n in 1..processes {
+            depth = depth.max(attach(&logs, ip(0), ip(n)).await);
+        }
+        let largest = logs.values().map(|l| l.subscriber_count(Instant::now())).max();
+        assert!(largest <= Some(MAX_SUBSCRIBERS), "{processes}: {largest:?}");
+        assert!(depth <= 6, "{processes} processes: {depth} levels");
+    }
+}
+
+/// Guards against subscribers that find no room although wide links are there: a process that can
+/// serve others takes the place of one that cannot, which is referred to it.
+#[ntex::test]
+async fn wide_links_come_first() {
+    let log = SharedLog::default();
+    log.set_max_reply(MAX_REPLY);
+    log.record(10, &batch(12, &[put("a/1", 12, 1)]));
+    let ip = |n: u8| Ipv4Addr::new(10, 0, 0, n);
+    let is_served = |reply| matches!(reply, PollReply::Changes { .. });
+    let narrow: Vec<u8> = (1..=32).collect();
+    for n in &narrow {
+        assert!(is_served(log.poll(ip(*n), "", 10).await));
+    }
+    assert_eq!(log.poll(ip(40), "", 10).await, PollReply::Full);
+    let wide = Subscriber { ip: ip(50), redistributes: true };
+    assert!(is_served(log.poll(wide, "", 10).await));
+    assert_eq!(log.subscriber_count(Instant::now()), MAX_SUBSCRIBERS);
+    let referred = PollReply::Referred(vec![ip(50)]);
+    assert_eq!(log.poll(ip(40), "", 10).await, referred);
+    assert_eq!(log.poll(ip(1), "", 10).await, referred, "it was displaced");
+    assert!(is_served(log.poll(ip(2), "", 10).await));
+}
+
+/// Guards against a listing by every subscriber once the store has forgotten its history: the
+/// distributor lists anew and hands on what differs.
+#[ntex::test]
+async fn new_listing_is_handed_on() {
+    let kv = |key: &str, rev| match put(key, rev, 1) {
+        Change::Put(kv) => (kv.key.clone(), kv),
+        Change::Delete { .. } => unreachable!(),
+    };
+    let snapshot = |rev, keys| Snapshot { rev, complete_rev: rev, keys };
+    let old = snapshot(12, [kv("a/1", 11), kv("a/2", 12), kv("a/3", 9)].into());
+    let new = snapshot(40, [kv("a/1", 11), kv("a/2", 30), kv("a/4", 31)].into());
+    let log = SharedLog::default();
+    log.set_max_reply(MAX_REPLY);
+    log.record(10, &batch(12, &[put("a/1", 11, 1), put("a/2", 12, 1)]));
+    log.record_listing(&old, &new);
+    let mut subscriber = old.clone();
+    match log.poll(Ipv4Addr::LOCALHOST, "", 12).await {
+        PollReply::Changes { rev, changes } => subscriber.apply(rev, changes),
+        other => panic!("{other:?}"),
+    }
+    assert_eq!((subscriber.rev, subscriber.keys), (new.rev, new.keys.clone()));
+    // A log that ends before the listing, or in another era, tells nothing.
+    log.record_listing(&old, &new);
+    assert_eq!(log.poll(Ipv4Addr::LOCALHOST, "", 12).await, PollReply::NotCurrent);
+    let restored = snapshot(revision::compose(1, 5).unwrap(), new.keys.clone());
+    log.record(12, &batch(40, &[]));
+    log.record_listing(&new, &restored);
+    assert_eq!(log.poll(Ipv4Addr::LOCALHOST, "", 40).await, PollReply::NotCurrent);
+}
+
+/// Guards against a whole tree that watches the store when its root is lost: a process that
+/// redistributes reads the store itself, and those below it notice nothing.
+#[ntex::test]
+async fn lost_root_is_replaced_by_store() {
+    let root = TcpListener::bind("127.0.0.1:30474").unwrap();
+    let addr = root.local_addr().unwrap();
+    drop(root);
+    let log = SharedLog::default();
+    log.set_max_reply(MAX_REPLY);
+    let store = FakeStore::answering(14);
+    let s = distributed(&store, &log);
+    s.set_redistributing(true);
+    s.set_distributors(vec![addr]);
+    log.record(10, &batch(12, &[]));
+    assert_eq!(s.watch("", 12, true).await.unwrap().rev, 14, "nobody listens at the root");
+    let current = PollReply::Changes { rev: 14, changes: Vec::new() };
+    assert_eq!(log.poll(Ipv4Addr::LOCALHOST, "", 12).await, current);
+}
+
+/// Guards against two processes that poll each other, referred by a distributor that had not yet
+/// noticed that they had left: each would take the other's old replies for news.
+#[ntex::test]
+async fn cycle_is_left() {
+    let addr: SocketAddr = "127.0.0.1:30475".parse().unwrap();
+    let (server, log) = distributor(addr, &batch(12, &[])).await;
+    let store = FakeStore::answering(14);
+    let s = distributed(&store, &SharedLog::default());
+    s.set_distributors(vec![addr]);
+    log.set_ancestors(vec![Ipv4Addr::new(10, 0, 0, 1)]);
+    assert_eq!(s.watch("", 12, true).await.unwrap().rev, 12);
+    log.set_ancestors(vec![Ipv4Addr::new(10, 0, 0, 1), Ipv4Addr::LOCALHOST]);
+    assert_eq!(s.watch("", 12, true).await.unwrap().rev, 14, "the store is read");
+    server.stop().await;
+}
+
 /// After [`DistributedStore::watch_directly`] the store is watched for some time.
 #[ntex::test]
 async fn direct_watch_is_limited() {
@@ -486,7 +613,7 @@
 }
 
 fn list(snapshot: &mut Snapshot, distributor: &Distributor) {
-    let kv = Kv { key: distributor.key().into(), value: Vec::new(), rev: 5, lease: 1 };
+    let kv = Kv { key: distributor.key().into(), value: Vec::new(), rev: 5, lease: 1, created: 0 };
     snapshot.keys.insert(kv.key.clone(), kv);
 }
 
--- a/tests/evacuation.rs
+++ b/tests/evacuation.rs
@@ -165,7 +165,7 @@
 
 fn put(snapshot: &mut Snapshot, key: &str, value: &[u8]) {
     let rev = snapshot.rev + 1;
-    let kv = Kv { key: key.into(), value: value.to_vec(), rev, lease: 0 };
+    let kv = Kv { key: key.into(), value: value.to_vec(), rev, lease: 0, created: 0 };
     snapshot.apply(rev, vec![Change::Put(kv)]);
 }
 
--- a/tests/invalid_input.rs
+++ b/tests/invalid_input.rs
@@ -80,6 +80,7 @@
         value,
         rev: i64::from(n),
         lease: 1,
+        created: 0,
     }
 }
 
@@ -126,8 +127,8 @@
         let mut s = steering(0, Instant::now());
         let mut reader = SnapshotReader::default();
         let key = format!("{AGENT_PREFIX}{name}").into();
-        let invalid_agent = Kv { key, value: value.clone(), rev: 9, lease: 0 };
-        let invalid_index = Kv { key: Arc::from(relay::INDEX_KEY), value, rev: 10, lease: 0 };
+        let invalid_agent = Kv { key, value: value.clone(), rev: 9, lease: 0, created: 0 };
+        let invalid_index = Kv { key: Arc::from(relay::INDEX_KEY), value, rev: 10, lease: 0, created: 0 };
         let kvs = [invalid_agent, invalid_index, registration(1), registration(2)];
         reader.apply_snapshot(&mut s, &snapshot(kvs));
         prop_assert_eq!(s.roster.agents_of(SERVICE).count(), 2);
@@ -139,7 +140,7 @@
     fn invalid_config_ignored(value in prop::collection::vec(any::<u8>(), 0..64)) {
         let mut s = steering(1, Instant::now());
         let mut reader = SnapshotReader::default();
-        let kv = Kv { key: config::CONFIG_KEY.into(), value, rev: 3, lease: 0 };
+        let kv = Kv { key: config::CONFIG_KEY.into(), value, rev: 3, lease: 0, created: 0 };
         reader.apply_snapshot(&mut s, &snapshot([kv, registration(1)]));
         prop_assert_eq!(s.config_version(), Some(1));
     }
--- a/tests/isolation.rs
+++ b/tests/isolation.rs
@@ -14,7 +14,7 @@
 
 fn kv(key: String, value: Vec<u8>) -> (Arc<str>, Kv) {
     let key: Arc<str> = key.into();
-    (key.clone(), Kv { key, value, rev: 1, lease: 0 })
+    (key.clone(), Kv { key, value, rev: 1, lease: 0, created: 0 })
 }
 
 fn view() -> View {
--- a/tests/process_suspension.rs
+++ b/tests/process_suspension.rs
@@ -121,7 +121,7 @@
 
     async fn watch(&self, _prefix: &str, _after: i64, _wait: bool) -> anyhow::Result<WatchBatch> {
         self.call().await;
-        let kv = Kv { key: "op/config".into(), value: Vec::new(), rev: 2, lease: 0 };
+        let kv = Kv { key: "op/config".into(), value: Vec::new(), rev: 2, lease: 0, created: 0 };
         Ok(WatchBatch { rev: 2, compacted: false, changes: vec![Change::Put(kv)] })
     }
 }
