Lost flows: a verdict asks few agents, and agents know their flows after a loss of power

Besides, each verdict asked all 544 agents, and a round without an outcome was repeated only with the caller's next packet, at all of them.

Now the read has no time limit, and what it returns counts also after the target's report. Flows of large services are offered to 16 agents by rank, and a search asks those that may own the flow by the order of registrations. Rounds are repeated after 0.1 s for those that could not tell.

--- a/examples/fleet.rs
+++ b/examples/fleet.rs
@@ -31,9 +31,12 @@
         service: format!("service-{}", n % routes).into(),
         incarnation: Some(format!("i-{n:08x}-{rev}").as_str().into()),
         queues: true,
+        bounded: true,
+        since: None,
+        registered: 0,
     };
     let value = serde_json::to_vec(&registration).unwrap();
-    Kv { key: format!("jujubepost/agents/{ip}").into(), value, rev, lease: 1 }
+    Kv { key: format!("jujubepost/agents/{ip}").into(), value, rev, lease: 1, created: rev }
 }
 
 fn configuration(routes: u32, version: i64) -> Kv {
@@ -53,7 +56,7 @@
         .collect();
     let body = json!({ "version": version, "routes": all, "services": services, "limits": {} });
     let value = serde_json::to_vec(&body).unwrap();
-    Kv { key: config::CONFIG_KEY.into(), value, rev: version, lease: 0 }
+    Kv { key: config::CONFIG_KEY.into(), value, rev: version, lease: 0, created: 0 }
 }
 
 /// Changes the timeout of one route in a configuration that is relayed in parts. Returns
@@ -77,9 +80,9 @@
             .puts;
         let bytes = puts.iter().map(|(_, value)| value.len().div_ceil(3) * 4).sum();
         let keys = puts.len();
-        let changes = puts
-            .into_iter()
-            .map(|(key, value)| Change::Put(Kv { key: key.into(), value, rev, lease: 0 }));
+        let changes = puts.into_iter().map(|(key, value)| {
+            Change::Put(Kv { key: key.into(), value, rev, lease: 0, created: 0 })
+        });
         snapshot.apply(rev, changes.collect());
         last = (keys, bytes, time_of(|| reader.apply_snapshot(&mut steering, &snapshot)));
     }
--- a/examples/packet.rs
+++ b/examples/packet.rs
@@ -109,6 +109,9 @@
             service: "meter".into(),
             incarnation: None,
             queues: false,
+            bounded: true,
+            since: None,
+            registered: 0,
         })
         .collect();
     steering.roster.update(&agents, now);
--- a/src/edge/registration.rs
+++ b/src/edge/registration.rs
@@ -4,7 +4,7 @@
 use std::cell::RefCell;
 use std::net::SocketAddrV4;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use tokio::sync::{Notify, watch};
 
@@ -17,13 +17,12 @@
 use crate::tracker::Incarnation;
 use crate::{events, metrics};
 
-/// Delay between two attempts to delete the registration. Must allow several
+/// Delay between two attempts to read or delete the registration. Must allow several
 /// attempts within the time of a planned stop.
 const RETRY_DELAY: Duration = Duration::from_millis(400);
 
-/// Timeout of the read at the agent's start, which normally takes milliseconds. A larger
-/// value delays the target's flows for longer while the store is unreachable.
-const READ_TIMEOUT: Duration = Duration::from_millis(100);
+/// [`ListedAgent::since`] of an agent whose target may hold flows from any time.
+pub(super) const UNKNOWN_REVISION: i64 = 0;
 
 /// Keeps the registration in the store until dropped, from the target's first report
 /// on. An agent that registers without a target and disappears would delay the
@@ -32,7 +31,7 @@
     store: platform::kv::Client,
     key: String,
     mut values: watch::Receiver<Vec<u8>>,
-    lease_check: Rc<Notify>,
+    lease_check: &Notify,
 ) {
     if values.changed().await.is_err() {
         log::error!(
@@ -41,7 +40,7 @@
         );
         return;
     }
-    lease::maintain(&store, &key, values, AGENT_LEASE_MS, &lease_check).await;
+    lease::maintain(&store, &key, values, AGENT_LEASE_MS, lease_check).await;
 }
 
 /// Deletes the registration of an agent whose target has ended, retrying for up to
@@ -84,8 +83,11 @@
     ///
     /// Fails when the value is not a record.
     pub fn served_incarnation(kv: &Kv) -> serde_json::Result<Option<Incarnation>> {
-        let record: Self = serde_json::from_slice(&kv.value)?;
-        Ok(record.agent.incarnation.filter(|_| record.era == revision::era(kv.rev)))
+        Ok(serde_json::from_slice::<Self>(&kv.value)?.served_at(kv.rev))
+    }
+
+    fn served_at(self, rev: i64) -> Option<Incarnation> {
+        self.agent.incarnation.filter(|_| self.era == revision::era(rev))
     }
 }
 
@@ -113,12 +115,45 @@
     }
 
     /// Stores the target's current incarnation, so that a restarted agent knows which
-    /// one its predecessor served.
-    pub(super) fn set_incarnation(&self, incarnation: Incarnation) {
-        self.record.borrow_mut().agent.incarnation = Some(incarnation);
+    /// one its predecessor served. The target may have flows of an earlier process of which nothing
+    /// is known unless `all_flows_known`.
+    pub(super) fn set_incarnation(&self, incarnation: Incarnation, all_flows_known: bool) {
+        let mut record = self.record.borrow_mut();
+        let unknown = Some(UNKNOWN_REVISION).filter(|_| !all_flows_known);
+        record.agent.since = record.agent.since.or(unknown);
+        record.agent.incarnation = Some(incarnation);
+        drop(record);
         self.write_if_changed();
     }
 
+    /// Sets since when the target may hold flows, as the previous registration tells. Without one,
+    /// that is unknown unless `all_flows_known`.
+    pub(super) fn set_since(&self, since: Option<i64>, all_flows_known: bool) {
+        let unknown = Some(UNKNOWN_REVISION).filter(|_| !all_flows_known);
+        let mut record = self.record.borrow_mut();
+        // Before the first report the target has no flows that this process could miss.
+        let has_target = record.agent.incarnation.is_some();
+        record.agent.since = since.or(unknown.filter(|_| has_target));
+        drop(record);
+        if has_target {
+            self.write_if_changed();
+        }
+    }
+
+    /// Notes when the agent first registered once that is known, so that a later registration,
+    /// after its lease has expired, tells it. Writes nothing. Returns when that was, once.
+    pub(super) fn note_registered(&self) -> Option<Instant> {
+        let mut record = self.record.borrow_mut();
+        let first = self.store.first_commit().filter(|_| record.agent.since.is_none())?;
+        record.agent.since = Some(first.rev);
+        let value = encode(&record)?;
+        self.value.send_if_modified(|old| {
+            *old = value;
+            false
+        });
+        Some(first.at)
+    }
+
     /// Writes the record again once it is known that the store was restored, so that it counts
     /// as proof. Does nothing before the target's first report.
     pub(super) fn follow_era(&self) {
@@ -138,58 +173,62 @@
     fn write_if_changed(&self) {
         let mut record = self.record.borrow_mut();
         record.era = self.store.era();
-        match serde_json::to_vec(&*record) {
-            Ok(value) => {
-                self.value.send_if_modified(|old| {
-                    *old != value && {
-                        *old = value;
-                        true
-                    }
-                });
+        let Some(value) = encode(&record) else { return };
+        self.value.send_if_modified(|old| {
+            *old != value && {
+                *old = value;
+                true
             }
-            Err(e) => {
-                log::error!(
-                    event = events::EDGE_STORE, error:% = e;
-                    "encoding the registration failed; not updated"
-                )
-            }
-        }
+        });
     }
 }
 
-/// Reads the registration that a previous process of this agent left.
+fn encode(record: &Record) -> Option<Vec<u8>> {
+    let encoded = serde_json::to_vec(record).inspect_err(|e| {
+        log::error!(
+            event = events::EDGE_STORE, error:% = e;
+            "encoding the registration failed; not updated"
+        );
+    });
+    encoded.ok()
+}
+
+/// Reads the registration that a previous process of this agent left, trying until the store
+/// answers. Nothing is written before, so it is that of another process. One that was written in
+/// the last seconds may be missed, which only delays new flows.
 pub(super) async fn read_previous_registration(
     store: &platform::kv::Client,
     key: &str,
 ) -> PreviousRegistration {
-    let read = tokio::time::timeout(READ_TIMEOUT, store.get(key)).await;
-    let kv = match read {
-        Ok(Ok(Some(kv))) => kv,
-        Ok(Ok(None)) => return PreviousRegistration::Absent,
-        Ok(Err(e)) => {
-            log::warn!(
+    let kv = loop {
+        let read = match store.get_stale(key).await {
+            // It may have been replaced or deleted since.
+            Ok(Some(_)) => store.get(key).await,
+            other => other,
+        };
+        match read {
+            Ok(Some(kv)) => break kv,
+            Ok(None) => return PreviousRegistration::Absent,
+            Err(e) => log::warn!(
                 event = events::EDGE_STORE, error:% = format!("{e:#}");
-                "reading the previous registration failed; starting without it"
-            );
-            return PreviousRegistration::Unknown;
-        }
-        Err(_) => {
-            log::warn!(
-                event = events::EDGE_STORE, key = key;
-                "reading the previous registration timed out; starting without it"
-            );
-            return PreviousRegistration::Unknown;
+                "reading the previous registration failed; retrying"
+            ),
         }
+        tokio::time::sleep(RETRY_DELAY).await;
     };
-    match Record::served_incarnation(&kv) {
-        Ok(incarnation) => PreviousRegistration::Present(incarnation),
+    match serde_json::from_slice::<Record>(&kv.value) {
+        Ok(record) => {
+            let since = record.agent.since.map_or(kv.created, |rev| rev.min(kv.created));
+            let incarnation = record.served_at(kv.rev);
+            PreviousRegistration::Present { incarnation, since }
+        }
         Err(e) => {
             metrics::count_drop("entry_unreadable");
             log::error!(
                 event = events::EDGE_STORE, key = key, error:% = e;
                 "previous registration cannot be decoded; starting without it"
             );
-            PreviousRegistration::Unknown
+            PreviousRegistration::Unreadable
         }
     }
 }
@@ -197,10 +236,15 @@
 /// The registration of a previous process of this agent.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(super) enum PreviousRegistration {
-    /// It could not be read or decoded.
-    Unknown,
+    /// It cannot be decoded.
+    Unreadable,
     /// There is none.
     Absent,
-    /// The target's incarnation that the previous process served, if known.
-    Present(Option<Incarnation>),
+    /// It is listed.
+    Present {
+        /// The target's incarnation that the previous process served, if known.
+        incarnation: Option<Incarnation>,
+        /// As [`ListedAgent::since`].
+        since: i64,
+    },
 }
--- a/src/edge/reports.rs
+++ b/src/edge/reports.rs
@@ -10,7 +10,7 @@
 use super::registration::Registration;
 use crate::http::{HttpRequest, HttpResponse, Server};
 use crate::platform::instances;
-use crate::tracker::FlowTracker;
+use crate::tracker::{FlowTracker, Target};
 use crate::{events, metrics};
 
 /// Serves the endpoint and applies each report to `tracker`.
@@ -40,7 +40,8 @@
                     report = seq, flows = tracker.flow_count();
                     "target reported a new state"
                 );
-                registration.set_incarnation(incarnation);
+                let known = tracker.target().is_some_and(Target::all_flows_known);
+                registration.set_incarnation(incarnation, known);
             }
             HttpResponse::json(instances::RESPONSE.to_string())
         }
--- a/src/edge/sidecar.rs
+++ b/src/edge/sidecar.rs
@@ -15,7 +15,7 @@
 use super::pause::{ClockReading, PauseDetector};
 use super::port::{self, PortState};
 use super::registration::{
-    PreviousRegistration, Registration, deregister, maintain_registration,
+    PreviousRegistration, Registration, UNKNOWN_REVISION, deregister, maintain_registration,
     read_previous_registration,
 };
 use super::socket::Socket;
@@ -121,19 +121,15 @@
     );
     let store = connect_store(&settings).await?;
     let key = format!("{AGENT_PREFIX}{}", settings.ip);
-    match read_previous_registration(&store, &key).await {
-        PreviousRegistration::Unknown => {}
-        PreviousRegistration::Absent => tracker.borrow_mut().mark_new(),
-        PreviousRegistration::Present(incarnation) => {
-            tracker.borrow_mut().set_predecessor(incarnation, Instant::now())
-        }
-    }
     let agent = ListedAgent {
         addr: settings.message_addr(),
         zone: settings.zone.clone(),
         service,
         incarnation: None,
         queues: true,
+        bounded: true,
+        since: None,
+        registered: 0,
     };
     let (registration, values) = Registration::new(agent, sockets.target, store.clone());
     let registration = Rc::new(registration);
@@ -143,9 +139,15 @@
         Some(addr) => Some(Server::start(addr, |_| HttpResponse::empty(StatusCode::OK)).await?),
         None => None,
     };
-    let registration_loop =
-        maintain_registration(store.clone(), key.clone(), values, registration.lease_check.clone());
-    let registration_task = tokio::task::spawn_local(registration_loop);
+    let registration_task = tokio::task::spawn_local({
+        let (store, key, started) = (store.clone(), key.clone(), Instant::now());
+        let (tracker, registration) = (tracker.clone(), registration.clone());
+        async move {
+            let previous = read_previous_registration(&store, &key).await;
+            learn_previous(previous, started, &mut tracker.borrow_mut(), &registration);
+            maintain_registration(store, key, values, &registration.lease_check).await;
+        }
+    });
     super::run_until_stopped(path, forward(&sockets, &tracker, &registration)).await?;
     let ended = check_target_ended(&sockets, &tracker).await;
     log::info!(
@@ -182,6 +184,27 @@
     Ok(())
 }
 
+/// Applies what the previous process of the agent, replaced at `started`, left in the store.
+fn learn_previous(
+    previous: PreviousRegistration,
+    started: Instant,
+    tracker: &mut FlowTracker,
+    registration: &Registration,
+) {
+    let since = match previous {
+        PreviousRegistration::Unreadable => Some(UNKNOWN_REVISION),
+        PreviousRegistration::Absent => {
+            tracker.mark_new();
+            None
+        }
+        PreviousRegistration::Present { incarnation, since } => {
+            tracker.set_predecessor(incarnation, started);
+            Some(since)
+        }
+    };
+    registration.set_since(since, tracker.target().is_some_and(Target::all_flows_known));
+}
+
 fn missing_field(field: &'static str) -> impl Fn() -> String {
     move || format!("settings: field `{field}` is required for an agent")
 }
@@ -319,6 +342,10 @@
             last_received = now;
         }
         registration.follow_era();
+        if let Some(registered_at) = registration.note_registered() {
+            // What was just written need not be checked.
+            last_received = last_received.max(registered_at);
+        }
         let target_alive = tracker.target().is_some_and(Target::is_alive);
         if activity.unregistered
             && target_alive
--- a/src/edge/snapshot.rs
+++ b/src/edge/snapshot.rs
@@ -100,13 +100,19 @@
     /// changed or removed.
     fn decode_agents(&mut self, snapshot: &Snapshot) -> bool {
         let before = self.agents.len();
-        self.agents.retain(|key, _| snapshot.keys.contains_key(key));
+        // A listing in pages may hold some registrations of a time of which it lacks others. They
+        // count once the watch has told of those.
+        let is_complete = |kv: &Kv| kv.created <= snapshot.rev;
+        self.agents.retain(|key, _| snapshot.keys.get(key).is_some_and(is_complete));
         let mut changed = self.agents.len() != before;
         let from = (Bound::Included(AGENT_PREFIX), Bound::Unbounded);
         for (key, kv) in snapshot.keys.range::<str, _>(from) {
             if !key.starts_with(AGENT_PREFIX) {
                 break;
             }
+            if !is_complete(kv) {
+                continue;
+            }
             if self.agents.get(key).is_none_or(|(rev, _)| *rev != kv.rev) {
                 self.agents.insert(key.clone(), (kv.rev, decode_agent(kv)));
                 changed = true;
@@ -138,7 +144,7 @@
 fn decode_agent(kv: &Kv) -> Option<ListedAgent> {
     let (reason, error) = match serde_json::from_slice::<ListedAgent>(&kv.value) {
         Ok(a) if kv.key.strip_prefix(AGENT_PREFIX) == Some(&a.addr.ip().to_string()) => {
-            return Some(a);
+            return Some(ListedAgent { registered: kv.created, ..a });
         }
         Ok(a) => ("entry_of_other_vm", format!("names {}", a.addr)),
         Err(e) => ("entry_unreadable", e.to_string()),
--- a/src/model/setup.rs
+++ b/src/model/setup.rs
@@ -196,6 +196,9 @@
                     self.target_report(a.service, a.registered_incarnation, 1).incarnation,
                 ),
                 queues: true,
+                bounded: true,
+                since: None,
+                registered: 1 + i as i64,
             })
             .collect();
         let routes = self.routes();
--- a/src/policy/balancer.rs
+++ b/src/policy/balancer.rs
@@ -104,6 +104,10 @@
     /// Interval at which the queue is checked for a new configuration.
     #[serde(rename = "unpark", with = "millis")]
     pub queue_check_interval: Duration,
+    /// Whether flows of large services are offered only to the agents that rank highest for
+    /// them, so that a search need not query the others. False until every balancer and agent
+    /// of the site runs a version that knows it.
+    pub bounded_owners: bool,
     /// Whether offers say what their callers need, so that agents queue and order them.
     /// Acts only where the configuration states priorities or target latencies.
     pub queued_opens: bool,
@@ -137,6 +141,7 @@
             relist_grace: Duration::from_millis(2_500),
             max_queued_packets: 512,
             queue_check_interval: Duration::from_millis(20),
+            bounded_owners: true,
             queued_opens: true,
             suspicion: SuspicionPolicy::default(),
         }
--- a/src/protocol/mod.rs
+++ b/src/protocol/mod.rs
@@ -86,6 +86,9 @@
         /// Flow of the open.
         flow: Flow,
     },
+    /// As [`Message::RequestOpen`], for a service so large that only some agents may own the
+    /// flow: one that queues it hands it over to the other agent of the offer only.
+    BoundedOpen(#[serde(borrow)] Open<'a>, OpenRequest, Option<WarmUp>),
 }
 
 impl<'a> Message<'a> {
@@ -93,6 +96,9 @@
     #[must_use]
     pub const fn offer(open: Open<'a>) -> Self {
         match (open.request, open.warm_up) {
+            (Some(request), warm_up) if request.bounded => {
+                Self::BoundedOpen(open, request, warm_up)
+            }
             (Some(request), warm_up) => Self::RequestOpen(open, request, warm_up),
             (None, Some(warm_up)) => Self::PacedOpen(open, warm_up),
             (None, None) => Self::Open(open),
--- a/src/request/mod.rs
+++ b/src/request/mod.rs
@@ -51,6 +51,10 @@
     pub renewal: bool,
     /// Whether the agent may accept it although it has set its target aside.
     pub any_target: bool,
+    /// Whether only agents of its offer may own the flow, as in
+    /// [`crate::protocol::Message::BoundedOpen`].
+    #[serde(skip)]
+    pub bounded: bool,
 }
 
 impl OpenRequest {
@@ -66,6 +70,7 @@
             unrenewed_ms: 0,
             renewal: false,
             any_target: false,
+            bounded: false,
         }
     }
 
--- a/src/steering/lookup.rs
+++ b/src/steering/lookup.rs
@@ -1,7 +1,8 @@
 //! Owner lookup: finds the agent whose target holds a flow.
 //!
 //! Agents are queried in waves: the flow's home agent first, then a few that were its
-//! home before the set of agents changed, then all others. Queries carry only the
+//! home before the set of agents changed, then all others that may own it. A round without an
+//! outcome is repeated for those that did not tell. Queries carry only the
 //! flow's addresses; its packets are buffered meanwhile.
 
 use std::net::SocketAddrV4;
@@ -42,13 +43,15 @@
         self.buffered_bytes += search.buffered_bytes();
         if !running {
             search.service = service;
+            search.repeat_count = 0;
             self.start_round(flow, &mut search, &offered, now);
         }
         self.flows.insert(flow, FlowState::Searching(search), now);
     }
 
-    /// Starts a round of queries to the agents of the service, the likeliest owners
-    /// first and silent agents last. Agents that left with their targets are skipped.
+    /// Starts a round of queries: to the agents that the flow was most likely offered to, the
+    /// likeliest first, then to all others that may own it. Agents that have denied the flow are
+    /// skipped.
     pub(super) fn start_round(
         &mut self,
         flow: Flow,
@@ -56,22 +59,26 @@
         offered: &[SocketAddrV4],
         now: Instant,
     ) {
-        let all: Vec<_> = self.roster.agents_of(&search.service).collect();
-        // Fits: a service has far fewer agents.
-        search.agent_count = all.len() as u32;
-        let candidates = all.into_iter().filter(|a| !self.roster.ended_and_silent(*a));
-        let (responsive, silent): (Vec<_>, Vec<_>) =
-            candidates.partition(|a| self.roster.is_responsive(*a));
-        let mut order = self.roster.rank_by_likelihood(&responsive, &self.zone, flow);
-        order.extend(silent);
-        order.sort_by_key(|a| !offered.contains(a));
-        search.unqueried = order.into();
+        search.expire_denials(now);
+        search.unqueried.clear();
         search.pending.clear();
         search.silent.clear();
         search.unverified.clear();
         search.named_trial = None;
-        search.wave_index = 0;
+        let is_repetition = search.repeat_count > 0;
+        search.wave_index = if is_repetition { self.policy.wave_sizes.len() } else { 0 };
         search.message_count = 0;
+        search.repeat_at = None;
+        search.agent_count = 0;
+        search.widened = !self.roster.bounds_owners(&search.service);
+        let mut likely = self.roster.offer_candidates(&search.service, flow);
+        let home = self.roster.home_agent(&search.service, &self.zone, flow);
+        for agent in home.into_iter().chain(offered.iter().copied()) {
+            if !likely.contains(&agent) && self.roster.is_responsive(agent) {
+                likely.push(agent);
+            }
+        }
+        self.add_unqueried(flow, search, &likely, offered);
         metrics::count_retry(Retry::OwnerQueried);
         log::info!(
             event = events::OWNER_QUERIED, flow:% = flow, agents = search.agent_count,
@@ -81,8 +88,44 @@
         self.query_wave(flow, search, now);
     }
 
+    /// Adds `agents` to those that the round queries, the likeliest owners first and silent agents
+    /// last. Agents that left with their targets, or have denied the flow, only count.
+    fn add_unqueried(
+        &self,
+        flow: Flow,
+        search: &mut OwnerSearch,
+        agents: &[SocketAddrV4],
+        offered: &[SocketAddrV4],
+    ) {
+        // Fits: a service has far fewer agents.
+        search.agent_count += agents.len() as u32;
+        let candidates = agents
+            .iter()
+            .copied()
+            .filter(|a| !self.roster.ended_and_silent(*a) && !search.is_denied_by(*a));
+        let (responsive, silent): (Vec<_>, Vec<_>) =
+            candidates.partition(|a| self.roster.is_responsive(*a));
+        let mut order = self.roster.rank_by_likelihood(&responsive, &self.zone, flow);
+        order.extend(silent);
+        order.sort_by_key(|a| !offered.contains(a));
+        search.unqueried.extend(order);
+    }
+
+    /// Has the round cover all agents that may own the flow.
+    fn widen_round(&self, flow: Flow, search: &mut OwnerSearch) {
+        search.widened = true;
+        search.wave_index = self.policy.wave_sizes.len();
+        let mut others = self.roster.possible_owners(&search.service, flow);
+        others.retain(|a| !search.has_asked(*a));
+        self.add_unqueried(flow, search, &others, &[]);
+    }
+
     /// Queues queries to the agents of the next wave.
     fn query_wave(&mut self, flow: Flow, search: &mut OwnerSearch, now: Instant) {
+        let is_last = search.wave_index >= self.policy.wave_sizes.len();
+        if !search.widened && (is_last || search.unqueried.is_empty()) {
+            self.widen_round(flow, search);
+        }
         let wave = search.next_wave(&self.policy.wave_sizes);
         for agent in &wave {
             self.queries.enqueue(*agent, &search.service, search.queried_flow(flow));
@@ -147,7 +190,7 @@
                 self.flows.remove(flow);
             }
             Some(FlowState::Searching(s)) => {
-                s.record_answer(from, status);
+                s.record_answer(from, status, now);
                 let done = s.pending.is_empty();
                 self.try_named_owner(flow, out);
                 if done {
@@ -161,7 +204,7 @@
     /// Starts the next wave, or decides the round after the last one.
     fn advance_search(&mut self, flow: Flow, now: Instant, out: &mut impl Transmit) {
         let Some(FlowState::Searching(s)) = self.flows.peek(flow) else { return };
-        if !s.unqueried.is_empty() {
+        if !s.unqueried.is_empty() || !s.widened {
             let Some(FlowState::Searching(mut s)) = self.flows.remove(flow) else { return };
             self.query_wave(flow, &mut s, now);
             self.flows.insert(flow, FlowState::Searching(s), now);
@@ -182,8 +225,9 @@
     ) {
         let Some(FlowState::Searching(mut s)) = self.flows.remove(flow) else { return };
         let unsent = s.pending.iter().any(|a| self.queries.is_queued(*a, flow));
-        if unsent {
-            // The rate limit still holds some queries back: their agents are not silent.
+        // The rate limit holds some queries back, or did until a moment ago: their agents are not
+        // silent.
+        if std::mem::replace(&mut s.held_back, unsent) || unsent {
             self.start_wave_timer(flow, &mut s, now);
             self.flows.insert(flow, FlowState::Searching(s), now);
             return;
@@ -202,6 +246,16 @@
         self.advance_search(flow, now, out);
     }
 
+    /// Starts the round again for the agents that did not answer, or could not tell whether their
+    /// targets hold the flow.
+    pub(super) fn repeat_round(&mut self, flow: Flow, now: Instant) {
+        let Some(FlowState::Searching(mut s)) = self.flows.remove(flow) else { return };
+        let named_trial = s.named_trial;
+        self.start_round(flow, &mut s, &[], now);
+        s.named_trial = named_trial;
+        self.flows.insert(flow, FlowState::Searching(s), now);
+    }
+
     /// Forwards the buffered packets to the flow's owner `from`.
     pub(super) fn forward_buffered(
         &mut self,
--- a/src/steering/mod.rs
+++ b/src/steering/mod.rs
@@ -99,6 +99,8 @@
     /// Flows whose searches ended while the list may have lacked their agents, and whether no
     /// agent of the list holds them.
     unconfirmed: BTreeMap<Flow, bool>,
+    /// When rounds of searches are repeated next: all at once, so that they share datagrams.
+    repeat_slot: Option<Instant>,
     /// Whether the newest configuration was read; until then, flows without a route wait.
     routes_complete: bool,
     /// Packets received before the first configuration, or before the newest one if their
@@ -130,6 +132,7 @@
             roster_source: RosterSource::Store,
             set_aside: SetAside::default(),
             unconfirmed: BTreeMap::new(),
+            repeat_slot: None,
             routes_complete: true,
             queued_packets: VecDeque::new(),
             queue_check_at: None,
@@ -143,7 +146,8 @@
     pub fn with_policy(mut self, policy: BalancerPolicy) -> Self {
         self.queries = QueryQueue::new(policy.query_rate, policy.query_burst);
         self.retry_budget = TokenBucket::new(policy.retry_burst);
-        self.roster = Roster::new(policy.suspicion.clone());
+        self.roster =
+            Roster::new(policy.suspicion.clone()).with_bounded_owners(policy.bounded_owners);
         self.policy = policy;
         self
     }
@@ -446,6 +450,9 @@
             Some(FlowState::Searching(s)) if s.wave_deadline.is_some_and(|at| at <= now) => {
                 self.handle_wave_timeout(flow, now, out);
             }
+            Some(FlowState::Searching(s)) if s.repeat_at.is_some_and(|at| at <= now) => {
+                self.repeat_round(flow, now);
+            }
             Some(_) | None => {}
         }
     }
--- a/src/steering/opens.rs
+++ b/src/steering/opens.rs
@@ -123,14 +123,21 @@
         (first, second): (SocketAddrV4, Option<SocketAddrV4>),
         now: Instant,
     ) -> Option<OpenRequest> {
-        let mut agents = [Some(first), second].into_iter().flatten();
+        let agents: Vec<_> = [Some(first), second].into_iter().flatten().collect();
         let needs = opening.needs.filter(|_| self.policy.queued_opens)?;
-        if !agents.all(|a| self.roster.queues_opens(a)) {
+        if !agents.iter().all(|a| self.roster.queues_opens(*a)) {
             return None;
         }
         let any_target = self.allows_any_target(&opening.service, now);
+        let bounded = self.bounds_owner(&opening.service, &agents);
         let request = OpenRequest::new(needs, now.duration_since(opening.arrived_at));
-        Some(OpenRequest { any_target, ..request })
+        Some(OpenRequest { any_target, bounded, ..request })
+    }
+
+    /// Whether only agents of the offer to `agents` may own a flow of `service`.
+    pub(super) fn bounds_owner(&self, service: &str, agents: &[SocketAddrV4]) -> bool {
+        self.roster.bounds_owners(service)
+            && agents.iter().all(|a| self.roster.understands_bounds(*a))
     }
 
     /// Whether opens of `service` may go to targets that are set aside, as too many are.
--- a/src/steering/queued.rs
+++ b/src/steering/queued.rs
@@ -68,6 +68,7 @@
             request: Some(OpenRequest {
                 renewal: true,
                 any_target: self.allows_any_target(&o.service, now),
+                bounded: self.bounds_owner(&o.service, &[agent]),
                 ..OpenRequest::new(needs, now.duration_since(o.arrived_at))
             }),
         };
--- a/src/steering/resolve.rs
+++ b/src/steering/resolve.rs
@@ -22,6 +22,17 @@
             self.finish_round(flow, lost, now, out);
         } else {
             self.end_round(flow);
+            self.schedule_repeat(flow, now);
+        }
+    }
+
+    /// Has the round that ended repeated soon: agents that did not answer, or could not tell, may
+    /// be starting.
+    fn schedule_repeat(&mut self, flow: Flow, now: Instant) {
+        let Some(FlowState::Searching(s)) = self.flows.peek_mut(flow) else { return };
+        if let Some(at) = s.schedule_repeat(self.repeat_slot, now) {
+            self.repeat_slot = Some(at);
+            self.deadlines.push(at, flow);
         }
     }
 
@@ -54,6 +65,7 @@
             self.reset_lost(flow, out);
         } else {
             self.try_unverified(flow, now, out);
+            self.schedule_repeat(flow, now);
         }
     }
 
--- a/src/steering/roster/candidates.rs
+++ b/src/steering/roster/candidates.rs
@@ -9,8 +9,8 @@
 impl Roster {
     /// The two agents of `service` that `flow` is offered to, chosen by rendezvous
     /// hashing among those that accept flows: one in `zone` if possible, and one of all
-    /// others. `first` replaces the first choice; agents in `except` and those of
-    /// evacuated data centres are skipped.
+    /// others. `first` replaces the first choice; agents in `except`, those of
+    /// evacuated data centres and, in a large service, those that rank low are skipped.
     ///
     /// The two agents compare their current loads themselves, since the loads known
     /// here are too old for bursts. The choice is the same in every process, so that
@@ -26,7 +26,8 @@
         now: Instant,
     ) -> Option<(SocketAddrV4, Option<SocketAddrV4>)> {
         let remaining: Vec<SocketAddrV4> = self
-            .agents_of(service)
+            .offer_candidates(service, flow)
+            .into_iter()
             .filter(|a| !except.contains(a) && self.may_be_offered(*a))
             .collect();
         let accepts =
--- a/src/steering/roster/mod.rs
+++ b/src/steering/roster/mod.rs
@@ -5,6 +5,7 @@
 //! not answer is suspected: it is offered flows last and pinged until it answers.
 
 mod candidates;
+mod owners;
 mod pings;
 
 use std::collections::{BTreeMap, HashMap, HashSet};
@@ -39,6 +40,16 @@
     /// versions do not.
     #[serde(default)]
     pub queues: bool,
+    /// Whether it understands [`crate::protocol::Message::BoundedOpen`].
+    #[serde(default)]
+    pub bounded: bool,
+    /// Revision of the store before which its target opened none of the flows that it holds, if
+    /// that is earlier than the registration; 0 if unknown.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub since: Option<i64>,
+    /// Revision of the store at which the registration was created; 0 if unknown.
+    #[serde(skip)]
+    pub registered: i64,
 }
 
 #[derive(Clone, Debug)]
@@ -49,6 +60,12 @@
     incarnation: Option<Incarnation>,
     /// Whether it understands [`crate::protocol::Message::RequestOpen`].
     queues: bool,
+    /// Whether it understands [`crate::protocol::Message::BoundedOpen`].
+    bounded: bool,
+    /// As [`ListedAgent::since`].
+    since: Option<i64>,
+    /// Revision of the store at which its registration was created; 0 if unknown.
+    registered: i64,
     /// Whether it last reported that no process of its target runs.
     target_ended: bool,
     /// Since when the store has not listed it.
@@ -73,6 +90,8 @@
     /// Ordered, so that pings go out in a deterministic order.
     agents: BTreeMap<SocketAddrV4, Agent>,
     services: HashMap<Arc<str>, Vec<SocketAddrV4>>,
+    /// Whether flows of large services are offered to few agents.
+    owners_bounded: bool,
     /// Data centres whose agents are offered no flows.
     pub evacuations: Evacuations,
     /// When the next ping is due; none while no agent is suspected.
@@ -97,6 +116,7 @@
             suspicion,
             agents: BTreeMap::new(),
             services: HashMap::new(),
+            owners_bounded: true,
             evacuations: Evacuations::default(),
             next_ping_at: None,
             ping_budget: TokenBucket::new(burst.max(1.0)),
@@ -104,6 +124,13 @@
         }
     }
 
+    /// Sets whether flows of large services are offered to few agents only.
+    #[must_use]
+    pub const fn with_bounded_owners(mut self, bounded: bool) -> Self {
+        self.owners_bounded = bounded;
+        self
+    }
+
     /// Number that changes when an agent, or the incarnation of its target, is added.
     #[must_use]
     pub const fn generation(&self) -> u64 {
@@ -149,6 +176,9 @@
             Some(known) if known.service == a.service => {
                 known.zone = a.zone.clone();
                 known.queues = a.queues;
+                known.bounded = a.bounded;
+                known.since = a.since;
+                known.registered = a.registered;
                 if known.incarnation != a.incarnation {
                     known.incarnation = a.incarnation.clone();
                     known.target_ended = false;
@@ -171,6 +201,9 @@
             service: a.service.clone(),
             incarnation: a.incarnation.clone(),
             queues: a.queues,
+            bounded: a.bounded,
+            since: a.since,
+            registered: a.registered,
             target_ended: false,
             unlisted_since: None,
             load: 0,
@@ -206,6 +239,12 @@
         self.agents.get(&addr).is_some_and(|a| a.queues)
     }
 
+    /// Whether the agent understands [`crate::protocol::Message::BoundedOpen`].
+    #[must_use]
+    pub fn understands_bounds(&self, addr: SocketAddrV4) -> bool {
+        self.agents.get(&addr).is_some_and(|a| a.bounded)
+    }
+
     /// Whether the agent may be offered new flows: it is known, and its data centre is
     /// not evacuated.
     #[must_use]
--- a/src/steering/search.rs
+++ b/src/steering/search.rs
@@ -1,10 +1,10 @@
 //! State of a search for a flow's owner: queried agents, their answers and the packets
 //! buffered meanwhile.
 
-use std::collections::VecDeque;
+use std::collections::{BTreeSet, VecDeque};
 use std::net::SocketAddrV4;
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use super::Transmit;
 use crate::flow::{Flow, Segment};
@@ -12,6 +12,19 @@
 use crate::policy::BalancerPolicy;
 use crate::protocol::{FlowStatus, ForwardMode, Message, QueriedFlow};
 
+/// Delay before the first repetition of a round that found no owner; doubled each time.
+const REPEAT_DELAY: Duration = Duration::from_millis(100);
+
+/// Longest delay before a repetition.
+const MAX_REPEAT_DELAY: Duration = Duration::from_millis(400);
+
+/// Repetitions after one packet of the caller, which sends it again itself.
+const MAX_REPEATS: u32 = 5;
+
+/// How long an agent's denial counts. Later, the caller may have opened another flow from the
+/// same port.
+const DENIAL_TTL: Duration = Duration::from_secs(5);
+
 /// A search for a flow's owner.
 #[derive(Debug, Default)]
 pub struct OwnerSearch {
@@ -26,11 +39,21 @@
     pub wave_deadline: Option<Instant>,
     /// When the current wave was queried.
     pub(super) wave_started: Option<Instant>,
+    /// Whether queries of the current wave were held back when it last timed out.
+    pub(super) held_back: bool,
+    /// When the round is repeated; none while one is running.
+    pub(super) repeat_at: Option<Instant>,
+    /// Repetitions since the caller's last packet.
+    pub(super) repeat_count: u32,
+    /// Agents whose targets do not hold the flow, and when the first of them said so.
+    denied: (BTreeSet<SocketAddrV4>, Option<Instant>),
     /// Agents not queried yet in this round, in order.
     pub(super) unqueried: VecDeque<SocketAddrV4>,
     /// Index of the next wave of the round.
     pub(super) wave_index: usize,
-    /// Number of agents of the service when the round started.
+    /// Whether the round covers all agents that may own the flow, and not only the likeliest.
+    pub(super) widened: bool,
+    /// Number of agents that the round covers.
     pub agent_count: u32,
     /// Queried agents whose answers are outstanding.
     pub pending: Vec<SocketAddrV4>,
@@ -51,37 +74,76 @@
 }
 
 impl OwnerSearch {
-    /// Whether every agent of the service answered that its target does not hold the
-    /// flow.
+    /// Whether every agent that may own the flow answered that its target does not hold it.
     #[must_use]
     pub fn is_lost(&self) -> bool {
         self.agent_count > 0 && self.all_answered() && self.unverified.is_empty()
     }
 
-    /// Whether every agent of the service has answered.
+    /// Whether every agent that may own the flow has answered.
     fn all_answered(&self) -> bool {
         self.all_queried() && self.silent.is_empty()
     }
 
-    /// Whether every agent of the round was queried and answered or timed out.
+    /// Whether every agent that may own the flow was queried and answered or timed out.
     pub(super) fn all_queried(&self) -> bool {
-        self.unqueried.is_empty() && self.pending.is_empty()
+        self.widened && self.unqueried.is_empty() && self.pending.is_empty()
     }
 
     /// Records an answer other than [`FlowStatus::Held`].
-    pub(super) fn record_answer(&mut self, from: SocketAddrV4, status: FlowStatus) {
+    pub(super) fn record_answer(&mut self, from: SocketAddrV4, status: FlowStatus, now: Instant) {
         self.unqueried.retain(|a| *a != from);
         for list in [&mut self.pending, &mut self.silent, &mut self.unverified] {
             list.retain(|a| *a != from);
         }
         if status == FlowStatus::Unverified {
             self.unverified.push(from);
+        } else {
+            let (denied, since) = &mut self.denied;
+            denied.insert(from);
+            since.get_or_insert(now);
         }
         if status == FlowStatus::NotOwner && !self.tried.contains(&from) {
             self.tried.push(from);
         }
     }
 
+    /// Whether `agent` is queried in this round, is to be, or has denied the flow.
+    pub(super) fn has_asked(&self, agent: SocketAddrV4) -> bool {
+        let lists = [&self.pending, &self.silent, &self.unverified];
+        lists.iter().any(|list| list.contains(&agent))
+            || self.unqueried.contains(&agent)
+            || self.is_denied_by(agent)
+    }
+
+    /// Whether `agent` said lately that its target does not hold the flow.
+    pub(super) fn is_denied_by(&self, agent: SocketAddrV4) -> bool {
+        self.denied.0.contains(&agent)
+    }
+
+    /// Forgets denials that may be about an earlier flow.
+    pub(super) fn expire_denials(&mut self, now: Instant) {
+        if self.denied.1.is_some_and(|at| now.duration_since(at) >= DENIAL_TTL) {
+            self.denied = Default::default();
+        }
+    }
+
+    /// Schedules a repetition of the round that ends at `now`: at `slot`, when others are
+    /// repeated, or else after a delay; returns when. None if it was repeated often enough.
+    pub(super) fn schedule_repeat(
+        &mut self,
+        slot: Option<Instant>,
+        now: Instant,
+    ) -> Option<Instant> {
+        if self.repeat_count >= MAX_REPEATS {
+            return None;
+        }
+        let delay = REPEAT_DELAY.saturating_mul(1 << self.repeat_count).min(MAX_REPEAT_DELAY);
+        self.repeat_count += 1;
+        self.repeat_at = slot.filter(|at| *at > now && *at <= now + delay).or(Some(now + delay));
+        self.repeat_at
+    }
+
     /// Whether the outcome of a trial is outstanding.
     pub(super) fn has_pending_trial(&self) -> bool {
         self.unverified.iter().any(|a| self.tried.contains(a))
--- a/src/tracker/mod.rs
+++ b/src/tracker/mod.rs
@@ -34,6 +34,7 @@
 use crate::outlier::Health;
 use crate::policy::{AgentPolicy, QueuePolicy};
 use crate::protocol::{Message, Open};
+use crate::request::OpenRequest;
 use crate::wire::Offer;
 
 /// Reply address of flows whose updates no balancer waits for.
@@ -176,10 +177,12 @@
     }
 
     /// Sets the incarnation that the previous process of the agent accepted flows for, if
-    /// it is known. This process receives the target's reports from `now` on.
-    pub fn set_predecessor(&mut self, incarnation: Option<Incarnation>, now: Instant) {
-        self.predecessor =
-            incarnation.map(|incarnation| Predecessor { incarnation, replaced_at: now });
+    /// it is known. This process has received the target's reports since `replaced_at`.
+    pub fn set_predecessor(&mut self, incarnation: Option<Incarnation>, replaced_at: Instant) {
+        self.predecessor = incarnation.map(|incarnation| Predecessor { incarnation, replaced_at });
+        if let (Some(p), Some(t), false) = (&self.predecessor, &mut self.target, self.inherited) {
+            t.learn_predecessor(p);
+        }
     }
 
     /// Records that the store did not list the agent before, so that balancers do not
@@ -279,6 +282,11 @@
                 let open = Open { warm_up: *warm_up, request: Some(*request), ..*open };
                 self.handle_open(&open, &ReceivedPacket { seg, packet, now }, out)
             }
+            (Message::BoundedOpen(open, request, warm_up), Some(seg)) => {
+                let request = OpenRequest { bounded: true, ..*request };
+                let open = Open { warm_up: *warm_up, request: Some(request), ..*open };
+                self.handle_open(&open, &ReceivedPacket { seg, packet, now }, out)
+            }
             (Message::Forward { service, mode }, Some(seg)) => {
                 if **service == *self.service {
                     self.handle_forward(from, *mode, &ReceivedPacket { seg, packet, now }, out);
--- a/src/tracker/queue.rs
+++ b/src/tracker/queue.rs
@@ -33,6 +33,27 @@
     any_target: bool,
     /// Whether another agent handed it over. It is not handed over again.
     handed_over: bool,
+    /// Whom it may be handed over to.
+    heirs: Heirs,
+}
+
+/// Agents that a queued open may be handed over to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Heirs {
+    /// Any agent of the service.
+    Any,
+    /// The other agent of its offer, if there was one: only agents that rank high for the flow
+    /// may own it.
+    Peer(Option<SocketAddrV4>),
+}
+
+impl Heirs {
+    fn include(self, agent: SocketAddrV4) -> bool {
+        match self {
+            Self::Any => true,
+            Self::Peer(peer) => peer == Some(agent),
+        }
+    }
 }
 
 impl Delivery {
@@ -51,8 +72,13 @@
 
 /// The open that `queued` was, offered again at `now`.
 fn request(queued: &QueuedOpen<Delivery>, now: Instant) -> OpenRequest {
-    let any_target = queued.item.any_target;
-    OpenRequest { any_target, ..OpenRequest::new(queued.needs, now.duration_since(queued.since)) }
+    let Delivery { any_target, heirs, .. } = queued.item;
+    let bounded = heirs != Heirs::Any;
+    OpenRequest {
+        any_target,
+        bounded,
+        ..OpenRequest::new(queued.needs, now.duration_since(queued.since))
+    }
 }
 
 impl FlowTracker {
@@ -231,6 +257,10 @@
                 warm_up: open.warm_up,
                 any_target: request.any_target,
                 handed_over: request.unrenewed_ms > 0,
+                heirs: match request.bounded {
+                    true => Heirs::Peer(open.offer.other_agent()),
+                    false => Heirs::Any,
+                },
             },
         };
         let displaced = self.queue.push(queued, now);
@@ -365,7 +395,7 @@
     ) {
         for _ in 0..room.min(MAX_HANDED_OVER) {
             let Some(queued) = self.queue.pop(now) else { break };
-            if queued.item.handed_over {
+            if queued.item.handed_over || !queued.item.heirs.include(to) {
                 self.queue.put_back(queued, now);
                 break;
             }
--- a/src/tracker/target.rs
+++ b/src/tracker/target.rs
@@ -57,15 +57,15 @@
 }
 
 impl Predecessor {
-    /// Whether `report` shows that the process accepted no flows for the incarnation
-    /// that sent it.
+    /// Whether the first report received from `incarnation`, by its sequence number and time,
+    /// shows that the process accepted no flows for that one.
     ///
     /// A different incarnation in the store is not enough: the process may have
     /// served this one while the store was unavailable. In that case it answered the
     /// target's reports, and the next one is not a retry.
-    fn missed_start(&self, report: &Report, now: Instant) -> bool {
-        let retried = now.saturating_duration_since(self.replaced_at) <= EARLY_REPORT_WINDOW;
-        self.incarnation != report.incarnation && report.seq <= MAX_EARLY_REPORT_SEQ && retried
+    fn missed_start(&self, incarnation: &Incarnation, (seq, at): (u64, Instant)) -> bool {
+        let retried = at.saturating_duration_since(self.replaced_at) <= EARLY_REPORT_WINDOW;
+        self.incarnation != *incarnation && seq <= MAX_EARLY_REPORT_SEQ && retried
     }
 }
 
@@ -122,6 +122,8 @@
     warm_at: Instant,
     seq: u64,
     all_flows_known: bool,
+    /// Sequence number of the incarnation's first received report, and when that arrived.
+    first_report: (u64, Instant),
     /// Whether `all_flows_known` rests only on [`Predecessor::missed_start`].
     presumed: bool,
     ended: bool,
@@ -142,7 +144,8 @@
         predecessor: Option<&Predecessor>,
         now: Instant,
     ) -> Self {
-        let missed = predecessor.is_some_and(|p| p.missed_start(report, now));
+        let first_report = (report.seq, now);
+        let missed = predecessor.is_some_and(|p| p.missed_start(&report.incarnation, first_report));
         let seen = previous.is_some() || report.seq <= FIRST_REPORT_SEQ;
         let mut earlier = previous.map(|t| t.earlier.clone()).unwrap_or_default();
         earlier.extend(previous.map(|t| t.incarnation.clone()));
@@ -157,11 +160,20 @@
             warm_at: now + report.warmup,
             seq: report.seq,
             all_flows_known: seen || missed,
+            first_report,
             presumed: missed && !seen,
             ended: false,
         }
     }
 
+    /// Takes into account a predecessor that becomes known after the first report.
+    pub fn learn_predecessor(&mut self, predecessor: &Predecessor) {
+        if !self.all_flows_known && predecessor.missed_start(&self.incarnation, self.first_report) {
+            self.all_flows_known = true;
+            self.presumed = true;
+        }
+    }
+
     /// Applies a later report of the same incarnation unless it was reordered. Returns
     /// whether the target's state changed.
     pub fn update(&mut self, report: &Report, now: Instant) -> bool {
--- a/tests/common/fixtures.rs
+++ b/tests/common/fixtures.rs
@@ -63,24 +63,30 @@
 impl SentMessage {
     pub fn from_message(message: &Message<'_>) -> Self {
         match *message {
-            Message::Open(o) | Message::PacedOpen(o, _) | Message::RequestOpen(o, ..) => {
-                Self::Open {
-                    service: o.service.into(),
-                    max_flows: o.max_flows,
-                    aged: o.aged,
-                    offer: o.offer,
-                    reply_to: o.reply_to,
-                    warm_up: match *message {
-                        Message::PacedOpen(_, warm_up) => Some(warm_up),
-                        Message::RequestOpen(_, _, warm_up) => warm_up,
-                        _ => None,
-                    },
-                    request: match *message {
-                        Message::RequestOpen(_, request, _) => Some(request),
-                        _ => None,
-                    },
-                }
-            }
+            Message::Open(o)
+            | Message::PacedOpen(o, _)
+            | Message::RequestOpen(o, ..)
+            | Message::BoundedOpen(o, ..) => Self::Open {
+                service: o.service.into(),
+                max_flows: o.max_flows,
+                aged: o.aged,
+                offer: o.offer,
+                reply_to: o.reply_to,
+                warm_up: match *message {
+                    Message::PacedOpen(_, warm_up) => Some(warm_up),
+                    Message::RequestOpen(_, _, warm_up) | Message::BoundedOpen(_, _, warm_up) => {
+                        warm_up
+                    }
+                    _ => None,
+                },
+                request: match *message {
+                    Message::RequestOpen(_, request, _) => Some(request),
+                    Message::BoundedOpen(_, request, _) => {
+                        Some(OpenRequest { bounded: true, ..request })
+                    }
+                    _ => None,
+                },
+            },
             Message::Forward { service, mode } => Self::Forward { service: service.into(), mode },
             Message::FlowUpdate(update) => Self::FlowUpdate(update),
             Message::Query(ref query) => {
@@ -294,6 +300,9 @@
         service: SERVICE.into(),
         incarnation: None,
         queues: true,
+        bounded: true,
+        since: None,
+        registered: 0,
     }
 }
 
--- a/tests/store_restore.rs
+++ b/tests/store_restore.rs
@@ -146,11 +146,20 @@
         service: "meter".into(),
         incarnation: Some("i-1".into()),
         queues: false,
+        bounded: true,
+        since: None,
+        registered: 0,
     };
     let value = serde_json::to_vec(&Record { agent: agent.clone(), era: 3 }).unwrap();
     let written = |era| {
         let rev = revision::compose(era, 12).unwrap();
-        Kv { key: "jujubepost/agents/10.0.0.1".into(), value: value.clone(), rev, lease: 1 }
+        Kv {
+            key: "jujubepost/agents/10.0.0.1".into(),
+            value: value.clone(),
+            rev,
+            lease: 1,
+            created: 0,
+        }
     };
     let served = |era| Record::served_incarnation(&written(era)).unwrap();
     assert_eq!(served(3), agent.incarnation);
@@ -181,7 +190,7 @@
 /// A key with a version as its value, at `counter` of `era`.
 fn versioned_key(version: u8, era: u32, counter: i64) -> Kv {
     let rev = revision::compose(era, counter).unwrap();
-    Kv { key: "op/config".into(), value: vec![version], rev, lease: 0 }
+    Kv { key: "op/config".into(), value: vec![version], rev, lease: 0, created: 0 }
 }
 
 /// Guards against a process that is cut off from the store while it is restored for others: it
--- a/tests/tracker.rs
+++ b/tests/tracker.rs
@@ -291,6 +291,32 @@
     }
 }
 
+/// Guards against agents that never know their targets' flows after a loss of power, when the store
+/// answers many starting processes late: what the previous process served counts also if it is
+/// read after the target's report.
+#[test]
+fn predecessor_read_late() {
+    let now = Instant::now();
+    for (delay, inherited, status) in [
+        (100 * MS, false, FlowStatus::Unknown),
+        (350 * MS, false, FlowStatus::Unverified),
+        (100 * MS, true, FlowStatus::Unverified),
+    ] {
+        let mut tracker = FlowTracker::new(SERVICE.into(), Duration::from_secs(60));
+        tracker.handle_report(report("i-1", 3, TargetState::Ready), now + delay);
+        let out = query(&mut tracker, 1, 5_001, now + delay);
+        assert_eq!(out.statuses(), [FlowStatus::Unverified], "nothing is known yet");
+        if inherited {
+            let mut out = Recorder::default();
+            let (seg, mut packet) = (target_data(7, 5_001, 9), b"old".to_vec());
+            tracker.handle_target_packet(&seg, &mut packet, now + delay, &mut out, |_| {});
+        }
+        tracker.set_predecessor(Some("i-0".into()), now);
+        let out = query(&mut tracker, 1, 5_001, now + delay);
+        assert_eq!(out.statuses(), [status], "report after {delay:?}, inherited {inherited}");
+    }
+}
+
 /// A target's packet on a flow that this process did not see open shows that the previous
 /// process accepted flows, whether it arrives before an early report or after.
 #[test]
