Lost flows: a repeated round tries no targets

Trials now belong to rounds that a caller's packet starts, as before. A repeated round only finds owners or ends in a verdict.

--- a/src/steering/lookup.rs
+++ b/src/steering/lookup.rs
@@ -44,6 +44,7 @@
         if !running {
             search.service = service;
             search.repeat_count = 0;
+            search.is_repetition = false;
             self.start_round(flow, &mut search, &offered, now);
         }
         self.flows.insert(flow, FlowState::Searching(search), now);
@@ -65,8 +66,7 @@
         search.silent.clear();
         search.unverified.clear();
         search.named_trial = None;
-        let is_repetition = search.repeat_count > 0;
-        search.wave_index = if is_repetition { self.policy.wave_sizes.len() } else { 0 };
+        search.wave_index = if search.is_repetition { self.policy.wave_sizes.len() } else { 0 };
         search.message_count = 0;
         search.repeat_at = None;
         search.agent_count = 0;
@@ -250,6 +250,7 @@
     /// targets hold the flow.
     pub(super) fn repeat_round(&mut self, flow: Flow, now: Instant) {
         let Some(FlowState::Searching(mut s)) = self.flows.remove(flow) else { return };
+        s.is_repetition = true;
         let named_trial = s.named_trial;
         self.start_round(flow, &mut s, &[], now);
         s.named_trial = named_trial;
--- a/src/steering/resolve.rs
+++ b/src/steering/resolve.rs
@@ -110,6 +110,9 @@
     pub(super) fn try_named_owner(&mut self, flow: Flow, out: &mut impl Transmit) {
         let limit = self.policy.max_trials;
         let Some(FlowState::Searching(s)) = self.flows.peek_mut(flow) else { return };
+        if s.is_repetition {
+            return;
+        }
         let is_untried = |a: &SocketAddrV4| s.unverified.contains(a) && !s.tried.contains(a);
         let Some(named) = s.named_owner.filter(is_untried) else { return };
         if s.tried.len() >= limit {
@@ -127,7 +130,7 @@
     fn try_unverified(&mut self, flow: Flow, now: Instant, out: &mut impl Transmit) {
         let limit = self.policy.max_trials;
         let Some(FlowState::Searching(s)) = self.flows.peek(flow) else { return };
-        if s.named_trial.is_some_and(|a| s.unverified.contains(&a)) {
+        if s.is_repetition || s.named_trial.is_some_and(|a| s.unverified.contains(&a)) {
             return;
         }
         let all_known = s.all_queried() && s.silent.iter().all(|a| self.roster.has_left(*a));
--- a/src/steering/search.rs
+++ b/src/steering/search.rs
@@ -45,6 +45,9 @@
     pub(super) repeat_at: Option<Instant>,
     /// Repetitions since the caller's last packet.
     pub(super) repeat_count: u32,
+    /// Whether the current round repeats another. It tries no targets: each packet that reaches a
+    /// wrong one counts, and the owner's agent may be about to start.
+    pub(super) is_repetition: bool,
     /// Agents whose targets do not hold the flow, and when the first of them said so.
     denied: (BTreeSet<SocketAddrV4>, Option<Instant>),
     /// Agents not queried yet in this round, in order.
