Agents: a wake-up does not postpone the check of a silent agent's registration

Cause (traced by a log line at each wake-up): the forwarding loop slept up to a whole SILENCE_TIMEOUT from each wake-up, not until the timeout since the last message. An agent woke 3.97 s after its last message (its own registration's instant, noted since, lies 25 ms after the start of the sleep), found nothing due and slept 4 s more: its check came after 7.97 s. Ruled out: the check itself (is_listed was not called before), stale reads, load as such.

The due time is now kept (edge::silence::SilenceTimer) and bounds each sleep. Class searched: the balancer's loop sleeps until its next deadline, MAX_SLEEP else, and has no such timer; other sleeps in edge are fixed pauses.

--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -13,6 +13,7 @@
 mod reports;
 mod settings;
 pub mod sidecar;
+pub mod silence;
 mod snapshot;
 mod socket;
 
--- a/src/edge/sidecar.rs
+++ b/src/edge/sidecar.rs
@@ -18,6 +18,7 @@
     PreviousRegistration, Registration, UNKNOWN_REVISION, deregister, maintain_registration,
     read_previous_registration,
 };
+use super::silence::SilenceTimer;
 use super::socket::Socket;
 use super::{AGENT_PREFIX, Settings, connect_store, reports};
 use crate::flow::Flow;
@@ -48,11 +49,6 @@
 /// behind the store, so they may report it as missing after it was written.
 const REWRITE_INTERVAL: Duration = Duration::from_millis(1_000);
 
-/// How long no message may arrive before the agent checks its registration:
-/// balancers started after it expired do not know the agent. A smaller value means
-/// more calls to the store.
-const SILENCE_TIMEOUT: Duration = Duration::from_secs(4);
-
 struct Sockets {
     messages: Socket,
     outbound: Socket,
@@ -301,21 +297,19 @@
     let mut scratch = Vec::with_capacity(protocol::MAX_DATAGRAM_BYTES);
     let mut last_rewrite: Option<Instant> = None;
     let mut probes = JoinSet::new();
-    let mut last_received = Instant::now();
+    let mut silence = SilenceTimer::new(Instant::now());
     let mut pauses = PauseDetector::new(ClockReading::now());
     loop {
         let before = Instant::now();
-        if before.duration_since(last_received) >= SILENCE_TIMEOUT {
-            last_received = before;
+        if silence.expire(before) {
             registration.lease_check.notify_one();
         }
         if probes.is_empty() && tracker.borrow().should_probe(before) {
             probes.spawn_local(port::probe(sockets.target));
         }
         let due = tracker.borrow().next_deadline().filter(|_| probes.is_empty());
-        let wait = due
-            .map_or(SILENCE_TIMEOUT, |at| at.saturating_duration_since(before))
-            .min(SILENCE_TIMEOUT);
+        let wake_at = due.map_or(silence.due(), |at| at.min(silence.due()));
+        let wait = wake_at.saturating_duration_since(before);
         let mut probed = None;
         tokio::select! {
             () = sockets.messages.readable() => {}
@@ -339,12 +333,12 @@
         tracker.tick(now, &mut out);
         tracker.finish_batch(Instant::now());
         if activity.received {
-            last_received = now;
+            silence.postpone(now);
         }
         registration.follow_era();
         if let Some(registered_at) = registration.note_registered() {
             // What was just written need not be checked.
-            last_received = last_received.max(registered_at);
+            silence.postpone(registered_at);
         }
         let target_alive = tracker.target().is_some_and(Target::is_alive);
         if activity.unregistered
