Store: a subscriber that knows an old read is told of a new one at once

The distributor reads the store each 3.01 s, subscribers poll for 1 s each: the third poll ends just before that read with the old one, and the next poll arrives just after it. As the log's read was fresh then, that poll was held for 1 s, but what the subscriber knew was valid for 0.58 s more only. Those below it follow, 0.2 s later each level. Ruled out: links (the checks take 10 to 17 ms at the same moment), a lost distributor.

A poll now says how old the subscriber's knowledge is (Subscriber::known_age), and is answered as soon as the log has a read that is 0.5 s newer. new_read_is_told_at_once was red on the old code (it read the store).

--- a/src/store/distribution/change_log.rs
+++ b/src/store/distribution/change_log.rs
@@ -15,6 +15,10 @@
 /// distributor that has stopped responding.
 pub const POLL_WAIT: Duration = Duration::from_secs(1);
 
+/// How much newer a read must be than what a subscriber knows to be told at once, without changes.
+/// A smaller value means more replies.
+const MIN_NEWS: Duration = Duration::from_millis(500);
+
 /// Subscribers of one distributor at most, to bound its CPU time and bandwidth.
 pub const MAX_SUBSCRIBERS: usize = 32;
 
@@ -70,12 +74,14 @@
     pub ip: Ipv4Addr,
     /// Whether it hands on what it reads to subscribers of its own.
     pub redistributes: bool,
+    /// Time since the store was read for what it knows; `None` if that is not known.
+    pub known_age: Option<Duration>,
 }
 
 impl From<Ipv4Addr> for Subscriber {
     /// A subscriber that serves no others.
     fn from(ip: Ipv4Addr) -> Self {
-        Self { ip, redistributes: false }
+        Self { ip, redistributes: false, known_age: None }
     }
 }
 
@@ -326,24 +332,23 @@
         prefix: &str,
         after: i64,
     ) -> PollReply {
+        let subscriber = subscriber.into();
         let mut admitted = Ok(());
         self.0.send_if_modified(|log| {
             if log.current {
-                admitted = log.admit(subscriber.into(), Instant::now());
+                admitted = log.admit(subscriber, Instant::now());
             }
             false
         });
         if let Err(refusal) = admitted {
             return refusal;
         }
-        let started = Instant::now();
         let mut log = self.0.subscribe();
-        // Subscribers of an aged log are told of the next read before the log is too old for them.
-        let known_read = log.borrow().read_at;
-        let awaits_read = log.borrow().age(started) >= POLL_WAIT / 2;
-        let news = log.wait_for(|log| {
-            log.has_reply(prefix, after) || awaits_read && log.read_at > known_read
-        });
+        let known_age = subscriber.known_age.unwrap_or_else(|| self.age());
+        let known_read = Instant::now().checked_sub(known_age);
+        let is_news = |read: Option<Instant>| read >= known_read.map(|at| at + MIN_NEWS);
+        // Also of a read that changed nothing, before what the subscriber knows is too old.
+        let news = log.wait_for(|log| log.has_reply(prefix, after) || is_news(log.read_at));
         // Both a timeout and a closed log are visible in the log itself.
         drop(tokio::time::timeout(POLL_WAIT, news).await);
         self.0.borrow().reply(prefix, after)
--- a/src/store/distribution/mod.rs
+++ b/src/store/distribution/mod.rs
@@ -98,8 +98,8 @@
     subscribed: Cell<bool>,
     /// Until when the store is watched directly.
     direct_until: Cell<Option<Instant>>,
-    /// Until when what is known counts as current; `None` before the first read.
-    fresh_until: Cell<Option<Instant>>,
+    /// When the store was read for what is known; `None` before the first read.
+    read_at: Cell<Option<Instant>>,
     /// When the store last returned a change.
     changed_at: Cell<Option<Instant>>,
 }
@@ -208,8 +208,14 @@
     /// Time limit on a poll that begins now: what is known must not become too old meanwhile.
     fn poll_timeout(&self, now: Instant) -> Duration {
         let margin = if self.serves_others() { HANDOVER_MARGIN } else { Duration::ZERO };
-        let remaining = |at: Instant| at.saturating_duration_since(now).saturating_sub(margin);
-        self.state.fresh_until.get().map_or(POLL_TIMEOUT, |at| POLL_TIMEOUT.min(remaining(at)))
+        let max_age = self.timing.max_age.saturating_sub(margin);
+        self.known_age(now)
+            .map_or(POLL_TIMEOUT, |age| POLL_TIMEOUT.min(max_age.saturating_sub(age)))
+    }
+
+    /// Time since the store was read for what is known.
+    fn known_age(&self, now: Instant) -> Option<Duration> {
+        self.state.read_at.get().map(|at| now.saturating_duration_since(at))
     }
 
     fn serves_others(&self) -> bool {
@@ -309,9 +315,9 @@
             return (PollReply::NotCurrent, replied_at);
         }
         let read_at = replied_at.checked_sub(dated.age);
-        match read_at.zip(self.timing.max_age.checked_sub(dated.age)) {
-            Some((read_at, remaining)) => {
-                self.state.fresh_until.set(Some(replied_at + remaining));
+        match read_at.filter(|_| dated.age <= self.timing.max_age) {
+            Some(read_at) => {
+                self.state.read_at.set(Some(read_at));
                 (dated.reply, read_at)
             }
             None => (PollReply::NotCurrent, replied_at),
@@ -336,7 +342,8 @@
                 }
             };
             let redistributes = self.state.redistributes.get();
-            let subscriber = Subscriber { ip: self.own_ip, redistributes };
+            let known_age = self.known_age(Instant::now());
+            let subscriber = Subscriber { ip: self.own_ip, redistributes, known_age };
             connection.poll_changes(subscriber, prefix, after).await
         };
         tokio::time::timeout(timeout, poll)
@@ -375,7 +382,7 @@
         }
         self.log.set_ancestors(Vec::new());
         self.state.subscribed.set(false);
-        self.state.fresh_until.set(Some(read_at + self.timing.max_age));
+        self.state.read_at.set(Some(read_at));
         if !batch.changes.is_empty() {
             self.state.changed_at.set(Some(read_at));
         }
--- a/tests/distribution.rs
+++ b/tests/distribution.rs
@@ -248,6 +248,29 @@
     server.stop().await;
 }
 
+/// Guards against calls to the store by subscribers of a distributor that has just read it: a poll
+/// that finds no changes was held for longer than what the subscriber knew was valid.
+#[ntex::test]
+async fn new_read_is_told_at_once() {
+    let addr: SocketAddr = "127.0.0.1:30476".parse().unwrap();
+    let (server, log) = distributor(addr, &batch(12, &[])).await;
+    let store = FakeStore::answering(14);
+    let s = distributed(&store, &SharedLog::default());
+    s.set_distributors(vec![addr]);
+    assert_eq!(s.watch("", 10, true).await.unwrap().rev, 12);
+    tokio::time::sleep(900 * MS).await;
+    log.record(12, &batch(12, &[]));
+    let started = Instant::now();
+    assert_eq!(s.watch("", 12, true).await.unwrap().rev, 12, "from the distributor");
+    assert!(started.elapsed() < 200 * MS, "{:?}", started.elapsed());
+    assert_eq!(*store.watched.borrow(), [0; 0]);
+    // What is as new as the distributor's read is held.
+    let started = Instant::now();
+    assert_eq!(s.watch("", 12, true).await.unwrap().rev, 12);
+    assert!(started.elapsed() > 900 * MS, "{:?}", started.elapsed());
+    server.stop().await;
+}
+
 /// Watches until the store itself is called; returns how long after `read` that was.
 async fn store_read_after(
     s: &DistributedStore<FakeStore>,
@@ -404,7 +427,8 @@
 
 /// Where a process that polls `root` ends up, by referrals alone; counts the levels.
 async fn attach(logs: &HashMap<Ipv4Addr, SharedLog>, root: Ipv4Addr, ip: Ipv4Addr) -> usize {
-    let subscriber = Subscriber { ip, redistributes: logs.contains_key(&ip) };
+    let redistributes = logs.contains_key(&ip);
+    let subscriber = Subscriber { ip, redistributes, known_age: None };
     let mut parent = root;
     for level in 1..=8 {
         match logs[&parent].poll(subscriber, "", 10).await {
@@ -453,7 +477,7 @@
         assert!(is_served(log.poll(ip(*n), "", 10).await));
     }
     assert_eq!(log.poll(ip(40), "", 10).await, PollReply::Full);
-    let wide = Subscriber { ip: ip(50), redistributes: true };
+    let wide = Subscriber { ip: ip(50), redistributes: true, known_age: None };
     assert!(is_served(log.poll(wide, "", 10).await));
     assert_eq!(log.subscriber_count(Instant::now()), MAX_SUBSCRIBERS);
     let referred = PollReply::Referred(vec![ip(50)]);
