Agents: what was just registered is not checked

Agents register up to 6 s after their start; the check after 4 s of silence was noted before that and made as soon as there was a key. Old reads lag 3 s, so each was repeated as an exact one. Ruled out: lost keys (no key was missing), the balancers' word (no ping was sent yet).

An earlier notification is dropped once the key is written. key_just_written_is_not_checked was red before (1 check).

--- a/src/store/lease.rs
+++ b/src/store/lease.rs
@@ -7,6 +7,7 @@
 
 use std::time::Duration;
 
+use futures_util::FutureExt;
 use tokio::sync::{Notify, watch};
 use tokio::time::Instant;
 
@@ -33,7 +34,11 @@
     loop {
         let latest = value.borrow_and_update().clone();
         match acquire(store, key, &latest, ttl).await {
-            Ok(held) => renew_until_lost(store, key, held, &mut value, renew_interval, check).await,
+            Ok(held) => {
+                // What was just written need not be checked: drops an earlier notification.
+                let _ = check.notified().now_or_never();
+                renew_until_lost(store, key, held, &mut value, renew_interval, check).await;
+            }
             Err(e) => {
                 record_failure(&e);
                 tokio::time::sleep(MAX_RETRY_PAUSE.min(renew_interval)).await;
--- a/tests/lease_renewal.rs
+++ b/tests/lease_renewal.rs
@@ -19,11 +19,16 @@
 struct Store {
     last_renewal: Cell<Instant>,
     longest_gap: Cell<Duration>,
+    key_checks: Cell<u32>,
 }
 
 impl Store {
     fn new() -> Self {
-        Self { last_renewal: Cell::new(Instant::now()), longest_gap: Cell::default() }
+        Self {
+            last_renewal: Cell::new(Instant::now()),
+            longest_gap: Cell::default(),
+            key_checks: Cell::new(0),
+        }
     }
 
     fn record_renewal(&self) {
@@ -49,6 +54,7 @@
     }
 
     async fn exists(&self, _key: &str) -> anyhow::Result<bool> {
+        self.key_checks.update(|n| n + 1);
         Ok(true)
     }
 
@@ -80,6 +86,19 @@
     assert!(longest_gap < Duration::from_millis(TTL_MS), "not renewed for {longest_gap:?}");
 }
 
+/// Guards against a check of the key right after it was written, for each agent that registers
+/// later than it starts: an old read lacks the key, so that an exact one follows.
+#[ntex::test]
+async fn key_just_written_is_not_checked() {
+    let store = Store::new();
+    let (_value, values) = watch::channel(vec![0]);
+    let check = Notify::new();
+    check.notify_one();
+    let maintain = lease::maintain(&store, "key", values, TTL_MS, &check);
+    let _ = tokio::time::timeout(100 * MS, maintain).await;
+    assert_eq!(store.key_checks.get(), 0);
+}
+
 /// Guards against full-price reads by every idle agent: whether its key is still there may be
 /// answered from a copy that is some seconds old.
 #[ntex::test]
