Store: a failed call of a distributor does not send its subscribers to the store

A failed call leaves the log open: each reply says how old its read is, and subscribers leave by that age, as they do when a distributor falls silent. It closes once the age is reached. A dropped call, which may mean a suspended process, still closes it, but subscribers wait up to 0.3 s for the check that follows, instead of all asking the store. failed_call_keeps_subscribers and dropped_call_is_made_again were red before.

--- a/src/store/distribution/change_log.rs
+++ b/src/store/distribution/change_log.rs
@@ -19,6 +19,10 @@
 /// A smaller value means more replies.
 const MIN_NEWS: Duration = Duration::from_millis(500);
 
+/// How long subscribers wait while the distributor checks the store anew: for a call and more. A
+/// larger value delays changes if the store does not answer.
+const READ_WAIT: Duration = Duration::from_millis(300);
+
 /// Subscribers of one distributor at most, to bound its CPU time and bandwidth.
 pub const MAX_SUBSCRIBERS: usize = 32;
 
@@ -110,8 +114,10 @@
 /// The changes read since a revision.
 #[derive(Debug, Default)]
 struct ChangeLog {
-    /// Whether the last call to the store succeeded.
+    /// Whether what was read last still counts, until it is too old.
     current: bool,
+    /// Until when subscribers of a log that is closed for a new read wait for that.
+    read_due: Option<Instant>,
     /// Revision after which every change is kept.
     start: i64,
     /// Revision up to which the store was read.
@@ -142,6 +148,7 @@
         self.rev = batch.rev.max(after);
         self.read_at = Some(read_at);
         self.current = true;
+        self.read_due = None;
         for change in &batch.changes {
             let too_large = value_len(change) > self.max_reply;
             let change = if too_large { without_value(change) } else { change.clone() };
@@ -288,7 +295,29 @@
 
     /// Replies [`PollReply::NotCurrent`] until the next [`SharedLog::record`].
     pub fn close(&self) {
-        self.0.send_if_modified(|log| std::mem::take(&mut log.current));
+        self.close_until_read(Duration::ZERO);
+    }
+
+    /// As [`SharedLog::close`], but subscribers wait up to [`READ_WAIT`] for the next read: what is
+    /// known may be old, and the store is read again at once.
+    pub fn await_read(&self) {
+        self.close_until_read(READ_WAIT);
+    }
+
+    fn close_until_read(&self, wait: Duration) {
+        self.0.send_if_modified(|log| {
+            log.read_due = Some(Instant::now() + wait);
+            std::mem::take(&mut log.current)
+        });
+    }
+
+    /// Waits until a log that is closed for a new read is open again, or the read is overdue.
+    async fn read_again(&self) {
+        let read_due = self.0.borrow().read_due;
+        if let Some(due) = read_due {
+            // Both outcomes are visible in the log.
+            let _ = tokio::time::timeout_at(due.into(), self.opened()).await;
+        }
     }
 
     /// Sets through which processes the changes come.
@@ -332,6 +361,7 @@
         prefix: &str,
         after: i64,
     ) -> PollReply {
+        self.read_again().await;
         let subscriber = subscriber.into();
         let mut admitted = Ok(());
         self.0.send_if_modified(|log| {
@@ -351,6 +381,7 @@
         let news = log.wait_for(|log| log.has_reply(prefix, after) || is_news(log.read_at));
         // Both a timeout and a closed log are visible in the log itself.
         drop(tokio::time::timeout(POLL_WAIT, news).await);
+        self.read_again().await;
         self.0.borrow().reply(prefix, after)
     }
 }
--- a/src/store/distribution/mod.rs
+++ b/src/store/distribution/mod.rs
@@ -218,6 +218,14 @@
         self.state.read_at.get().map(|at| now.saturating_duration_since(at))
     }
 
+    /// Sends subscribers to the store if what is known is too old for them, after a failed call.
+    /// Before, they rely on it.
+    fn close_outdated_log(&self) {
+        if self.known_age(Instant::now()).is_none_or(|age| age >= self.timing.max_age) {
+            self.log.close();
+        }
+    }
+
     fn serves_others(&self) -> bool {
         self.state.distributes.get() || self.state.redistributes.get()
     }
@@ -408,10 +416,10 @@
 
 impl<S: WatchStore> WatchStore for DistributedStore<S> {
     async fn list(&self, prefix: &str) -> anyhow::Result<(i64, Vec<Kv>)> {
-        let close = CloseOnDrop(&self.log);
-        let listed = self.store.list(prefix).await?;
-        close.keep_open();
-        Ok(listed)
+        let dropped = ReadAgain(&self.log);
+        let listed = self.store.list(prefix).await;
+        dropped.defuse();
+        listed.inspect_err(|_| self.close_outdated_log())
     }
 
     async fn list_stale(&self, prefix: &str) -> anyhow::Result<(i64, Vec<Kv>)> {
@@ -420,19 +428,18 @@
 
     /// A call that does not wait always goes to the store.
     async fn watch(&self, prefix: &str, after: i64, wait: bool) -> anyhow::Result<WatchBatch> {
-        // Closes the log also when the call is dropped, as the process may have been suspended.
-        let close = CloseOnDrop(&self.log);
+        let dropped = ReadAgain(&self.log);
         let polled = match wait {
             true => self.poll_distributors(prefix, after).await,
             false => Err(WatchReason::Check),
         };
-        let batch = match polled {
-            Ok(batch) => batch,
-            Err(reason) => self.watch_store(prefix, after, wait, reason).await?,
+        let outcome = match polled {
+            Ok(batch) => Ok(batch),
+            Err(reason) => self.watch_store(prefix, after, wait, reason).await,
         };
         // What a compacted history lacks is listed next.
-        close.keep_open();
-        Ok(batch)
+        dropped.defuse();
+        outcome.inspect_err(|_| self.close_outdated_log())
     }
 
     fn note_listing(&self, old: &Snapshot, new: &Snapshot) {
@@ -449,17 +456,18 @@
     }
 }
 
-/// Closes a log when dropped.
-struct CloseOnDrop<'a>(&'a SharedLog);
+/// Closes a log for a new read when dropped with the call to the store, as the process may have been
+/// suspended.
+struct ReadAgain<'a>(&'a SharedLog);
 
-impl CloseOnDrop<'_> {
-    fn keep_open(self) {
+impl ReadAgain<'_> {
+    fn defuse(self) {
         std::mem::forget(self);
     }
 }
 
-impl Drop for CloseOnDrop<'_> {
+impl Drop for ReadAgain<'_> {
     fn drop(&mut self) {
-        self.0.close();
+        self.0.await_read();
     }
 }
--- a/tests/distribution.rs
+++ b/tests/distribution.rs
@@ -3,7 +3,7 @@
 
 mod common;
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
@@ -38,10 +38,11 @@
 /// Values in one reply at most, in bytes.
 const MAX_REPLY: usize = 1_000;
 
-/// A store that answers each watch with `batch`, or never; notes the revisions asked for, and
-/// which calls wait.
+/// A store that answers each watch with `batch`, or never, or fails; notes the revisions asked for,
+/// and which calls wait.
 #[derive(Clone, Default)]
 struct FakeStore {
+    failing: Rc<Cell<bool>>,
     watched: Rc<RefCell<Vec<i64>>>,
     waited: Rc<RefCell<Vec<bool>>>,
     batch: Rc<RefCell<Option<WatchBatch>>>,
@@ -62,6 +63,7 @@
     async fn watch(&self, _: &str, after: i64, wait: bool) -> anyhow::Result<WatchBatch> {
         self.watched.borrow_mut().push(after);
         self.waited.borrow_mut().push(wait);
+        anyhow::ensure!(!self.failing.get(), "the store is down");
         let batch = self.batch.borrow().clone();
         match batch {
             Some(batch) => Ok(batch),
@@ -347,6 +349,64 @@
     assert_eq!(log.poll(Ipv4Addr::LOCALHOST, "", 11).await, PollReply::NotCurrent);
 }
 
+/// Guards against a whole fleet that reads the store, and lists it, because one call of the
+/// distributor was cut: what subscribers know counts until it is too old.
+#[ntex::test]
+async fn failed_call_keeps_subscribers() {
+    let addr: SocketAddr = "127.0.0.1:30477".parse().unwrap();
+    let state = ProcessState::new("distributor".into(), config::OPERATOR_PREFIX.into());
+    let log = state.change_log().clone();
+    log.set_max_reply(MAX_REPLY);
+    let server = admin::Server::start(addr, state).await.unwrap();
+    let root_store = FakeStore::answering(12);
+    let root = distributed(&root_store, &log);
+    root.set_distributing(true);
+    root.watch("", 10, true).await.unwrap();
+    let store = FakeStore::answering(14);
+    let s = distributed(&store, &SharedLog::default());
+    s.set_distributors(vec![addr]);
+    root_store.failing.set(true);
+    assert!(root.watch("", 12, true).await.is_err());
+    assert_eq!(s.watch("", 12, true).await.unwrap().rev, 12);
+    // The distributor lists the store anew, which has forgotten its history.
+    root_store.failing.set(false);
+    let snapshot = |rev| Snapshot { rev, complete_rev: rev, ..Snapshot::default() };
+    root.note_listing(&snapshot(12), &snapshot(40));
+    assert_eq!(s.watch("", 12, true).await.unwrap().rev, 40);
+    assert_eq!(*store.watched.borrow(), [0; 0]);
+    // Once it is too old, they are sent to the store at once.
+    root_store.failing.set(true);
+    tokio::time::sleep(CONFIG_BOUND).await;
+    assert!(root.watch("", 40, true).await.is_err());
+    let started = Instant::now();
+    assert_eq!(log.poll(Ipv4Addr::LOCALHOST, "", 40).await, PollReply::NotCurrent);
+    assert!(started.elapsed() < 100 * MS, "{:?}", started.elapsed());
+    server.stop().await;
+}
+
+/// Guards against all subscribers of a process reading the store because that process dropped a
+/// call to check the store anew.
+#[ntex::test]
+async fn dropped_call_is_made_again() {
+    let log = SharedLog::default();
+    log.set_max_reply(MAX_REPLY);
+    let store = FakeStore::answering(12);
+    let s = distributed(&store, &log);
+    s.set_distributing(true);
+    s.watch("", 10, true).await.unwrap();
+    let batch = store.batch.replace(None);
+    let poll = log.poll(Ipv4Addr::LOCALHOST, "", 12);
+    let check = async {
+        let dropped = tokio::time::timeout(100 * MS, s.watch("", 12, true)).await;
+        assert!(dropped.is_err());
+        tokio::time::sleep(50 * MS).await;
+        store.batch.replace(batch);
+        s.watch("", 12, false).await.unwrap();
+    };
+    let (reply, ()) = futures_util::join!(poll, check);
+    assert_eq!(reply, PollReply::Changes { rev: 12, changes: Vec::new() });
+}
+
 /// Guards against subscribers relying on a distributor that was suspended right after a change,
 /// while its next call to the store was delayed to gather more of them.
 #[ntex::test]
