Store: one failed watch of a distributor is not noticed by its subscribers

Cause: a distributor's watch waited 3 s where changes must be in force in 6 s, and its subscribers relied on a read for 3.8 s.

Two mends of one sequence: the watch waits 1.5 s at most, one call a second and a half for a region whatever its size; and a process that was turned away, but knows what it read from the store itself, waits for a change there instead of checking at once. lost_distributors_cost_one_check was red without the second; wait_follows_from_bounds has smaller waits and the validity that they are compared with. Where changes must be in force within 3 s there is no room for a second read; nothing changes there.

--- a/src/edge/entry.rs
+++ b/src/edge/entry.rs
@@ -153,7 +153,7 @@
     let timing = WatchTiming {
         batch_delay: BATCH_DELAY,
         direct_time: DIRECT_TIME,
-        max_age: BATCH_DELAY + watch_wait + WATCH_SLACK,
+        max_age: BATCH_DELAY + settings.read_validity() + WATCH_SLACK,
     };
     let distributor_client = client.clone().with_watch_wait(watch_wait);
     let log = process_state.change_log().clone();
--- a/src/edge/settings.rs
+++ b/src/edge/settings.rs
@@ -19,6 +19,10 @@
 /// 27 KB/s, and control may take 22.
 const DEFAULT_RELAY_KIB: usize = 256;
 
+/// Longest wait of a distributor's watch. A smaller value means more calls to the store, by one
+/// balancer of a region.
+const MAX_DISTRIBUTOR_WAIT: Duration = Duration::from_millis(1_500);
+
 /// Settings of one process.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields, default)]
@@ -216,10 +220,18 @@
         self.policy.balancer.clone().scaled_to_vm(self.link_mbps, self.cpu_share)
     }
 
-    /// How long a distributor's watch waits for a change: half of the time in which changes
-    /// must be in force, as its subscribers learn of a lost connection only after it.
+    /// How long a distributor's watch waits for a change. If that is well below
+    /// [`Settings::read_validity`], its subscribers do not notice a watch that fails.
     #[must_use]
     pub fn distributor_wait(&self) -> Duration {
+        self.read_validity().min(MAX_DISTRIBUTOR_WAIT)
+    }
+
+    /// How long subscribers of a distributor rely on its last read of the store, besides the time
+    /// that a call takes: half of the time in which changes must be in force, as they learn of a
+    /// lost connection only after it.
+    #[must_use]
+    pub fn read_validity(&self) -> Duration {
         let config_ms = self.limits.config_ms;
         let bound = self.limits.evacuate_ms.map_or(config_ms, |ms| ms.min(config_ms));
         Duration::from_millis(bound / 2).min(WATCH_TIMEOUT)
--- a/src/store/distribution/mod.rs
+++ b/src/store/distribution/mod.rs
@@ -57,7 +57,7 @@
     /// How long to watch the store directly after [`DistributedStore::watch_directly`].
     pub direct_time: Duration,
     /// Time after a distributor's read of the store in which its subscribers rely on it. Must
-    /// cover the time between two reads.
+    /// cover the time between two reads, and should cover one that fails.
     pub max_age: Duration,
 }
 
@@ -96,6 +96,8 @@
     delayed: Cell<bool>,
     /// Whether the last known changes may come from a distributor.
     subscribed: Cell<bool>,
+    /// Whether they do.
+    handed_on: Cell<bool>,
     /// Until when the store is watched directly.
     direct_until: Cell<Option<Instant>>,
     /// When the store was read for what is known; `None` before the first read.
@@ -264,6 +266,7 @@
             match reply.map(|dated| self.check_reply(dated, started)) {
                 Ok((PollReply::Changes { rev, changes }, read_at)) => {
                     self.state.all_full.set(false);
+                    self.state.handed_on.set(true);
                     self.record_parent(addr, ancestors);
                     let batch = WatchBatch { rev, compacted: false, changes };
                     if self.state.redistributes.get() {
@@ -374,7 +377,7 @@
         }
         // The first call after a distributor's replies does not wait: the store may have been
         // restored unnoticed, and then waits for a revision that it does not have yet.
-        let wait = wait && !self.state.subscribed.get();
+        let wait = wait && !self.state.handed_on.get();
         let distributes = self.state.distributes.get() && prefix.is_empty();
         let store = if distributes { &self.distributor_store } else { &self.store };
         // Subscribers wait for a log to open.
@@ -390,6 +393,7 @@
         }
         self.log.set_ancestors(Vec::new());
         self.state.subscribed.set(false);
+        self.state.handed_on.set(false);
         self.state.read_at.set(Some(read_at));
         if !batch.changes.is_empty() {
             self.state.changed_at.set(Some(read_at));
