--- a/src/edge/silence.rs
+++ b/src/edge/silence.rs
@@ -34,7 +34,7 @@
         expired
     }
 
-    /// When the agent must wake up at the latest, whatever else wakes it before.
+    /// When the registration is to be checked next.
     #[must_use]
     pub const fn due(&self) -> Instant {
         self.due
--- a/src/steering/search.rs
+++ b/src/steering/search.rs
@@ -48,8 +48,7 @@
     /// Whether the current round repeats another. It tries no targets: each packet that reaches a
     /// wrong one counts, and the owner's agent may be about to start.
     pub(super) is_repetition: bool,
-    /// Agents whose targets do not hold the flow, and when the first of them said so.
-    denied: (BTreeSet<SocketAddrV4>, Option<Instant>),
+    denials: Denials,
     /// Agents not queried yet in this round, in order.
     pub(super) unqueried: VecDeque<SocketAddrV4>,
     /// Index of the next wave of the round.
@@ -76,6 +75,14 @@
     pub(super) message_count: u32,
 }
 
+/// Answers that a target does not hold the flow, which later rounds rely on.
+#[derive(Clone, Debug, Default)]
+struct Denials {
+    agents: BTreeSet<SocketAddrV4>,
+    /// When the first of them came.
+    since: Option<Instant>,
+}
+
 impl OwnerSearch {
     /// Whether every agent that may own the flow answered that its target does not hold it.
     #[must_use]
@@ -102,9 +109,8 @@
         if status == FlowStatus::Unverified {
             self.unverified.push(from);
         } else {
-            let (denied, since) = &mut self.denied;
-            denied.insert(from);
-            since.get_or_insert(now);
+            self.denials.agents.insert(from);
+            self.denials.since.get_or_insert(now);
         }
         if status == FlowStatus::NotOwner && !self.tried.contains(&from) {
             self.tried.push(from);
@@ -121,13 +127,13 @@
 
     /// Whether `agent` said lately that its target does not hold the flow.
     pub(super) fn is_denied_by(&self, agent: SocketAddrV4) -> bool {
-        self.denied.0.contains(&agent)
+        self.denials.agents.contains(&agent)
     }
 
     /// Forgets denials that may be about an earlier flow.
     pub(super) fn expire_denials(&mut self, now: Instant) {
-        if self.denied.1.is_some_and(|at| now.duration_since(at) >= DENIAL_TTL) {
-            self.denied = Default::default();
+        if self.denials.since.is_some_and(|at| now.duration_since(at) >= DENIAL_TTL) {
+            self.denials = Denials::default();
         }
     }
 
--- a/src/store/distribution/change_log.rs
+++ b/src/store/distribution/change_log.rs
@@ -111,6 +111,21 @@
     too_large: bool,
 }
 
+/// A subscriber's last poll.
+#[derive(Clone, Copy, Debug)]
+struct LastPoll {
+    at: Instant,
+    /// As [`Subscriber::redistributes`].
+    redistributes: bool,
+}
+
+impl LastPoll {
+    /// Whether the subscriber still counts.
+    fn is_recent(&self, now: Instant) -> bool {
+        now.duration_since(self.at) < SUBSCRIBER_TTL
+    }
+}
+
 /// The changes read since a revision.
 #[derive(Debug, Default)]
 struct ChangeLog {
@@ -131,8 +146,7 @@
     entries: VecDeque<Entry>,
     /// Size of the values in `entries`, in bytes.
     value_bytes: usize,
-    /// When each subscriber polled last, and whether it serves others.
-    subscribers: BTreeMap<Ipv4Addr, (Instant, bool)>,
+    subscribers: BTreeMap<Ipv4Addr, LastPoll>,
     /// Values of one reply at most, in bytes.
     max_reply: usize,
 }
@@ -197,11 +211,10 @@
     /// Counts `subscriber`, unless there are too many others. Returns the reply to it then. One
     /// that serves others takes the place of one that does not, which it can serve then.
     fn admit(&mut self, subscriber: Subscriber, now: Instant) -> Result<(), PollReply> {
-        self.subscribers.retain(|_, (at, _)| now.duration_since(*at) < SUBSCRIBER_TTL);
+        self.subscribers.retain(|_, poll| poll.is_recent(now));
         let known = self.subscribers.contains_key(&subscriber.ip);
         if !known && self.subscribers.len() >= MAX_SUBSCRIBERS {
-            let serves_none =
-                self.subscribers.iter().find(|(_, (_, redistributes))| !redistributes);
+            let serves_none = self.subscribers.iter().find(|(_, poll)| !poll.redistributes);
             match serves_none.map(|(ip, _)| *ip) {
                 Some(displaced) if subscriber.redistributes => {
                     self.subscribers.remove(&displaced);
@@ -209,14 +222,15 @@
                 _ => return Err(self.refer()),
             }
         }
-        self.subscribers.insert(subscriber.ip, (now, subscriber.redistributes));
+        let poll = LastPoll { at: now, redistributes: subscriber.redistributes };
+        self.subscribers.insert(subscriber.ip, poll);
         Ok(())
     }
 
     /// Sends a process to subscribers that serve others, a different choice each time, so that
     /// these fill evenly.
     fn refer(&self) -> PollReply {
-        let serving = self.subscribers.iter().filter(|(_, (_, redistributes))| *redistributes);
+        let serving = self.subscribers.iter().filter(|(_, poll)| poll.redistributes);
         let mut ips: Vec<_> = serving.map(|(ip, _)| *ip).collect();
         ips.shuffle(&mut rand::rng());
         ips.truncate(MAX_REFERRALS);
@@ -338,8 +352,7 @@
     #[must_use]
     pub fn subscriber_count(&self, now: Instant) -> usize {
         let log = self.0.borrow();
-        let recent = |(at, _): &&(Instant, bool)| now.duration_since(*at) < SUBSCRIBER_TTL;
-        log.subscribers.values().filter(recent).count()
+        log.subscribers.values().filter(|poll| poll.is_recent(now)).count()
     }
 
     /// Size of the values that are kept, in bytes.
--- a/src/store/distribution/mod.rs
+++ b/src/store/distribution/mod.rs
@@ -96,7 +96,7 @@
     delayed: Cell<bool>,
     /// Whether the last known changes may come from a distributor.
     subscribed: Cell<bool>,
-    /// Whether they do.
+    /// Whether the last known changes do come from a distributor.
     handed_on: Cell<bool>,
     /// Until when the store is watched directly.
     direct_until: Cell<Option<Instant>>,
