--- a/src/policy/balancer.rs
+++ b/src/policy/balancer.rs
@@ -57,7 +57,7 @@
     /// are late because of a queue cause more offers, which lengthen the queue.
     #[serde(rename = "retry_share")]
     pub retry_ratio: f64,
-    /// Retry tokens added a second for each known agent.
+    /// Retry tokens added a second for each known agent, see [`Self::max_retry_rate`].
     pub retry_rate: f64,
     /// Capacity of the bucket of retry tokens.
     pub retry_burst: f64,
@@ -161,6 +161,14 @@
         self
     }
 
+    /// Retry tokens added a second where `agents` are known: no more than a share of what the VM
+    /// can send, as their number does not grow with what a balancer carries.
+    #[must_use]
+    pub fn max_retry_rate(&self, agents: usize) -> f64 {
+        // Exact: there are far fewer agents than 2^53.
+        (self.retry_rate * agents as f64).min(self.query_rate * RETRY_SHARE)
+    }
+
     pub(super) fn check(&self) -> anyhow::Result<()> {
         let times = [
             ("answer", self.min_timeout),
@@ -205,6 +213,9 @@
 /// Share of the query rate that pings may use.
 const PING_SHARE: f64 = 0.25;
 
+/// Share of the query rate at which opens may be retried, besides [`BalancerPolicy::retry_ratio`].
+const RETRY_SHARE: f64 = 0.25;
+
 /// When a balancer suspects an agent and when it considers it dead.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
--- a/src/steering/opens.rs
+++ b/src/steering/opens.rs
@@ -274,9 +274,7 @@
 
     /// Takes a token from the retry budget; false if there is none.
     fn take_retry_token(&mut self, now: Instant) -> bool {
-        // Exact: there are far fewer agents than 2^53.
-        let rate = self.policy.retry_rate * self.roster.len() as f64;
-        self.retry_budget.refill(rate, now);
+        self.retry_budget.refill(self.policy.max_retry_rate(self.roster.len()), now);
         self.retry_budget.try_take()
     }
 }
