Tests: a referral to a full subtree is followed as the product does

Referrals are random; a process may fill with 32 subscribers of which none serves others, and answers Full.

--- a/tests/distribution.rs
+++ b/tests/distribution.rs
@@ -508,21 +508,66 @@
     server.stop().await;
 }
 
-/// Where a process that polls `root` ends up, by referrals alone; counts the levels.
+/// Where a process that polls `root` ends up, by referrals alone; counts the levels. As
+/// `full_subtree_is_left` shows, one that is full and refers to nobody is skipped.
 async fn attach(logs: &HashMap<Ipv4Addr, SharedLog>, root: Ipv4Addr, ip: Ipv4Addr) -> usize {
     let redistributes = logs.contains_key(&ip);
     let subscriber = Subscriber { ip, redistributes, known_age: None };
-    let mut parent = root;
-    for level in 1..=8 {
+    let (mut parent, mut level) = (root, 1);
+    let mut full = Vec::new();
+    for _ in 1..=8 {
         match logs[&parent].poll(subscriber, "", 10).await {
             PollReply::Changes { .. } => return level,
-            PollReply::Referred(ips) => parent = ips[0],
+            PollReply::Referred(ips) => {
+                parent =
+                    *ips.iter().find(|ip| !full.contains(*ip)).expect("a subscriber with room");
+                level += 1;
+            }
+            PollReply::Full if parent != root => {
+                full.push(parent);
+                (parent, level) = (root, 1);
+            }
             other => panic!("{other:?} of {parent} at level {level}"),
         }
     }
     panic!("no room for {ip}");
 }
 
+/// Guards against a watch of the store by a process that is referred to one with no room and no
+/// subscribers that serve others: the others that it was referred to are tried.
+#[ntex::test]
+async fn full_subtree_is_left() {
+    let ip = |n: u8| Ipv4Addr::new(127, 0, 0, n);
+    let addr = |n: u8| SocketAddr::new(ip(n).into(), 30_481);
+    let weak = |n: u8| Subscriber::from(Ipv4Addr::new(10, 0, 0, n));
+    let strong = |n: u8| Subscriber { redistributes: true, ..Subscriber::from(ip(n)) };
+    let changes = batch(12, &[put("a/1", 12, 1)]);
+    let (root, root_log) = distributor(addr(2), &changes).await;
+    let (full, full_log) = distributor(addr(3), &changes).await;
+    let (open, open_log) = distributor(addr(4), &changes).await;
+    for n in 0..32 {
+        full_log.poll(weak(n), "", 10).await;
+    }
+    for n in 0..30 {
+        root_log.poll(weak(n), "", 10).await;
+    }
+    for n in [3, 4] {
+        root_log.poll(strong(n), "", 10).await;
+    }
+    let store = FakeStore::default();
+    // The order of a referral is random.
+    for _ in 0..8 {
+        let s = distributed(&store, &SharedLog::default());
+        s.set_distributors(vec![addr(2)]);
+        assert_eq!(s.watch("", 10, true).await.unwrap().rev, 12);
+    }
+    assert_eq!(*store.watched.borrow(), [0; 0]);
+    assert_eq!(open_log.subscriber_count(Instant::now()), 1);
+    for server in [root, full, open] {
+        server.stop().await;
+    }
+}
+
 /// Guards against processes that watch the store because distributors are full: one distributor is
 /// enough for a fleet of any size, of whose processes every sixth has a wide link.
 #[ntex::test]
