Store: what differs after a new listing is handed on by revision

Cause, found in reading the change again: a change log is searched by revision, but what a listing changed was appended sorted by key, and with keys that later pages hold of a later time. A subscriber at a revision within the listing got too little, and one that took a key of a later page skipped what changed before it; both for good. Ruled out: subscribers at the old listing's revision, who get everything.

Changes up to the listing's revision are handed on, in order; later ones come with the next watch. new_listing_is_handed_on_in_part was red without the order and red without the limit.

--- a/src/store/distribution/change_log.rs
+++ b/src/store/distribution/change_log.rs
@@ -143,6 +143,7 @@
     ancestors: Vec<Ipv4Addr>,
     /// Prefix of the keys whose changes are kept.
     prefix: String,
+    /// Sorted by revision.
     entries: VecDeque<Entry>,
     /// Size of the values in `entries`, in bytes.
     value_bytes: usize,
@@ -300,7 +301,10 @@
             log.current && log.rev == old.rev && log.prefix.is_empty()
         };
         if ends_with_old && revision::era(old.rev) == revision::era(new.rev) {
-            let changes = old.changes_to(new);
+            let mut changes = old.changes_to(new);
+            // What a later page holds of the time after `new.rev` comes with the next watch.
+            changes.retain(|change| change.rev() <= new.rev);
+            changes.sort_by_key(Change::rev);
             self.record(old.rev, &WatchBatch { rev: new.rev, compacted: false, changes });
         } else {
             self.close();
--- a/tests/distribution.rs
+++ b/tests/distribution.rs
@@ -354,10 +354,7 @@
 #[ntex::test]
 async fn failed_call_keeps_subscribers() {
     let addr: SocketAddr = "127.0.0.1:30477".parse().unwrap();
-    let state = ProcessState::new("distributor".into(), config::OPERATOR_PREFIX.into());
-    let log = state.change_log().clone();
-    log.set_max_reply(MAX_REPLY);
-    let server = admin::Server::start(addr, state).await.unwrap();
+    let (server, log) = distributor(addr, &batch(12, &[])).await;
     let root_store = FakeStore::answering(12);
     let root = distributed(&root_store, &log);
     root.set_distributing(true);
@@ -644,6 +641,35 @@
     assert_eq!(log.poll(Ipv4Addr::LOCALHOST, "", 40).await, PollReply::NotCurrent);
 }
 
+/// Guards against changes that a subscriber misses for good: what differs after a new listing is
+/// sorted by key, and a subscriber that has read the store itself meanwhile asks for a part of it;
+/// and a later page may hold a key that is newer than the listing, before which others changed.
+#[ntex::test]
+async fn new_listing_is_handed_on_in_part() {
+    let snapshot = |rev, changes: &[Change]| {
+        let mut snapshot = Snapshot::default();
+        snapshot.apply(rev, changes.to_vec());
+        snapshot
+    };
+    let missed = put("a/1", 35, 1);
+    let mut changes = vec![missed.clone()];
+    changes.extend((2..8).map(|n| put(&format!("a/{n}"), 20 + n, 1)));
+    let log = SharedLog::default();
+    log.set_max_reply(MAX_REPLY);
+    log.record(10, &batch(12, &[]));
+    log.record_listing(&snapshot(12, &[]), &snapshot(40, &changes));
+    let part = PollReply::Changes { rev: 40, changes: vec![missed] };
+    assert_eq!(log.poll(Ipv4Addr::LOCALHOST, "", 30).await, part);
+    let newer = [put("a/8", 43, 1), put("a/9", 45, 1)];
+    let mut listed = snapshot(40, &changes);
+    listed.apply(50, vec![newer[1].clone()]);
+    listed.rev = 42;
+    log.record_listing(&snapshot(40, &changes), &listed);
+    log.record(42, &batch(45, &newer));
+    let rest = PollReply::Changes { rev: 45, changes: newer.to_vec() };
+    assert_eq!(log.poll(Ipv4Addr::LOCALHOST, "", 40).await, rest);
+}
+
 /// Guards against a whole tree that watches the store when its root is lost: a process that
 /// redistributes reads the store itself, and those below it notice nothing.
 #[ntex::test]
