Registration, silence: one decoder of a record, one place that restarts the timer

Record::served_incarnation decoded a record a second time and was called by tests only; it now takes the decoded record, and the agent's start calls it. SilenceTimer::expire postpones by postpone(). Behaviour is unchanged; the test asserts the same values.

--- a/src/edge/registration.rs
+++ b/src/edge/registration.rs
@@ -13,7 +13,7 @@
 use super::AGENT_LEASE_MS;
 use crate::platform;
 use crate::steering::ListedAgent;
-use crate::store::{Kv, LeaseStore, lease, revision};
+use crate::store::{LeaseStore, lease, revision};
 use crate::tracker::Incarnation;
 use crate::{events, metrics};
 
@@ -76,17 +76,10 @@
 }
 
 impl Record {
-    /// Reads the incarnation that the process which wrote `kv` served last. It is unknown if the
-    /// store was restored since: a later record may have been lost.
-    ///
-    /// # Errors
-    ///
-    /// Fails when the value is not a record.
-    pub fn served_incarnation(kv: &Kv) -> serde_json::Result<Option<Incarnation>> {
-        Ok(serde_json::from_slice::<Self>(&kv.value)?.served_at(kv.rev))
-    }
-
-    fn served_at(self, rev: i64) -> Option<Incarnation> {
+    /// The incarnation that the process which wrote this record at revision `rev` served last. It is
+    /// unknown if the store was restored since: a later record may have been lost.
+    #[must_use]
+    pub fn served_incarnation(self, rev: i64) -> Option<Incarnation> {
         self.agent.incarnation.filter(|_| self.era == revision::era(rev))
     }
 }
@@ -219,7 +212,7 @@
     match serde_json::from_slice::<Record>(&kv.value) {
         Ok(record) => {
             let since = record.agent.since.map_or(kv.created, |rev| rev.min(kv.created));
-            let incarnation = record.served_at(kv.rev);
+            let incarnation = record.served_incarnation(kv.rev);
             PreviousRegistration::Present { incarnation, since }
         }
         Err(e) => {
--- a/src/edge/silence.rs
+++ b/src/edge/silence.rs
@@ -29,7 +29,7 @@
     pub fn expire(&mut self, now: Instant) -> bool {
         let expired = now >= self.due;
         if expired {
-            self.due = now + SILENCE_TIMEOUT;
+            self.postpone(now);
         }
         expired
     }
--- a/tests/store_restore.rs
+++ b/tests/store_restore.rs
@@ -161,7 +161,10 @@
             created: 0,
         }
     };
-    let served = |era| Record::served_incarnation(&written(era)).unwrap();
+    let served = |era| {
+        let kv = written(era);
+        serde_json::from_slice::<Record>(&kv.value).unwrap().served_incarnation(kv.rev)
+    };
     assert_eq!(served(3), agent.incarnation);
     assert_eq!(served(4), None, "restored since");
     // Balancers read the same value, those of earlier releases too.
