--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -23,7 +23,7 @@
 done
 "$standin" wait-ready --at "$net.1.1:$((base + 1)),$net.1.2:$((base + 1))" || cannot_run "balancers are not ready"
 sleep 1.5
-start_clients --feeds 30 --pause-ms 1000 --rate 10
+start_clients 1 --feeds 30 --pause-ms 1000 --rate 10
 sleep 4
 
 if [ "$TROUBLE" != 0 ]; then
--- a/review/lib.sh
+++ b/review/lib.sh
@@ -55,9 +55,9 @@
 EOF
 }
 
-# sidecar_settings N ZONE SERVICE [IP]
+# sidecar_settings N ZONE SERVICE [IP] [STORE]
 sidecar_settings() {
-  local ip=${4:-$net.2.$1}
+  local ip=${4:-$net.2.$1} store=${5:-$store}
   cat >"$dir/sidecar-$1.jsonc" <<EOF
 { "name": "side-$2-$1", "zone": "$2", "region": "gjw", "ip": "$ip",
   "ports": [$((base + 10)), $((base + 14))], "packets": "$ip:$base", "ready": "$ip:$((base + 1))",
@@ -86,9 +86,10 @@
   start store "$bin" store --config "$dir/store.jsonc"
 }
 
-# start_clients [options]
+# start_clients N [options]: clients at their own address.
 start_clients() {
-  start clients "$standin" clients --bind "$net.3.1:$base" --vip "$vip" --stop "$dir/stop" \
+  local n=$1; shift
+  start "clients-$n" "$standin" clients --bind "$net.3.$n:$base" --vip "$vip" --stop "$dir/stop" \
     --balancers "$net.1.1:$base/$net.1.1:$((base + 1)),$net.1.2:$base/$net.1.2:$((base + 1))" "$@"
 }
 
@@ -117,7 +118,7 @@
 # Gathers what was sent, answered and run, by time; the programs' own logs follow.
 write_record() {
   {
-    cat "$dir"/script.out "$dir"/server-*.out "$dir"/clients.out "$dir"/path*.out 2>/dev/null | sort -n -s -k1,1
+    cat "$dir"/script.out "$dir"/server-*.out "$dir"/clients-*.out "$dir"/*path.out 2>/dev/null | sort -n -s -k1,1
     grep -H . "$dir"/sidecar-*.out "$dir"/entry-*.out | sed "s#^$dir/##" | grep -v '"event":"E71[0-9]"' | head -n 400
   } >"$record"
 }
--- a/review/standin/standin.rs
+++ b/review/standin/standin.rs
@@ -311,6 +311,57 @@
     0
 }
 
+/// A path to the store at `--to` on which one write is late: the first transaction with `--key`
+/// that arrives while the file `--hold` exists is not answered, and is executed once the file
+/// `--deliver` exists. Its connection returns nothing further. All other calls pass.
+fn store_path(o: &Options) -> i32 {
+    let listen: SocketAddrV4 = o.get("listen");
+    let to: SocketAddrV4 = o.get("to");
+    let key = o.text("key");
+    let (hold, deliver) = (PathBuf::from(o.text("hold")), PathBuf::from(o.text("deliver")));
+    let used = Arc::new(Mutex::new(false));
+    let listener = TcpListener::bind(listen).expect("store-path: bind");
+    for mut s in listener.incoming().flatten() {
+        let (key, hold, deliver) = (key.clone(), hold.clone(), deliver.clone());
+        let used = used.clone();
+        spawn(move || {
+            let Ok(mut store) = TcpStream::connect(to) else { return };
+            let _ = s.set_nodelay(true);
+            let _ = store.set_nodelay(true);
+            while let Some((head, body)) = read_http(&mut s) {
+                let text = String::from_utf8_lossy(&body).into_owned();
+                let is_write = head.starts_with("POST /v1/kv-txn") && text.contains(&key);
+                let late = is_write && hold.exists() && !std::mem::replace(&mut *used.lock().unwrap(), true);
+                if late {
+                    note(format!("store-path a write of {key} is late"));
+                    while !deliver.exists() {
+                        sleep(ms(10));
+                    }
+                    let answer = call(to, "POST", "/v1/kv-txn", &text, ms(1_000));
+                    note(format!("store-path the late write is executed: {answer:?}"));
+                    // Nothing further on this connection.
+                    sleep(ms(60_000));
+                    return;
+                }
+                let mut bytes = head.into_bytes();
+                bytes.extend(b"\r\n\r\n");
+                bytes.extend(body);
+                if store.write_all(&bytes).is_err() {
+                    return;
+                }
+                let Some((head, body)) = read_http(&mut store) else { return };
+                let mut bytes = head.into_bytes();
+                bytes.extend(b"\r\n\r\n");
+                bytes.extend(body);
+                if s.write_all(&bytes).is_err() {
+                    return;
+                }
+            }
+        });
+    }
+    0
+}
+
 // ---------------------------------------------------------------- server
 
 struct ServerFlow {
@@ -934,12 +985,13 @@
         "wait-ready" => wait_ready(&o),
         "free-ports" => free_ports(),
         "path" => path(&o),
+        "store-path" => store_path(&o),
         "server" => server(&o),
         "clients" => clients(&o),
         "judge-drain" => judge_drain(&o),
         "judge-resets" => judge_resets(&o),
         _ => {
-            eprintln!("roles: operator, wait-ready, free-ports, path, server, clients, judge-*");
+            eprintln!("roles: operator, wait-ready, free-ports, path, store-path, server, clients, judge-*");
             2
         }
     });
