--- a/review/standin/standin.rs
+++ b/review/standin/standin.rs
@@ -370,6 +370,8 @@
     caller_seq: u32,
     open: bool,
     ended: bool,
+    /// The SYN+ACK until the flow opens: bytes, when sent, tries.
+    syn_ack: Option<(Vec<u8>, Instant, u32)>,
     /// The last packet with data, until it is acknowledged: end, bytes, when sent, tries.
     unacked: Option<(u32, Vec<u8>, Instant, u32)>,
 }
@@ -476,6 +478,17 @@
         }
         // Retransmissions: after 200 ms, doubled up to 1.6 s, 8 of them.
         flows.retain(|_, f| {
+            if let Some((p, at, tries)) = &mut f.syn_ack {
+                let wait = ms((200 << (*tries).min(3)).min(1_600));
+                if now.duration_since(*at) >= wait {
+                    if *tries >= 8 {
+                        return false;
+                    }
+                    *tries += 1;
+                    *at = now;
+                    send(p);
+                }
+            }
             if let Some((_, p, at, tries)) = &mut f.unacked {
                 let wait = ms((200 << (*tries).min(3)).min(1_600));
                 if now.duration_since(*at) >= wait {
@@ -512,13 +525,15 @@
                     caller_seq: p.seq,
                     open: false,
                     ended: false,
+                    syn_ack: None,
                     unacked: None,
                 };
                 flows.insert(key, f);
             }
-            let f = &flows[&key];
-            let first = if f.open { continue } else { f.seq };
-            send(&Packet::new(SYN | ACK, p.dst, p.src, first, f.expected, &[]).encode());
+            let Some(f) = flows.get_mut(&key).filter(|f| !f.open) else { continue };
+            let answer = Packet::new(SYN | ACK, p.dst, p.src, f.seq, f.expected, &[]).encode();
+            send(&answer);
+            f.syn_ack = Some((answer, now, 0));
             continue;
         }
         let Some(f) = flows.get_mut(&key) else {
@@ -550,7 +565,7 @@
         if !f.open {
             if p.ack != f.seq.wrapping_add(1) {
                 // Acknowledges the answer of another server.
-                flows.remove(&key);
+                note(format!("server {id} returned {}>{} len={}", p.src, p.dst, p.data.len()));
                 let mut b = buf[..n].to_vec();
                 b[0] |= BOUNCED;
                 b[1..6].fill(0);
@@ -558,6 +573,7 @@
                 continue;
             }
             f.open = true;
+            f.syn_ack = None;
             f.seq = f.seq.wrapping_add(1);
             note(format!("server {id} opened {}>{}", p.src, p.dst));
         }
@@ -811,7 +827,7 @@
     for n in 0..feeds {
         let (client, stop) = (client.clone(), stop.clone());
         tasks.push(spawn(move || feed(&client, vip, n, pause, limit, &stop)));
-        sleep(ms(10));
+        sleep(ms(o.get_or("spacing-ms", 10)));
     }
     let mut rand = Rand::new();
     while !stop.exists() {
