--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -9,8 +9,8 @@
 "$standin" operator --store "$store" --config "{\"version\":3,\"routes\":[{\"name\":\"feed\",\"host\":\"$net.9.1\",\"prefix\":\"/443/\",\"service\":\"meter\",\"type\":\"safe\",\"timeout_ms\":3000,\"target_latency_ms\":200,\"priority\":2},{\"name\":\"upload\",\"host\":\"$net.9.2\",\"prefix\":\"/443/\",\"service\":\"fieldlog\",\"type\":\"upload\",\"timeout_ms\":8000,\"target_latency_ms\":500,\"priority\":2}],\"services\":[{\"name\":\"meter\",\"max_conns\":2000,\"health_check\":\"/health\"},{\"name\":\"fieldlog\",\"max_conns\":2000,\"health_check\":\"/health\"}],\"limits\":{\"idle_timeout_ms\":15000}}" \
   || cannot_run "the store does not answer"
 for n in 1 2; do entry_settings $n gjw-a; start_entry $n; done
-services=(- meter meter fieldlog)
-for n in 1 2 3; do
+services=(- meter meter fieldlog fieldlog fieldlog)
+for n in 1 2 3 4 5; do
   sidecar_settings $n gjw-a "${services[$n]}"
   start_sidecar $n
   start_server "i-${services[$n]}-$n" $net.2.$n gjw-a "${services[$n]}" "$net.2.$n:$((base + 3))"
