--- a/review/stand-ins-2/late_write.rs
+++ b/review/stand-ins-2/late_write.rs
@@ -131,7 +131,7 @@
 }
 
 /// Restarts a balancer as planned.
-fn restart(world: &mut World, n: u8) -> Result<(), String> {
+pub fn restart(world: &mut World, n: u8) -> Result<(), String> {
     let (site, name) = (world.site.clone(), format!("frontend-{n}"));
     site.terminate(&name);
     if !world.run_until(Duration::from_secs(8), |_| site.has_ended(&name)) {
--- a/review/stand-ins-2/main.rs
+++ b/review/stand-ins-2/main.rs
@@ -11,6 +11,7 @@
 mod site;
 mod world;
 
+mod half_open;
 mod late_report;
 mod late_write;
 mod weights;
@@ -46,6 +47,7 @@
     record.line(format!("case {name}, trouble {trouble}"));
     watch_time(record.clone());
     let outcome = match name.as_str() {
+        "half-open" => half_open::play(&record, trouble),
         "weights" => weights::play(&record, trouble),
         "late-report" => late_report::play(&record, trouble),
         "late-write" => late_write::play(&record, trouble),
--- a/review/stand-ins-2/site.rs
+++ b/review/stand-ins-2/site.rs
@@ -19,6 +19,8 @@
 const METRICS_PORT: u16 = 9_464;
 
 const SIGTERM: i32 = 15;
+const SIGSTOP: i32 = 19;
+const SIGCONT: i32 = 18;
 
 const SIGKILL: u64 = 9;
 
@@ -217,11 +219,25 @@
 
     /// Sends SIGTERM to a process.
     pub fn terminate(&self, name: &str) {
+        self.signal(name, SIGTERM, "got SIGTERM");
+    }
+
+    /// Has a process stand still.
+    pub fn freeze(&self, name: &str) {
+        self.signal(name, SIGSTOP, "stands still");
+    }
+
+    /// Has a process go on.
+    pub fn wake(&self, name: &str) {
+        self.signal(name, SIGCONT, "goes on");
+    }
+
+    fn signal(&self, name: &str, signal: i32, what: &str) {
         let Ok(running) = RUNNING.lock() else { return };
         if let Some((_, child)) = running.iter().find(|(other, _)| other == name) {
             // SAFETY: signals a child of this process that has not been waited for.
-            unsafe { kill(child.id() as i32, SIGTERM) };
-            self.record.line(format!("process {name} got SIGTERM"));
+            unsafe { kill(child.id() as i32, signal) };
+            self.record.line(format!("process {name} {what}"));
         }
     }
 
--- a/review/stand-ins-2/world.rs
+++ b/review/stand-ins-2/world.rs
@@ -682,19 +682,21 @@
             unacked: None,
         };
         let flow = self.flows.entry(key).or_insert(new);
-        if !flow.open {
-            flow.next_seq = flow.first_seq.wrapping_add(1);
-        }
-        let (seq, ack) = (flow.first_seq, expected);
-        self.send(&Packet {
+        let answer = Packet {
             flags: SYN | ACK,
-            seq,
-            ack,
+            seq: flow.first_seq,
+            ack: expected,
             src: p.dst,
             dst: p.src,
             data: vec![],
             sum: 0,
-        });
+        };
+        if !flow.open && flow.unacked.is_none() {
+            flow.next_seq = flow.first_seq.wrapping_add(1);
+            // Sent again until it is acknowledged, like any other packet.
+            flow.unacked = Some((answer.clone(), Instant::now() + FIRST_RTO, FIRST_RTO * 2, 1));
+        }
+        self.send(&answer);
     }
 
     /// A packet of a flow that has ended here, or that this server does not hold.
@@ -749,12 +751,17 @@
             self.send(&p);
         }
         for key in given_up {
-            self.close(key);
+            // A flow that never opened here is one that the server does not hold.
+            if self.flows.get(&key).is_some_and(|f| f.open) {
+                self.close(key);
+            } else {
+                self.flows.remove(&key);
+            }
         }
     }
 }
 
 /// Sequence number after a packet.
 fn end_of(p: &Packet) -> u32 {
-    p.seq.wrapping_add(p.data.len() as u32).wrapping_add(u32::from(p.flags & FIN != 0))
+    p.seq.wrapping_add(p.data.len() as u32).wrapping_add(u32::from(p.flags & (SYN | FIN) != 0))
 }
