--- a/review/stand-ins-2/late_report.rs
+++ b/review/stand-ins-2/late_report.rs
@@ -1,7 +1,9 @@
-//! A server boots behind a cut and crashes; its report was under way and arrives after the next
-//! boot at the same address has registered. That boot drains later, as planned.
+//! A server is cut off while its first report is under way, and crashes. The report arrives after the
+//! next boot at the same address has registered. That boot drains later, as planned.
 
 use std::net::SocketAddrV4;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
 use crate::record::Record;
@@ -82,24 +84,30 @@
     Ok(judge(record, &world, acked_at))
 }
 
-/// The first boot is cut off, so that its reports are held up, and crashes. The cut ends, and new
-/// connections work at once; what was held up arrives a little later.
+/// The first boot is cut off while its first report is under way, and crashes. The cut ends, and
+/// new connections work at once; the bytes that were held up arrive a little later. What the boot
+/// sent on new connections is lost.
 fn boot_behind_cut(world: &mut World, control: SocketAddrV4) -> Result<(), String> {
     let record = world.site.record.clone();
     let through_cut = SocketAddrV4::new(*world.site.proxy_addr().ip(), control.port());
     let started = Instant::now();
     let (sent, arrived) = (record.clone(), record.clone());
+    let under_way = Arc::new(AtomicBool::new(false));
     let decide = move |request: &str| {
         let line = request.lines().next().unwrap_or("").to_string();
         let body = request.lines().last().unwrap_or("");
+        if under_way.swap(true, Ordering::Relaxed) {
+            sent.line(format!("cut: loses {line} {body}"));
+            return proxy::Fate::Lost;
+        }
         sent.line(format!("cut: holds up {line} {body}"));
         proxy::Fate::Late((CUT + HELD_LONGER).saturating_sub(started.elapsed()))
     };
     let done =
-        move |status| arrived.line(format!("cut: a report of i-first arrives; answer {status}"));
+        move |status| arrived.line(format!("cut: the report of i-first arrives; answer {status}"));
     proxy::start(through_cut, control, decide, done)?;
     world.start_server(0, SERVICE, "i-first", through_cut)?;
-    world.run(CUT / 4);
+    world.run(CUT / 2);
     world.crash_server("i-first");
     world.run(CUT.saturating_sub(started.elapsed()));
     record.line("the cut ends".into());
--- a/review/stand-ins-2/proxy.rs
+++ b/review/stand-ins-2/proxy.rs
@@ -13,6 +13,8 @@
     /// It is passed on after this time. Its sender gets no answer, on a connection that stays
     /// silent.
     Late(Duration),
+    /// It is lost, and its connection stays silent.
+    Lost,
 }
 
 /// Serves `addr` and passes calls on to `to`. `decide` chooses the fate of each, by its bytes;
@@ -47,6 +49,9 @@
                     return;
                 }
             }
+            Fate::Lost => loop {
+                std::thread::park();
+            },
             Fate::Late(delay) => {
                 std::thread::sleep(delay);
                 let answer = pass_on(to, &request);
