--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -4,4 +4,4 @@
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/release/jujubepost ] || { echo "build the project first"; exit 2; }
 [ -x target/review-2/cases ] || { echo "run review/build-2.sh first"; exit 2; }
-exec target/review-2/cases weights review/4
+exec target/review-2/cases missed-start review/4
--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -4,4 +4,4 @@
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/release/jujubepost ] || { echo "build the project first"; exit 2; }
 [ -x target/review-2/cases ] || { echo "run review/build-2.sh first"; exit 2; }
-exec target/review-2/cases late-write review/5
+exec target/review-2/cases new-route review/5
--- a/review/stand-ins-2/http.rs
+++ b/review/stand-ins-2/http.rs
@@ -79,17 +79,3 @@
     }
     text
 }
-
-pub fn from_base64(text: &str) -> String {
-    let (mut bits, mut count, mut bytes) = (0_u32, 0, Vec::new());
-    for c in text.bytes().filter(|c| *c != b'=') {
-        let Some(v) = B64.iter().position(|b| *b == c) else { break };
-        bits = bits << 6 | v as u32;
-        count += 6;
-        if count >= 8 {
-            count -= 8;
-            bytes.push((bits >> count) as u8);
-        }
-    }
-    String::from_utf8_lossy(&bytes).into_owned()
-}
--- a/review/stand-ins-2/main.rs
+++ b/review/stand-ins-2/main.rs
@@ -4,6 +4,7 @@
 //! The balancers, agents and the store are the project's own binary, started as separate
 //! processes. Clients, servers, the router and the operator are stand-ins in this process.
 
+mod common;
 mod http;
 mod packet;
 mod proxy;
@@ -12,9 +13,8 @@
 mod world;
 
 mod half_open;
-mod late_report;
-mod late_write;
-mod weights;
+mod missed_start;
+mod new_route;
 
 use std::path::PathBuf;
 use std::process::exit;
@@ -48,9 +48,8 @@
     watch_time(record.clone());
     let outcome = match name.as_str() {
         "half-open" => half_open::play(&record, trouble),
-        "weights" => weights::play(&record, trouble),
-        "late-report" => late_report::play(&record, trouble),
-        "late-write" => late_write::play(&record, trouble),
+        "missed-start" => missed_start::play(&record, trouble),
+        "new-route" => new_route::play(&record, trouble),
         other => Err(format!("no case `{other}`")),
     };
     site::kill_all();
--- a/review/stand-ins-2/site.rs
+++ b/review/stand-ins-2/site.rs
@@ -113,8 +113,8 @@
     }
 
     /// Address of a proxy in front of the store.
-    pub fn proxy_addr(&self) -> SocketAddrV4 {
-        SocketAddrV4::new(Ipv4Addr::new(127, self.net, 4, 2), self.base + 6)
+    pub fn proxy_addr(&self, n: u8) -> SocketAddrV4 {
+        SocketAddrV4::new(Ipv4Addr::new(127, self.net, 4, 10 + n), self.base + 6)
     }
 
     pub fn packets(&self, ip: Ipv4Addr) -> SocketAddrV4 {
@@ -143,12 +143,10 @@
     }
 
     /// Starts a balancer, role `entry` of the deploy file.
-    pub fn start_front(&self, n: u8) -> Result<(), String> {
+    pub fn start_front(&self, n: u8, store: SocketAddrV4) -> Result<(), String> {
         let ip = self.front_ip(n);
-        let settings = format!(
-            "{{{}}}",
-            self.common_fields(&format!("frontend-{n}"), ip, 0.25, self.store_addr())
-        );
+        let settings =
+            format!("{{{}}}", self.common_fields(&format!("frontend-{n}"), ip, 0.25, store));
         self.spawn(&format!("frontend-{n}"), "entry", &settings)
     }
 
@@ -206,17 +204,6 @@
         Ok(())
     }
 
-    /// Ends a process with SIGKILL.
-    pub fn kill(&self, name: &str) {
-        let Ok(mut running) = RUNNING.lock() else { return };
-        if let Some(n) = running.iter().position(|(other, _)| other == name) {
-            let (_, mut child) = running.remove(n);
-            let _ = child.kill();
-            let _ = child.wait();
-            self.record.line(format!("process {name} killed"));
-        }
-    }
-
     /// Sends SIGTERM to a process.
     pub fn terminate(&self, name: &str) {
         self.signal(name, SIGTERM, "got SIGTERM");
@@ -274,20 +261,11 @@
         }
     }
 
-    /// The value of a key in the store.
-    pub fn read_key(&self, key: &str) -> Option<String> {
-        let path = format!("/v1/kv-key?key={key}");
-        let (status, body) =
-            http::call(self.store_addr(), "GET", &path, "", Duration::from_secs(2)).ok()?;
-        let text = String::from_utf8_lossy(&body).into_owned();
-        let value = text.split("\"value\":\"").nth(1)?.split('"').next()?;
-        (status == 200).then(|| http::from_base64(value))
-    }
-
-    /// Records what the store holds for the agent on side machine `n`.
-    pub fn record_registration(&self, n: u8) {
-        let key = format!("jujubepost/agents/{}", self.side_ip(n));
-        let value = self.read_key(&key).unwrap_or_else(|| "none".into());
-        self.record.line(format!("store: {key} = {value}"));
+    /// Has the store answer every call with 503, or serve again.
+    pub fn set_store_away(&self, away: bool) -> Result<(), String> {
+        let body = format!("{{\"outage\":{away}}}");
+        let answer = http::call(self.store_addr(), "POST", "/fault", &body, Duration::from_secs(2));
+        self.record.line(format!("store: {}", if away { "away (503)" } else { "serves again" }));
+        matches!(answer, Ok((200, _))).then_some(()).ok_or(format!("store: {answer:?}"))
     }
 }
--- a/review/stand-ins-2/world.rs
+++ b/review/stand-ins-2/world.rs
@@ -135,6 +135,8 @@
 #[derive(Clone, Debug)]
 pub struct Reset {
     pub port: u16,
+    /// Address of the machine that sent it.
+    pub by: Ipv4Addr,
     /// The server that holds the flow and runs.
     pub held_by: Option<String>,
 }
@@ -180,11 +182,6 @@
     pub fn acked(&self) -> bool {
         self.reports.acked.load(Ordering::Relaxed)
     }
-
-    /// When its `draining` was acknowledged.
-    pub fn drain_acked(&self) -> Option<Instant> {
-        *self.reports.drain_acked.lock().ok()?
-    }
 }
 
 pub struct World {
@@ -297,10 +294,6 @@
         Ok(())
     }
 
-    pub fn server(&self, id: &str) -> Option<&Server> {
-        self.servers.iter().find(|s| s.id == id)
-    }
-
     /// Ends a server without a word, as a crash does.
     pub fn crash_server(&mut self, id: &str) {
         if let Some(n) = self.servers.iter().position(|s| s.id == id) {
@@ -310,14 +303,6 @@
         }
     }
 
-    /// Has a server report `draining` from now on.
-    pub fn drain_server(&mut self, id: &str) {
-        if let Some(server) = self.server(id) {
-            server.reports.draining.store(true, Ordering::Relaxed);
-            self.record.line(format!("server {id} begins to drain"));
-        }
-    }
-
     // Clients
 
     /// Opens a flow; `pause` is the time between its requests, `None` for one request only.
@@ -342,11 +327,6 @@
         self.flows.push(flow);
     }
 
-    /// When the client sent the first SYN of the flow from `port`.
-    pub fn opened_at(&self, port: u16) -> Option<Instant> {
-        self.flows.iter().find(|f| f.port == port).map(|f| f.opened_at)
-    }
-
     pub fn open_flows(&self) -> usize {
         self.flows.iter().filter(|f| f.state == ClientState::Open).count()
     }
@@ -421,8 +401,9 @@
     fn read_clients(&mut self) {
         let mut buf = [0; 2_048];
         loop {
-            let len = match self.client.recv_from(&mut buf) {
-                Ok((len, _)) => len,
+            let (len, by) = match self.client.recv_from(&mut buf) {
+                Ok((len, std::net::SocketAddr::V4(from))) => (len, *from.ip()),
+                Ok(_) => continue,
                 Err(e) if e.kind() == ErrorKind::WouldBlock => return,
                 Err(_) => continue,
             };
@@ -430,12 +411,12 @@
             let vip = p.src;
             let known = |f: &ClientFlow| f.port == p.dst.port() && f.vip == vip;
             if let Some(n) = self.flows.iter().position(known) {
-                self.handle_client_packet(n, &p);
+                self.handle_client_packet(n, &p, by);
             }
         }
     }
 
-    fn handle_client_packet(&mut self, n: usize, p: &Packet) {
+    fn handle_client_packet(&mut self, n: usize, p: &Packet, by: Ipv4Addr) {
         let flow = &self.flows[n];
         let (port, now) = (flow.port, Instant::now());
         if flow.state == ClientState::Ended {
@@ -448,7 +429,7 @@
             return;
         }
         if p.flags & RST != 0 {
-            self.handle_reset(n, p, systems_reset);
+            self.handle_reset(n, p, systems_reset.then_some(by));
         } else if p.flags & SYN != 0 {
             if flow.state == ClientState::Opening {
                 let flow = &mut self.flows[n];
@@ -462,14 +443,14 @@
         }
     }
 
-    fn handle_reset(&mut self, n: usize, p: &Packet, systems_reset: bool) {
+    fn handle_reset(&mut self, n: usize, p: &Packet, system: Option<Ipv4Addr>) {
         let flow = &self.flows[n];
         let port = flow.port;
         let is_open = flow.state == ClientState::Open;
         if is_open && p.seq.wrapping_sub(flow.ack.wrapping_sub(RESET_WINDOW)) > 2 * RESET_WINDOW {
             return;
         }
-        let by = if systems_reset { "the system" } else { "its server" };
+        let by = system.map_or("its server".into(), |ip| format!("the system ({ip})"));
         let src = SocketAddrV4::new(self.site.client_ip(), port);
         let holds = |s: &&Server| s.flows.get(&(src, flow.vip)).is_some_and(|f| f.open);
         let held_by = self.servers.iter().find(holds).map(|s| s.id.clone());
@@ -477,8 +458,8 @@
             "client: flow {port} {} was reset by {by}; held by {held_by:?}",
             if is_open { "(open)" } else { "(not open)" }
         ));
-        if is_open && systems_reset {
-            self.resets.push(Reset { port, held_by });
+        if let Some(by) = system.filter(|_| is_open) {
+            self.resets.push(Reset { port, by, held_by });
         }
         self.flows[n].state = ClientState::Ended;
         self.flows[n].failed += 1;
