Opens: a copy of a SYN that comes after the handshake is not delivered

Cause, traced flow by flow: a caller's copy of its SYN overtaken by the whole flow. The agent took it for one whose answer was lost, and the target, which had closed the flow at the caller's FIN, opened it again, uncounted. A caller that has acknowledged the answer needs no other one.

Ruled out: a restarted agent that counts less than its predecessor gave (both processes had counted from the target's start).

late_copy_of_syn_is_dropped fails without it.

--- a/src/tracker/admission.rs
+++ b/src/tracker/admission.rs
@@ -107,12 +107,18 @@
         if let Some(tracked) = self.flows.get(flow, now) {
             if tracked.is_opened_by(received.seg) {
                 tracked.reply_to = Some(open.reply_to);
-                let answered = !matches!(tracked.phase, FlowPhase::Opening { .. });
-                if answered {
-                    out.send_to_target(received.packet);
-                    self.send_update(flow, FlowStatus::Held, open.reply_to, now, out);
-                } else {
-                    self.repeat_open(open, received, out);
+                match tracked.phase {
+                    FlowPhase::Opening { .. } => self.repeat_open(open, received, out),
+                    phase => {
+                        // A late copy: the caller has seen the answer, and the target, which may
+                        // have closed the flow meanwhile, would open another.
+                        if phase == FlowPhase::Open {
+                            metrics::count_drop("open_repeated_late");
+                        } else {
+                            out.send_to_target(received.packet);
+                        }
+                        self.send_update(flow, FlowStatus::Held, open.reply_to, now, out);
+                    }
                 }
                 return;
             }
--- a/tests/cold_targets.rs
+++ b/tests/cold_targets.rs
@@ -228,6 +228,24 @@
     assert!(!repeat(&mut t, 4, now + 1_499 * MS), "the window is full");
 }
 
+/// Guards against a cold target that opens a flow once more, beyond its limit, as a copy of the SYN
+/// arrives after the caller has finished: the target has closed the flow by then.
+#[test]
+fn late_copy_of_syn_is_dropped() {
+    let now = Instant::now();
+    let mut t = cold_tracker(now);
+    assert!(offer(&mut t, 1, warm_up(), now));
+    let mut out = Recorder::default();
+    let (seg, mut packet) = (syn_ack(1, 5_000), b"syn-ack".to_vec());
+    t.handle_target_packet(&seg, &mut packet, now + MS, &mut out, |_| {});
+    assert!(repeat(&mut t, 1, now + 200 * MS), "the caller may have missed the answer");
+    let m = Message::Forward { service: SERVICE, mode: ForwardMode::Owner };
+    let mut fin = caller_data(1, 1_001, 5_001, 0);
+    fin.flags.fin = true;
+    t.handle_message(balancer(), &m, Some(&fin), b"fin", now + 250 * MS, &mut out);
+    assert!(!repeat(&mut t, 1, now + 600 * MS));
+}
+
 /// Guards against an agent that restarts within a second and gives a cold target twice the
 /// limit.
 #[test]
