Agents: flows are accepted only once the next process could know of them

Cause: a new process of an agent denied every flow that it had not seen open if the store named another start of its target and an early report came within 0.2 s. Both also hold if its predecessor served the target while the store was away. Neither is proof.

Now a process accepts flows of a start only once the store names it or the target has sent more than three reports, which it leaves unacknowledged meanwhile; a target repeats them each 0.1 s. So an early report and another start in the store prove that nobody accepted flows, whenever they come. Hearing another start before counts only if that one was heard from its beginning.

Left, by reading only: a SYN given to the earlier start that opens at the new one, and the agent killed within 0.3 s of it.

--- a/src/agent/mod.rs
+++ b/src/agent/mod.rs
@@ -70,7 +70,15 @@
     let key = keys.target(name);
     let (lease_store, lease_ms) = (store.clone(), settings.agent_timers.lease_ttl_ms);
     let lease_task = tokio::task::spawn_local(async move {
-        store::lease::maintain(&lease_store, &key, registration_rx, lease_ms, &Notify::new()).await;
+        store::lease::maintain(
+            &lease_store,
+            &key,
+            registration_rx,
+            lease_ms,
+            &Notify::new(),
+            |_| {},
+        )
+        .await;
     });
     let source = Source {
         store: store.clone(),
--- a/src/balancer/mod.rs
+++ b/src/balancer/mod.rs
@@ -213,7 +213,8 @@
     };
     let (_sender, value) = tokio::sync::watch::channel(value);
     let check = tokio::sync::Notify::new();
-    store::lease::maintain(&store, &keys.balancer(&balancer.name), value, lease_ms, &check).await;
+    store::lease::maintain(&store, &keys.balancer(&balancer.name), value, lease_ms, &check, |_| {})
+        .await;
 }
 
 const fn ms(v: u64) -> Duration {
--- a/src/edge/registration.rs
+++ b/src/edge/registration.rs
@@ -14,7 +14,7 @@
 use crate::platform;
 use crate::steering::ListedAgent;
 use crate::store::{LeaseStore, lease, revision};
-use crate::tracker::Incarnation;
+use crate::tracker::{Incarnation, Predecessor};
 use crate::{events, metrics};
 
 /// Delay between two attempts to read or delete the registration. Must allow several
@@ -26,12 +26,14 @@
 
 /// Keeps the registration in the store until dropped, from the target's first report
 /// on. An agent that registers without a target and disappears would delay the
-/// searches for flows of its service.
+/// searches for flows of its service. Calls `on_written` with the incarnation that the store
+/// names from then on.
 pub(super) async fn maintain_registration(
     store: platform::kv::Client,
     key: String,
     mut values: watch::Receiver<Vec<u8>>,
     lease_check: &Notify,
+    on_written: impl Fn(&Incarnation),
 ) {
     if values.changed().await.is_err() {
         log::error!(
@@ -40,7 +42,14 @@
         );
         return;
     }
-    lease::maintain(&store, &key, values, AGENT_LEASE_MS, lease_check).await;
+    let on_written = |value: &[u8]| match serde_json::from_slice::<Record>(value) {
+        Ok(record) => record.agent.incarnation.iter().for_each(&on_written),
+        Err(e) => log::error!(
+            event = events::EDGE_STORE, key = key, error:% = e;
+            "written registration cannot be decoded; it counts as not written"
+        ),
+    };
+    lease::maintain(&store, &key, values, AGENT_LEASE_MS, lease_check, on_written).await;
 }
 
 /// Deletes the registration of an agent whose target has ended, retrying for up to
@@ -73,14 +82,18 @@
     /// Era of the store when the agent named its target's incarnation.
     #[serde(default)]
     pub era: u32,
+    /// As [`Predecessor::writes_ahead`].
+    #[serde(default)]
+    pub writes_ahead: bool,
 }
 
 impl Record {
-    /// The incarnation that the process which wrote this record at revision `rev` served last. It is
-    /// unknown if the store was restored since: a later record may have been lost.
+    /// What this record, written at revision `rev`, tells the next process of the agent. Nothing if
+    /// the store was restored since: a later record may have been lost.
     #[must_use]
-    pub fn served_incarnation(self, rev: i64) -> Option<Incarnation> {
-        self.agent.incarnation.filter(|_| self.era == revision::era(rev))
+    pub fn predecessor(self, rev: i64) -> Option<Predecessor> {
+        let incarnation = self.agent.incarnation.filter(|_| self.era == revision::era(rev))?;
+        Some(Predecessor { incarnation, writes_ahead: self.writes_ahead })
     }
 }
 
@@ -103,7 +116,7 @@
         store: platform::kv::Client,
     ) -> (Self, watch::Receiver<Vec<u8>>) {
         let (value, values) = watch::channel(Vec::new());
-        let record = RefCell::new(Record { agent, era: 0 });
+        let record = RefCell::new(Record { agent, era: 0, writes_ahead: true });
         (Self { target, lease_check: Rc::default(), record, value, store }, values)
     }
 
@@ -212,8 +225,7 @@
     match serde_json::from_slice::<Record>(&kv.value) {
         Ok(record) => {
             let since = record.agent.since.map_or(kv.created, |rev| rev.min(kv.created));
-            let incarnation = record.served_incarnation(kv.rev);
-            PreviousRegistration::Present { incarnation, since }
+            PreviousRegistration::Present { predecessor: record.predecessor(kv.rev), since }
         }
         Err(e) => {
             metrics::count_drop("entry_unreadable");
@@ -235,8 +247,8 @@
     Absent,
     /// It is listed.
     Present {
-        /// The target's incarnation that the previous process served, if known.
-        incarnation: Option<Incarnation>,
+        /// What it tells of the previous process, if anything.
+        predecessor: Option<Predecessor>,
         /// As [`ListedAgent::since`].
         since: i64,
     },
--- a/src/edge/reports.rs
+++ b/src/edge/reports.rs
@@ -8,10 +8,11 @@
 use ntex::http::StatusCode;
 
 use super::registration::Registration;
+use crate::events;
 use crate::http::{HttpRequest, HttpResponse, Server};
+use crate::metrics::{self, Retry};
 use crate::platform::instances;
 use crate::tracker::{FlowTracker, Target};
-use crate::{events, metrics};
 
 /// Serves the endpoint and applies each report to `tracker`.
 pub(super) async fn serve(
@@ -43,6 +44,10 @@
                 let known = tracker.target().is_some_and(Target::all_flows_known);
                 registration.set_incarnation(incarnation, known);
             }
+            if tracker.awaits_record() {
+                metrics::count_retry(Retry::UnrecordedStart);
+                return HttpResponse::empty(StatusCode::SERVICE_UNAVAILABLE);
+            }
             HttpResponse::json(instances::RESPONSE.to_string())
         }
         Ok(Some(instances::InstanceCall::Deregister(incarnation))) => {
--- a/src/edge/sidecar.rs
+++ b/src/edge/sidecar.rs
@@ -107,7 +107,8 @@
     let sockets = Sockets::bind(&settings).await?;
     let tracker = FlowTracker::new(service.clone(), settings.idle_timeout())
         .with_policy(settings.policy.agent.clone())
-        .with_cold_allowance(settings.cold_allowance());
+        .with_cold_allowance(settings.cold_allowance())
+        .with_write_ahead();
     let tracker = Rc::new(RefCell::new(tracker));
     let inspect_server = inspect::serve(&settings, tracker.clone()).await?;
     log::info!(
@@ -136,12 +137,13 @@
         None => None,
     };
     let registration_task = tokio::task::spawn_local({
-        let (store, key, started) = (store.clone(), key.clone(), Instant::now());
+        let (store, key) = (store.clone(), key.clone());
         let (tracker, registration) = (tracker.clone(), registration.clone());
         async move {
             let previous = read_previous_registration(&store, &key).await;
-            learn_previous(previous, started, &mut tracker.borrow_mut(), &registration);
-            maintain_registration(store, key, values, &registration.lease_check).await;
+            learn_previous(previous, &mut tracker.borrow_mut(), &registration);
+            let on_written = |incarnation: &_| tracker.borrow_mut().record_written(incarnation);
+            maintain_registration(store, key, values, &registration.lease_check, on_written).await;
         }
     });
     super::run_until_stopped(path, forward(&sockets, &tracker, &registration)).await?;
@@ -180,10 +182,9 @@
     Ok(())
 }
 
-/// Applies what the previous process of the agent, replaced at `started`, left in the store.
+/// Applies what the previous process of the agent left in the store.
 fn learn_previous(
     previous: PreviousRegistration,
-    started: Instant,
     tracker: &mut FlowTracker,
     registration: &Registration,
 ) {
@@ -193,8 +194,8 @@
             tracker.mark_new();
             None
         }
-        PreviousRegistration::Present { incarnation, since } => {
-            tracker.set_predecessor(incarnation, started);
+        PreviousRegistration::Present { predecessor, since } => {
+            tracker.set_predecessor(predecessor);
             Some(since)
         }
     };
--- a/src/metrics/mod.rs
+++ b/src/metrics/mod.rs
@@ -123,6 +123,9 @@
     /// A queued open was handed over to an agent whose target had a free slot.
     #[display("handed_over")]
     HandedOver,
+    /// A report of a target was left unacknowledged until the store names its start.
+    #[display("unrecorded_start")]
+    UnrecordedStart,
 }
 
 /// Why a process watches the store itself instead of polling another one.
--- a/src/model/setup.rs
+++ b/src/model/setup.rs
@@ -65,6 +65,7 @@
                 };
                 agent.target.reports = 1;
                 let report = self.target_report(service, 1, 1);
+                agent.tracker.record_written(&report.incarnation);
                 agent.tracker.handle_report(report, self.now);
                 self.agents.push(agent);
                 self.stats.targets.push(TargetStats {
@@ -136,6 +137,7 @@
         FlowTracker::new(name, Duration::from_secs(60))
             .with_policy(self.policy.agent.clone())
             .with_cold_allowance(ColdAllowance { overage: COLD_OVERAGE, slack: COLD_SLACK })
+            .with_write_ahead()
     }
 
     pub(super) fn target_report(&self, service: usize, incarnation: u64, seq: u64) -> Report {
--- a/src/store/lease.rs
+++ b/src/store/lease.rs
@@ -21,13 +21,14 @@
 
 /// Keeps `key` set to the latest `value` under a lease of `lease_ms` (at least
 /// 1 s); never returns. On a notification of `check` it verifies that the key
-/// still exists.
+/// still exists. Calls `on_written` with each value that the store acknowledged.
 pub async fn maintain<L: LeaseStore>(
     store: &L,
     key: &str,
     mut value: watch::Receiver<Vec<u8>>,
     lease_ms: u64,
     check: &Notify,
+    on_written: impl Fn(&[u8]),
 ) {
     let ttl = Duration::from_millis(lease_ms.max(1_000));
     let renew_interval = Duration::from_millis((lease_ms / 3).max(100));
@@ -35,9 +36,11 @@
         let latest = value.borrow_and_update().clone();
         match acquire(store, key, &latest, ttl).await {
             Ok(held) => {
+                on_written(&latest);
                 // What was just written need not be checked: drops an earlier notification.
                 let _ = check.notified().now_or_never();
-                renew_until_lost(store, key, held, &mut value, renew_interval, check).await;
+                let renewal = Renewal { interval: renew_interval, check, on_written: &on_written };
+                renew_until_lost(store, key, held, &mut value, &renewal).await;
             }
             Err(e) => {
                 record_failure(&e);
@@ -67,22 +70,29 @@
     Ok(HeldLease { id, era })
 }
 
+/// How a lease is renewed.
+struct Renewal<'a, F> {
+    interval: Duration,
+    check: &'a Notify,
+    on_written: &'a F,
+}
+
 /// Renews `held` and writes new values; returns when the lease has expired, the
 /// key is missing, a write failed, or the store was restored.
-async fn renew_until_lost<L: LeaseStore>(
+async fn renew_until_lost<L: LeaseStore, F: Fn(&[u8])>(
     store: &L,
     key: &str,
     held: HeldLease,
     value: &mut watch::Receiver<Vec<u8>>,
-    renew_interval: Duration,
-    check: &Notify,
+    renewal: &Renewal<'_, F>,
 ) {
+    let renew_interval = renewal.interval;
     // A fixed instant, so that checks and new values do not postpone the renewal.
     let mut renew_at = Instant::now() + renew_interval;
     let lease = held.id;
     while store.era() == held.era {
         tokio::select! {
-            () = check.notified() => match is_listed(store, key).await {
+            () = renewal.check.notified() => match is_listed(store, key).await {
                 Ok(true) => {}
                 Ok(false) => {
                     log::warn!(
@@ -116,6 +126,7 @@
                     record_failure(&e);
                     return;
                 }
+                (renewal.on_written)(&latest);
             }
         }
     }
--- a/src/tracker/admission.rs
+++ b/src/tracker/admission.rs
@@ -48,6 +48,9 @@
 
     pub(super) fn admit(&self, open: &Open<'_>, now: Instant) -> Admission {
         let Some(t) = &self.target else { return Admission::Refuse(Refusal::NoTarget) };
+        if self.awaits_record() {
+            return Admission::Refuse(Refusal::NoTarget);
+        }
         if self.declines_outlier(open, now) {
             return Admission::Refuse(Refusal::SetAside);
         }
--- a/src/tracker/mod.rs
+++ b/src/tracker/mod.rs
@@ -15,6 +15,7 @@
 mod queue;
 mod target;
 mod tracked_flow;
+mod write_ahead;
 
 use std::collections::VecDeque;
 use std::net::SocketAddrV4;
@@ -23,8 +24,9 @@
 
 pub use cold_start::{ColdAllowance, ColdStart};
 pub use load::LoadEstimate;
-pub use target::{IgnoreReason, Incarnation, Predecessor, Report, Target, TargetState};
+pub use target::{IgnoreReason, Incarnation, Report, Target, TargetState};
 pub use tracked_flow::{FlowPhase, TrackedFlow};
+pub use write_ahead::{MAX_EARLY_REPORT_SEQ, Predecessor};
 
 use crate::admission::{OpenQueue, QueuedPeers};
 use crate::events;
@@ -66,6 +68,10 @@
     service: Arc<str>,
     target: Option<Target>,
     predecessor: Option<Predecessor>,
+    /// Whether flows of an incarnation wait until the next process could tell of them.
+    writes_ahead: bool,
+    /// Incarnation that the store names as the one served by this agent.
+    written: Option<Incarnation>,
     flows: FlowTable<TrackedFlow>,
     policy: AgentPolicy,
     /// Possible owners of flows: agents that opens were passed on to, and agents named
@@ -131,6 +137,8 @@
             service,
             target: None,
             predecessor: None,
+            writes_ahead: false,
+            written: None,
             flows: FlowTable::new(idle_timeout),
             policy: AgentPolicy::default(),
             hints: FlowTable::new(idle_timeout),
@@ -176,15 +184,6 @@
         self
     }
 
-    /// Sets the incarnation that the previous process of the agent accepted flows for, if
-    /// it is known. This process has received the target's reports since `replaced_at`.
-    pub fn set_predecessor(&mut self, incarnation: Option<Incarnation>, replaced_at: Instant) {
-        self.predecessor = incarnation.map(|incarnation| Predecessor { incarnation, replaced_at });
-        if let (Some(p), Some(t), false) = (&self.predecessor, &mut self.target, self.inherited) {
-            t.learn_predecessor(p);
-        }
-    }
-
     /// Records that the store did not list the agent before, so that balancers do not
     /// know it yet.
     pub const fn mark_new(&mut self) {
@@ -253,10 +252,11 @@
         self.stopping = true;
     }
 
-    /// Whether the agent is stopping and no flow waits for an answer of the target.
+    /// Whether the agent is stopping, no flow waits for an answer of the target, and the next
+    /// process can tell which flows it may hold.
     #[must_use]
-    pub const fn is_drained(&self) -> bool {
-        self.stopping && self.waiting == 0
+    pub fn is_drained(&self) -> bool {
+        self.stopping && self.waiting == 0 && !self.awaits_record()
     }
 
     /// Handles a message of a balancer or agent. `seg` is the decoded header of the
--- a/src/tracker/queue.rs
+++ b/src/tracker/queue.rs
@@ -331,6 +331,7 @@
             && self.target_accepts()
             && !self.is_full(now)
             && !self.awaits_registration(now)
+            && !self.awaits_record()
     }
 
     /// Gives queued opens back to their balancers, which offer them to other agents.
--- a/src/tracker/target.rs
+++ b/src/tracker/target.rs
@@ -5,6 +5,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::Predecessor;
+
 /// Number of earlier incarnations stored, so that a delayed report of one of
 /// them is not taken for one of a new incarnation.
 const MAX_EARLIER_INCARNATIONS: usize = 8;
@@ -12,16 +14,6 @@
 /// Sequence number of an incarnation's first report.
 const FIRST_REPORT_SEQ: u64 = 1;
 
-/// Highest sequence number of an early report: one that a target sends while its
-/// first reports go unanswered and are retried about every 0.1 s.
-const MAX_EARLY_REPORT_SEQ: u64 = 4;
-
-/// How long after an agent's start an early report counts as the retry of an
-/// unanswered one. A target that was answered reports about once a second, so a
-/// larger value mistakes its next report for a retry more often than one time in six; a
-/// smaller one misses retries, which come every 0.1 s and later on a small share of a core.
-const EARLY_REPORT_WINDOW: Duration = Duration::from_millis(200);
-
 /// How long after its last report an incarnation counts as running: two of the
 /// longest pauses between reports (1.2 s). Meanwhile, a report with an earlier start
 /// time is a delayed one; afterwards it may be of a new incarnation on a VM whose clock
@@ -47,28 +39,6 @@
     }
 }
 
-/// The previous process of an agent, as recorded in the store.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Predecessor {
-    /// Incarnation of the target that the process last accepted flows for.
-    pub incarnation: Incarnation,
-    /// When the current process started to receive the target's reports.
-    pub replaced_at: Instant,
-}
-
-impl Predecessor {
-    /// Whether the first report received from `incarnation`, by its sequence number and time,
-    /// shows that the process accepted no flows for that one.
-    ///
-    /// A different incarnation in the store is not enough: the process may have
-    /// served this one while the store was unavailable. In that case it answered the
-    /// target's reports, and the next one is not a retry.
-    fn missed_start(&self, incarnation: &Incarnation, (seq, at): (u64, Instant)) -> bool {
-        let retried = at.saturating_duration_since(self.replaced_at) <= EARLY_REPORT_WINDOW;
-        self.incarnation != *incarnation && seq <= MAX_EARLY_REPORT_SEQ && retried
-    }
-}
-
 /// Whether a target accepts new flows.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, derive_more::Display)]
 pub enum TargetState {
@@ -114,18 +84,20 @@
 /// State of a target as of its last report.
 #[derive(Clone, Debug)]
 pub struct Target {
-    incarnation: Incarnation,
+    pub(super) incarnation: Incarnation,
     earlier: Vec<Incarnation>,
     last_report: Instant,
     slots: u32,
     state: TargetState,
     warm_at: Instant,
     seq: u64,
-    all_flows_known: bool,
-    /// Sequence number of the incarnation's first received report, and when that arrived.
-    first_report: (u64, Instant),
-    /// Whether `all_flows_known` rests only on [`Predecessor::missed_start`].
-    presumed: bool,
+    pub(super) all_flows_known: bool,
+    /// Sequence number of the incarnation's first received report.
+    pub(super) first_seq: u64,
+    /// Whether this process has heard the incarnation from its start.
+    heard_start: bool,
+    /// Whether `all_flows_known` rests only on [`Predecessor::never_served`].
+    pub(super) presumed: bool,
     ended: bool,
 }
 
@@ -133,10 +105,9 @@
     /// State of a new incarnation after its first received `report`. `previous` is the
     /// incarnation that it replaces, `predecessor` the previous process of the agent.
     ///
-    /// All flows are known if the agent was running when the target started: it
-    /// received the first report, or saw a previous incarnation. If both started
-    /// together, as after a power loss, the first reports may be lost; then an early
-    /// report is enough, provided that the predecessor missed this start.
+    /// All flows are known if this process heard the incarnation's start: its first report, or
+    /// the start of one before it. If both started together, as after a power loss, the first
+    /// reports may be lost; then `predecessor` may show that no other process served it.
     #[must_use]
     pub fn new(
         report: &Report,
@@ -144,9 +115,9 @@
         predecessor: Option<&Predecessor>,
         now: Instant,
     ) -> Self {
-        let first_report = (report.seq, now);
-        let missed = predecessor.is_some_and(|p| p.missed_start(&report.incarnation, first_report));
-        let seen = previous.is_some() || report.seq <= FIRST_REPORT_SEQ;
+        let heard_start = report.seq <= FIRST_REPORT_SEQ || previous.is_some_and(|t| t.heard_start);
+        let never_served =
+            predecessor.is_some_and(|p| p.never_served(&report.incarnation, report.seq));
         let mut earlier = previous.map(|t| t.earlier.clone()).unwrap_or_default();
         earlier.extend(previous.map(|t| t.incarnation.clone()));
         let excess = earlier.len().saturating_sub(MAX_EARLIER_INCARNATIONS);
@@ -159,21 +130,14 @@
             state: report.state,
             warm_at: now + report.warmup,
             seq: report.seq,
-            all_flows_known: seen || missed,
-            first_report,
-            presumed: missed && !seen,
+            all_flows_known: heard_start || never_served,
+            first_seq: report.seq,
+            heard_start,
+            presumed: !heard_start,
             ended: false,
         }
     }
 
-    /// Takes into account a predecessor that becomes known after the first report.
-    pub fn learn_predecessor(&mut self, predecessor: &Predecessor) {
-        if !self.all_flows_known && predecessor.missed_start(&self.incarnation, self.first_report) {
-            self.all_flows_known = true;
-            self.presumed = true;
-        }
-    }
-
     /// Applies a later report of the same incarnation unless it was reordered. Returns
     /// whether the target's state changed.
     pub fn update(&mut self, report: &Report, now: Instant) -> bool {
@@ -220,6 +184,12 @@
                 .is_some_and(|(theirs, ours)| theirs < ours)
     }
 
+    /// Highest sequence number of the reports received.
+    #[must_use]
+    pub const fn last_seq(&self) -> u64 {
+        self.seq
+    }
+
     /// Requests that the target processes concurrently.
     #[must_use]
     pub const fn slots(&self) -> u32 {
