Routes: a flow is not reset because this balancer lacks its route

Cause: a packet of an open flow without a route was answered by a reset at once. Another balancer may have opened the flow by a newer configuration; the bound for following one excuses a refused open, no reset.

Now such a packet waits in the queue for packets without a configuration, until the store was read by a request made after it arrived; then its flow is searched for, or reset if there is still no route. While the store does not answer, the packet is dropped.

Related: a route whose weights are all 0, a balancer that starts from an old copy, an unreadable configuration. Left: balancers that follow a large configuration in parts drop the packet, as they cannot prove that a route is gone.

--- a/src/agent/mod.rs
+++ b/src/agent/mod.rs
@@ -226,7 +226,7 @@
                     events::AGENT_STORE_UNREACHABLE
                 )
             }
-            MirrorEvent::Recovered => {}
+            MirrorEvent::Recovered | MirrorEvent::Checked { .. } => {}
         },
     )
     .await;
--- a/src/balancer/view_updater.rs
+++ b/src/balancer/view_updater.rs
@@ -98,7 +98,7 @@
                 );
                 updater.borrow_mut().builder.registry.restart_hold(Instant::now());
             }
-            MirrorEvent::Recovered => {}
+            MirrorEvent::Recovered | MirrorEvent::Checked { .. } => {}
         },
     );
     let hold_checks = async {
--- a/src/edge/entry.rs
+++ b/src/edge/entry.rs
@@ -230,6 +230,10 @@
                 log::info!(event = events::EDGE_STORE, after_loss = store_lost; "store is reachable");
                 store_lost = false;
             }
+            MirrorEvent::Checked { asked_at } if reader.follows_config() => {
+                steering.borrow_mut().set_routes_checked(asked_at);
+            }
+            MirrorEvent::Checked { .. } => {}
             MirrorEvent::StoreFailed(e) if !store_lost => {
                 steering.borrow_mut().set_store_reachable(false, Instant::now());
                 log::warn!(
@@ -323,7 +327,8 @@
             if all_read {
                 steering.tick(now, &mut out);
             }
-            if steering.needs_store() && self.store.watch_directly(now) {
+            let is_stale = steering.needs_store() && self.store.watch_directly(now);
+            if steering.take_route_check(now) || is_stale {
                 self.refresh.notify_one();
             }
             self.process_state.set_ready(steering.is_ready());
--- a/src/edge/snapshot.rs
+++ b/src/edge/snapshot.rs
@@ -18,6 +18,8 @@
 #[derive(Debug, Default)]
 pub struct SnapshotReader {
     config_rev: i64,
+    /// Whether the operators' configuration at `config_rev` cannot be decoded.
+    unreadable: bool,
     index_rev: i64,
     parts: BTreeMap<Arc<str>, (i64, Part)>,
     agents: BTreeMap<Arc<str>, (i64, Option<ListedAgent>)>,
@@ -34,7 +36,7 @@
             && kv.rev != self.config_rev
         {
             self.config_rev = kv.rev;
-            apply_config(steering, kv);
+            self.unreadable = !apply_config(steering, kv);
         }
         if let Some((index, rev)) = &index {
             self.apply_parts(steering, snapshot, index, *rev);
@@ -52,6 +54,12 @@
         }
     }
 
+    /// Whether the configuration in force is at least as new as the operators' in the last snapshot.
+    #[must_use]
+    pub const fn follows_config(&self) -> bool {
+        !self.unreadable
+    }
+
     /// Applies the configuration that a relay published in parts, if it is newer
     /// than the one in force.
     fn apply_parts(
@@ -157,12 +165,16 @@
     None
 }
 
-/// Applies the operators' configuration, unless a newer one is in force.
-fn apply_config(steering: &mut FlowSteering, kv: &Kv) {
-    match platform::config::decode(&kv.value) {
+/// Applies the operators' configuration, unless a newer one is in force. Returns whether it can be
+/// decoded.
+fn apply_config(steering: &mut FlowSteering, kv: &Kv) -> bool {
+    let decoded = platform::config::decode(&kv.value);
+    let is_readable = decoded.is_ok();
+    match decoded {
         Ok(routes) => apply_routes(steering, routes, kv.rev, 0),
         Err(e) => log_unreadable_config(kv, &e),
     }
+    is_readable
 }
 
 /// Applies `routes`; `decoded_parts` is only logged.
--- a/src/steering/lookup.rs
+++ b/src/steering/lookup.rs
@@ -20,13 +20,12 @@
         let ReceivedPacket { seg, now, .. } = *received;
         let flow = received.flow();
         let Some(routes) = &self.routes else { return };
-        let Some(weighted) = routes.service_for(flow) else {
+        let Some(service) = routes.owner_service(flow) else {
             if !seg.flags.rst {
                 send_refusal(flow, seg.ack, Refusal::NoProfile, out);
             }
             return;
         };
-        let service = weighted.service.clone();
         // The packet overtook the update on its open: query the agents that the open was
         // offered to first.
         let (mut search, offered) = match self.flows.remove(flow) {
--- a/src/steering/mod.rs
+++ b/src/steering/mod.rs
@@ -19,6 +19,7 @@
 mod queued;
 mod resolve;
 mod roster;
+mod route_check;
 mod routes;
 mod rtt;
 mod search;
@@ -40,6 +41,7 @@
 use deadlines::DeadlineQueue;
 use packet_queue::QueuedPacket;
 use queries::QueryQueue;
+use route_check::RouteCheck;
 use rtt::RttEstimator;
 
 use crate::events;
@@ -103,8 +105,10 @@
     repeat_slot: Option<Instant>,
     /// Whether the newest configuration was read; until then, flows without a route wait.
     routes_complete: bool,
+    /// What shows that a route which this process does not know exists nowhere.
+    route_check: RouteCheck,
     /// Packets received before the first configuration, or before the newest one if their
-    /// routes are not in the first.
+    /// routes are not in the one in force.
     queued_packets: VecDeque<QueuedPacket>,
     /// When to check whether `queued_packets` can be handled.
     queue_check_at: Option<Instant>,
@@ -134,6 +138,7 @@
             unconfirmed: BTreeMap::new(),
             repeat_slot: None,
             routes_complete: true,
+            route_check: RouteCheck::default(),
             queued_packets: VecDeque::new(),
             queue_check_at: None,
             shutting_down: false,
@@ -186,12 +191,6 @@
         self.routes_complete = complete;
     }
 
-    /// Whether the configuration to come decides what happens to packets of `flow`.
-    fn awaits_routes(&self, flow: Flow) -> bool {
-        let has_route = |r: &Routes| r.route_for(flow).is_some();
-        self.routes.as_ref().is_none_or(|r| !self.routes_complete && !has_route(r))
-    }
-
     /// Applies a list of evacuated data centres, unless a newer one is in force.
     pub fn apply_evacuations(&mut self, list: EvacuationList, now: Instant) {
         self.roster.evacuations.apply(list, now);
@@ -239,12 +238,18 @@
         out: &mut impl Transmit,
     ) {
         let received = ReceivedPacket { seg, packet, now };
-        if self.awaits_routes(received.flow()) {
+        if self.awaits_routes(seg, now) {
             self.queue_packet(&received);
-            return;
+        } else {
+            self.steer_packet(&received, out);
         }
+    }
+
+    /// Handles a packet for which the configuration in force decides.
+    fn steer_packet(&mut self, received: &ReceivedPacket<'_>, out: &mut impl Transmit) {
+        let ReceivedPacket { seg, packet, now } = *received;
         if seg.opens_flow() {
-            self.handle_open(&received, out);
+            self.handle_open(received, out);
             return;
         }
         match self.flows.get(received.flow(), now) {
@@ -252,7 +257,7 @@
                 let message = Message::Forward { service, mode: ForwardMode::Owner };
                 out.send_to_agent(*agent, &message, packet);
             }
-            _ => self.search_owner(&received, out),
+            _ => self.search_owner(received, out),
         }
     }
 
--- a/src/steering/packet_queue.rs
+++ b/src/steering/packet_queue.rs
@@ -23,6 +23,9 @@
             self.queued_packets.pop_front();
         }
         self.queue_check_at.get_or_insert(received.now + self.policy.queue_check_interval);
+        if !received.seg.opens_flow() {
+            self.request_route_check();
+        }
         let (seg, packet) = (*received.seg, received.packet.to_vec());
         self.queued_packets.push_back(QueuedPacket { arrived_at: received.now, seg, packet });
     }
@@ -34,10 +37,10 @@
             if now.duration_since(p.arrived_at) >= self.policy.open_timeout {
                 continue;
             }
-            if self.awaits_routes(p.seg.flow_from_caller()) {
+            if self.awaits_routes(&p.seg, p.arrived_at) {
                 self.queued_packets.push_back(p);
             } else {
-                self.handle_packet(&p.seg, &p.packet, now, out);
+                self.steer_packet(&ReceivedPacket { seg: &p.seg, packet: &p.packet, now }, out);
             }
         }
         if !self.queued_packets.is_empty() {
--- a/src/steering/routes.rs
+++ b/src/steering/routes.rs
@@ -59,6 +59,20 @@
         self.route_for(flow).map(|(_, weighted)| weighted)
     }
 
+    /// The service that most likely holds `flow`, if it is open: as [`Routes::service_for`], or the
+    /// first one of a route that takes no new flows.
+    #[must_use]
+    pub fn owner_service(&self, flow: Flow) -> Option<Arc<str>> {
+        let first = || self.by_address.get(&flow.vip)?.services.first();
+        self.service_for(flow).or_else(first).map(|s| s.service.clone())
+    }
+
+    /// Whether there is a route for `flow`, also if it takes no new flows.
+    #[must_use]
+    pub fn has_route(&self, flow: Flow) -> bool {
+        self.by_address.contains_key(&flow.vip)
+    }
+
     /// The route of `flow` and the service chosen for it; none without a route or
     /// without a positive weight.
     #[must_use]
--- a/src/store/mirror.rs
+++ b/src/store/mirror.rs
@@ -8,7 +8,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use serde::{Deserialize, Serialize};
 use tokio::sync::Notify;
@@ -168,6 +168,11 @@
     /// The store responded for the first time since the start, a failure or
     /// [`Source::refresh`].
     Recovered,
+    /// The snapshot holds every change that the store had acknowledged when it was asked.
+    Checked {
+        /// When it was asked.
+        asked_at: Instant,
+    },
 }
 
 /// Keeps a snapshot current and calls `on_event` for each [`MirrorEvent`]; never
@@ -191,6 +196,7 @@
     loop {
         narrow_prefix = choose_prefix(&snapshot);
         needs_list |= narrow_prefix.is_none() && snapshot.complete_rev < snapshot.rev;
+        let (asked_at, is_listing) = (Instant::now(), needs_list);
         // While recovering, calls do not wait for changes, so that the first response
         // shows at once that the store works.
         let outcome = tokio::select! {
@@ -210,12 +216,20 @@
             } => outcome,
         };
         // Listings at the start may be old and so do not show that the store works.
-        if matches!(outcome, Ok(ReadOutcome::Changed | ReadOutcome::Unchanged)) && recovering {
+        let is_current = matches!(outcome, Ok(ReadOutcome::Changed | ReadOutcome::Unchanged));
+        // A call that waits may be answered by another process.
+        let is_check = is_current && narrow_prefix.is_none() && (recovering || is_listing);
+        if is_current && recovering {
             recovering = false;
             on_event(MirrorEvent::Recovered);
         }
         match outcome {
-            Ok(ReadOutcome::Unchanged) => needs_list = false,
+            Ok(ReadOutcome::Unchanged) => {
+                needs_list = false;
+                if is_check {
+                    on_event(MirrorEvent::Checked { asked_at });
+                }
+            }
             Ok(ReadOutcome::Started) => {
                 start_reads += 1;
                 needs_list &= start_reads < source.start_order.len();
@@ -224,6 +238,9 @@
             Ok(ReadOutcome::Changed) => {
                 needs_list = false;
                 on_event(MirrorEvent::Updated(&snapshot));
+                if is_check {
+                    on_event(MirrorEvent::Checked { asked_at });
+                }
                 if !source.batch_delay.is_zero() {
                     tokio::time::sleep(source.batch_delay).await;
                 }
