Searches: all services that the flow's route has, or has had, are asked

Cause: the owner of a flow that a balancer does not know was searched for among the agents of the one service that the flow's hash gives under the newest weights. The flow opened under earlier ones.

Now a search asks the agents of every service of the route, the best of each service first, and of those that the route had before. As a balancer that starts cannot have seen these, they are recorded in the store: each pair of a route and a service once, when it comes into force, under a condition, by the distributor or by another balancer after 1 to 2 s. Pairs that ended longer ago than flows live go with the next write.

A route with one service that never had another asks whom it did.

--- a/src/edge/entry.rs
+++ b/src/edge/entry.rs
@@ -17,7 +17,7 @@
 use super::pause::{ClockReading, PauseDetector};
 use super::snapshot::SnapshotReader;
 use super::socket::Socket;
-use super::{Settings, connect_store, relay};
+use super::{Settings, connect_store, relay, route_history};
 use crate::admin::{self, ProcessState};
 use crate::flow::Flow;
 use crate::http::{HttpResponse, Server};
@@ -201,6 +201,9 @@
     );
     let (snapshots, latest) = watch::channel(None);
     let relaying = relay::run(client.clone(), relay.clone(), steering.clone(), latest.clone());
+    let distributed = distribution.store.clone();
+    let is_first = move || distributed.is_distributing();
+    let recording = route_history::run(client.clone(), steering.clone(), latest.clone(), is_first);
     let (steering, process_state) = (steering.clone(), process_state.clone());
     tokio::task::spawn_local(async move {
         let distributing = distribution.run(client, latest);
@@ -245,7 +248,7 @@
             }
             MirrorEvent::StoreFailed(_) => {}
         });
-        futures_util::join!(follow, relaying, distributing);
+        futures_util::join!(follow, relaying, recording, distributing);
     })
 }
 
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -11,6 +11,7 @@
 mod registration;
 mod relay;
 mod reports;
+mod route_history;
 mod settings;
 pub mod sidecar;
 pub mod silence;
--- a/src/edge/snapshot.rs
+++ b/src/edge/snapshot.rs
@@ -41,6 +41,7 @@
         if let Some((index, rev)) = &index {
             self.apply_parts(steering, snapshot, index, *rev);
         }
+        steering.apply_route_history(snapshot);
         if self.decode_agents(snapshot) {
             let agents: Vec<ListedAgent> =
                 self.agents.values().filter_map(|(_, a)| a.clone()).collect();
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -64,6 +64,7 @@
 pub mod refusal;
 pub mod relay;
 pub mod request;
+pub mod route_history;
 pub mod script;
 pub mod settings;
 pub mod steering;
--- a/src/relay/parts.rs
+++ b/src/relay/parts.rs
@@ -111,7 +111,9 @@
     }
 }
 
-fn part_number(addr: SocketAddrV4) -> usize {
+/// Number of the part that holds the route of `addr`.
+#[must_use]
+pub fn part_number(addr: SocketAddrV4) -> usize {
     let mut bytes = [0; 6];
     bytes[..4].copy_from_slice(&addr.ip().octets());
     bytes[4..].copy_from_slice(&addr.port().to_be_bytes());
--- a/src/steering/lookup.rs
+++ b/src/steering/lookup.rs
@@ -12,20 +12,23 @@
 use crate::events;
 use crate::flow::{Flow, ReceivedPacket};
 use crate::metrics::{self, Refusal, Retry};
-use crate::protocol::{Answer, FlowStatus, ForwardMode, Message};
+use crate::protocol::{Answer, FlowStatus, ForwardMode, Message, QueriedFlow};
 
 impl FlowSteering {
     /// Buffers a packet and starts a search for its flow's owner, unless one is running.
     pub(super) fn search_owner(&mut self, received: &ReceivedPacket<'_>, out: &mut impl Transmit) {
         let ReceivedPacket { seg, now, .. } = *received;
         let flow = received.flow();
-        let Some(routes) = &self.routes else { return };
-        let Some(service) = routes.owner_service(flow) else {
+        if self.routes.is_none() {
+            return;
+        }
+        let services = self.owner_services(flow);
+        if services.is_empty() {
             if !seg.flags.rst {
                 send_refusal(flow, seg.ack, Refusal::NoProfile, out);
             }
             return;
-        };
+        }
         // The packet overtook the update on its open: query the agents that the open was
         // offered to first.
         let (mut search, offered) = match self.flows.remove(flow) {
@@ -41,7 +44,7 @@
         search.buffer_packet(seg, received.packet, self.buffered_bytes, &self.policy);
         self.buffered_bytes += search.buffered_bytes();
         if !running {
-            search.service = service;
+            search.services = services;
             search.repeat_count = 0;
             search.is_repetition = false;
             self.start_round(flow, &mut search, &offered, now);
@@ -69,10 +72,13 @@
         search.message_count = 0;
         search.repeat_at = None;
         search.agent_count = 0;
-        search.widened = !self.roster.bounds_owners(&search.service);
-        let mut likely = self.roster.offer_candidates(&search.service, flow);
-        let home = self.roster.home_agent(&search.service, &self.zone, flow);
-        for agent in home.into_iter().chain(offered.iter().copied()) {
+        search.add_services(self.owner_services(flow));
+        let services = &search.services;
+        search.widened = !services.iter().any(|s| self.roster.bounds_owners(s));
+        let mut likely: Vec<_> =
+            services.iter().flat_map(|s| self.roster.offer_candidates(s, flow)).collect();
+        let homes = services.iter().filter_map(|s| self.roster.home_agent(s, &self.zone, flow));
+        for agent in homes.chain(offered.iter().copied()) {
             if !likely.contains(&agent) && self.roster.is_responsive(agent) {
                 likely.push(agent);
             }
@@ -104,7 +110,7 @@
             .filter(|a| !self.roster.ended_and_silent(*a) && !search.is_denied_by(*a));
         let (responsive, silent): (Vec<_>, Vec<_>) =
             candidates.partition(|a| self.roster.is_responsive(*a));
-        let mut order = self.roster.rank_by_likelihood(&responsive, &self.zone, flow);
+        let mut order = self.roster.rank_owners(&search.services, &responsive, &self.zone, flow);
         order.extend(silent);
         order.sort_by_key(|a| !offered.contains(a));
         search.unqueried.extend(order);
@@ -114,7 +120,9 @@
     fn widen_round(&self, flow: Flow, search: &mut OwnerSearch) {
         search.widened = true;
         search.wave_index = self.policy.wave_sizes.len();
-        let mut others = self.roster.possible_owners(&search.service, flow);
+        let services = search.services.iter();
+        let mut others: Vec<_> =
+            services.flat_map(|s| self.roster.possible_owners(s, flow)).collect();
         others.retain(|a| !search.has_asked(*a));
         self.add_unqueried(flow, search, &others, &[]);
     }
@@ -127,7 +135,7 @@
         }
         let wave = search.next_wave(&self.policy.wave_sizes);
         for agent in &wave {
-            self.queries.enqueue(*agent, &search.service, search.queried_flow(flow));
+            self.enqueue_query(*agent, search.queried_flow(flow));
         }
         // Fits: a service has far fewer agents.
         search.message_count += wave.len() as u32;
@@ -135,6 +143,12 @@
         self.start_wave_timer(flow, search, now);
     }
 
+    fn enqueue_query(&mut self, agent: SocketAddrV4, queried: QueriedFlow) {
+        if let Some(service) = self.roster.service_of(agent) {
+            self.queries.enqueue(agent, service, queried);
+        }
+    }
+
     fn start_wave_timer(&mut self, flow: Flow, search: &mut OwnerSearch, now: Instant) {
         let deadline = now + self.response_timeout();
         search.wave_started = Some(now);
@@ -165,8 +179,8 @@
             s.unqueried.retain(|a| *a != hint);
             s.pending.push(hint);
             s.message_count += 1;
-            let (service, queried) = (s.service.clone(), s.queried_flow(answer.flow));
-            self.queries.enqueue(hint, &service, queried);
+            let queried = s.queried_flow(answer.flow);
+            self.enqueue_query(hint, queried);
             if let Some(FlowState::Searching(mut s)) = self.flows.remove(answer.flow) {
                 self.start_wave_timer(answer.flow, &mut s, now);
                 self.flows.insert(answer.flow, FlowState::Searching(s), now);
@@ -271,7 +285,8 @@
             // The trial already delivered the last packet; the caller retransmits the rest.
             return;
         }
-        let message = Message::Forward { service: &search.service, mode: ForwardMode::Owner };
+        let Some(service) = self.roster.service_of(from) else { return };
+        let message = Message::Forward { service, mode: ForwardMode::Owner };
         for packet in &search.packets {
             out.send_to_agent(from, &message, packet);
         }
--- a/src/steering/mod.rs
+++ b/src/steering/mod.rs
@@ -14,6 +14,7 @@
 mod evacuation;
 mod lookup;
 mod opens;
+mod owner_services;
 mod packet_queue;
 mod queries;
 mod queued;
@@ -49,6 +50,7 @@
 use crate::metrics::{self, Refusal};
 use crate::policy::BalancerPolicy;
 use crate::protocol::{Answer, FlowStatus, FlowUpdate, ForwardMode, Message};
+use crate::route_history::RouteHistory;
 use crate::token_bucket::TokenBucket;
 
 /// Sends what [`FlowSteering`] decides.
@@ -105,6 +107,10 @@
     repeat_slot: Option<Instant>,
     /// Whether the newest configuration was read; until then, flows without a route wait.
     routes_complete: bool,
+    /// Which services the routes have had.
+    route_history: RouteHistory,
+    /// Version of the configuration that the record is known to cover.
+    recorded_version: Option<u64>,
     /// What shows that a route which this process does not know exists nowhere.
     route_check: RouteCheck,
     /// Packets received before the first configuration, or before the newest one if their
@@ -138,6 +144,8 @@
             unconfirmed: BTreeMap::new(),
             repeat_slot: None,
             routes_complete: true,
+            route_history: RouteHistory::new(idle_timeout),
+            recorded_version: None,
             route_check: RouteCheck::default(),
             queued_packets: VecDeque::new(),
             queue_check_at: None,
@@ -339,9 +347,9 @@
                 o.service
             }
             Some(FlowState::Searching(s)) => {
-                let service = s.service.clone();
                 self.forward_buffered(from, s, out);
-                service
+                let Some(service) = self.roster.service_of(from) else { return };
+                service.clone()
             }
             Some(owned @ FlowState::Owned { .. }) => {
                 self.flows.insert(flow, owned, now);
--- a/src/steering/resolve.rs
+++ b/src/steering/resolve.rs
@@ -61,7 +61,7 @@
             self.unconfirmed.insert(flow, lost);
             return;
         }
-        if lost && self.store_reachable_since.is_some() {
+        if lost && self.store_reachable_since.is_some() && self.covers_services(flow) {
             self.reset_lost(flow, out);
         } else {
             self.try_unverified(flow, now, out);
@@ -70,7 +70,8 @@
     }
 
     /// Decides on the flows whose searches ended while the list of agents may have been old: as
-    /// they ended if the list has not changed since, otherwise by another round.
+    /// they ended if neither the list nor the flow's services have changed since, otherwise by another
+    /// round.
     pub(super) fn resolve_unconfirmed(&mut self, now: Instant, out: &mut impl Transmit) {
         for (flow, lost) in std::mem::take(&mut self.unconfirmed) {
             let Some(FlowState::Searching(s)) = self.flows.peek(flow) else { continue };
@@ -78,7 +79,8 @@
                 // A packet that arrived meanwhile started another round.
                 continue;
             }
-            if s.roster_generation == self.roster.generation() {
+            let is_current = s.roster_generation == self.roster.generation();
+            if is_current && self.covers_services(flow) {
                 self.finish_round(flow, lost, now, out);
             } else if let Some(FlowState::Searching(mut s)) = self.flows.remove(flow) {
                 self.start_round(flow, &mut s, &[], now);
@@ -118,7 +120,7 @@
         if s.tried.len() >= limit {
             return;
         }
-        if s.forward_trial(&[named], out) {
+        if s.forward_trial(&[named], &self.roster, out) {
             s.named_trial = Some(named);
         }
     }
@@ -136,12 +138,12 @@
         let all_known = s.all_queried() && s.silent.iter().all(|a| self.roster.has_left(*a));
         let complete = all_known && self.is_roster_current(now);
         let Some(FlowState::Searching(s)) = self.flows.get(flow, now) else { return };
-        let mut untried = self.roster.rank_by_likelihood(&s.unverified, &self.zone, flow);
+        let mut untried = self.roster.rank_owners(&s.services, &s.unverified, &self.zone, flow);
         untried.retain(|a| !s.tried.contains(a));
         let all = complete && s.tried.len() >= limit && !s.has_pending_trial();
         if !all {
             untried.truncate(limit.saturating_sub(s.tried.len()));
         }
-        s.forward_trial(&untried, out);
+        s.forward_trial(&untried, &self.roster, out);
     }
 }
--- a/src/steering/roster/candidates.rs
+++ b/src/steering/roster/candidates.rs
@@ -1,6 +1,7 @@
 //! Which agents a flow is offered to, and which are its likeliest owners.
 
 use std::net::SocketAddrV4;
+use std::sync::Arc;
 use std::time::Instant;
 
 use super::Roster;
@@ -61,6 +62,27 @@
         order
     }
 
+    /// `agents` of `services`, the likeliest owners of `flow` first: the best of each service, the
+    /// likeliest service first, then the second of each, and so on.
+    #[must_use]
+    pub fn rank_owners(
+        &self,
+        services: &[Arc<str>],
+        agents: &[SocketAddrV4],
+        zone: &str,
+        flow: Flow,
+    ) -> Vec<SocketAddrV4> {
+        let mut ranked = Vec::with_capacity(agents.len());
+        for (n, service) in services.iter().enumerate() {
+            let own = |a: &&SocketAddrV4| self.service_of(**a) == Some(service);
+            let of_service: Vec<_> = agents.iter().filter(own).copied().collect();
+            let order = self.rank_by_likelihood(&of_service, zone, flow);
+            ranked.extend(order.into_iter().enumerate().map(|(rank, a)| (rank, n, a)));
+        }
+        ranked.sort_by_key(|(rank, n, _)| (*rank, *n));
+        ranked.into_iter().map(|(.., a)| a).collect()
+    }
+
     /// The flow's home agent: the one that balancers of `zone` query first for its owner
     /// and, if it accepts flows, offer it first.
     #[must_use]
--- a/src/steering/roster/mod.rs
+++ b/src/steering/roster/mod.rs
@@ -233,6 +233,12 @@
         self.services.get(service).into_iter().flatten().copied()
     }
 
+    /// Service of the agent's target; `None` if the agent is unknown.
+    #[must_use]
+    pub fn service_of(&self, addr: SocketAddrV4) -> Option<&Arc<str>> {
+        self.agents.get(&addr).map(|a| &a.service)
+    }
+
     /// Whether the agent understands [`crate::protocol::Message::RequestOpen`].
     #[must_use]
     pub fn queues_opens(&self, addr: SocketAddrV4) -> bool {
--- a/src/steering/routes.rs
+++ b/src/steering/routes.rs
@@ -59,12 +59,19 @@
         self.route_for(flow).map(|(_, weighted)| weighted)
     }
 
-    /// The service that most likely holds `flow`, if it is open: as [`Routes::service_for`], or the
-    /// first one of a route that takes no new flows.
+    /// The services of which a target may hold `flow`, if it is open, the likeliest first: all of its
+    /// route, as the weights may have been others when it opened. Empty without a route.
     #[must_use]
-    pub fn owner_service(&self, flow: Flow) -> Option<Arc<str>> {
-        let first = || self.by_address.get(&flow.vip)?.services.first();
-        self.service_for(flow).or_else(first).map(|s| s.service.clone())
+    pub fn owner_services(&self, flow: Flow) -> Vec<Arc<str>> {
+        let Some(route) = self.by_address.get(&flow.vip) else { return Vec::new() };
+        let chosen = self.service_for(flow).map(|s| s.service.clone());
+        let mut services: Vec<Arc<str>> = chosen.into_iter().collect();
+        for s in &route.services {
+            if !services.contains(&s.service) {
+                services.push(s.service.clone());
+            }
+        }
+        services
     }
 
     /// Whether there is a route for `flow`, also if it takes no new flows.
--- a/src/steering/search.rs
+++ b/src/steering/search.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use super::Transmit;
+use super::{Roster, Transmit};
 use crate::flow::{Flow, Segment};
 use crate::metrics;
 use crate::policy::BalancerPolicy;
@@ -28,8 +28,8 @@
 /// A search for a flow's owner.
 #[derive(Debug, Default)]
 pub struct OwnerSearch {
-    /// Service of the flow's route.
-    pub service: Arc<str>,
+    /// Services of which a target may hold the flow, the likeliest first.
+    pub services: Vec<Arc<str>>,
     /// Buffered packets; only the last once a round ended without an owner.
     pub(super) packets: VecDeque<Vec<u8>>,
     /// The caller's last acknowledgement number, valid if `has_ack`.
@@ -200,16 +200,27 @@
         }
     }
 
+    /// Adds services of which a target may hold the flow, too.
+    pub(super) fn add_services(&mut self, services: Vec<Arc<str>>) {
+        for service in services {
+            if !self.services.contains(&service) {
+                self.services.push(service);
+            }
+        }
+    }
+
     /// Has `agents` try the last packet at their targets. Returns false if no packet is
     /// buffered.
     pub(super) fn forward_trial(
         &mut self,
         agents: &[SocketAddrV4],
+        roster: &Roster,
         out: &mut impl Transmit,
     ) -> bool {
         let Some(packet) = self.packets.back() else { return false };
-        let message = Message::Forward { service: &self.service, mode: ForwardMode::Try };
         for agent in agents {
+            let Some(service) = roster.service_of(*agent) else { continue };
+            let message = Message::Forward { service, mode: ForwardMode::Try };
             out.send_to_agent(*agent, &message, packet);
         }
         self.tried.extend(agents);
