Store: writes under a lease hold only for the revision that they replace

Cause: agents wrote their entries without a condition, and their checks asked only whether an entry exists. A search asks the agents that are listed under the route's service; the one that held the flows was not.

Now each write of a key under a lease, and each removal, holds only for the revision that is known; a refused one is tried with the revision found. A check asks whether the key is under the process's own lease. An agent that gets a message for another service checks its entry, once a second at most.

The own interface writes as before.

--- a/src/agent/mod.rs
+++ b/src/agent/mod.rs
@@ -76,6 +76,7 @@
             registration_rx,
             lease_ms,
             &Notify::new(),
+            0,
             |_| {},
         )
         .await;
--- a/src/balancer/mod.rs
+++ b/src/balancer/mod.rs
@@ -213,8 +213,16 @@
     };
     let (_sender, value) = tokio::sync::watch::channel(value);
     let check = tokio::sync::Notify::new();
-    store::lease::maintain(&store, &keys.balancer(&balancer.name), value, lease_ms, &check, |_| {})
-        .await;
+    store::lease::maintain(
+        &store,
+        &keys.balancer(&balancer.name),
+        value,
+        lease_ms,
+        &check,
+        0,
+        |_| {},
+    )
+    .await;
 }
 
 const fn ms(v: u64) -> Duration {
--- a/src/edge/held_key.rs
+++ b/src/edge/held_key.rs
@@ -32,7 +32,7 @@
         self.task.spawn_local(async move {
             // Only the presence of the key matters; its value is empty.
             let (_value, values) = watch::channel(Vec::new());
-            lease::maintain(&store, &key, values, lease_ms, &Notify::new(), |_| {}).await;
+            lease::maintain(&store, &key, values, lease_ms, &Notify::new(), 0, |_| {}).await;
         });
     }
 
--- a/src/edge/registration.rs
+++ b/src/edge/registration.rs
@@ -26,13 +26,15 @@
 
 /// Keeps the registration in the store until dropped, from the target's first report
 /// on. An agent that registers without a target and disappears would delay the
-/// searches for flows of its service. Calls `on_written` with the incarnation that the store
+/// searches for flows of its service. `rev` is the revision of an earlier registration, if there is
+/// one. Calls `on_written` with the incarnation that the store
 /// names from then on.
 pub(super) async fn maintain_registration(
     store: platform::kv::Client,
     key: String,
     mut values: watch::Receiver<Vec<u8>>,
     lease_check: &Notify,
+    rev: i64,
     on_written: impl Fn(&Incarnation),
 ) {
     if values.changed().await.is_err() {
@@ -49,7 +51,7 @@
             "written registration cannot be decoded; it counts as not written"
         ),
     };
-    lease::maintain(&store, &key, values, AGENT_LEASE_MS, lease_check, on_written).await;
+    lease::maintain(&store, &key, values, AGENT_LEASE_MS, lease_check, rev, on_written).await;
 }
 
 /// Deletes the registration of an agent whose target has ended, retrying for up to
@@ -225,7 +227,11 @@
     match serde_json::from_slice::<Record>(&kv.value) {
         Ok(record) => {
             let since = record.agent.since.map_or(kv.created, |rev| rev.min(kv.created));
-            PreviousRegistration::Present { predecessor: record.predecessor(kv.rev), since }
+            PreviousRegistration::Present {
+                rev: kv.rev,
+                predecessor: record.predecessor(kv.rev),
+                since,
+            }
         }
         Err(e) => {
             metrics::count_drop("entry_unreadable");
@@ -247,6 +253,8 @@
     Absent,
     /// It is listed.
     Present {
+        /// Revision of its last change.
+        rev: i64,
         /// What it tells of the previous process, if anything.
         predecessor: Option<Predecessor>,
         /// As [`ListedAgent::since`].
--- a/src/edge/sidecar.rs
+++ b/src/edge/sidecar.rs
@@ -45,7 +45,7 @@
 /// Interval at which a stopping agent checks whether its target is idle.
 const IDLE_POLL: Duration = Duration::from_millis(50);
 
-/// Least interval between two repeated writes of the registration. Balancers lag
+/// Least interval between two repeated writes, or two checks, of the registration. Balancers lag
 /// behind the store, so they may report it as missing after it was written.
 const REWRITE_INTERVAL: Duration = Duration::from_millis(1_000);
 
@@ -141,9 +141,14 @@
         let (tracker, registration) = (tracker.clone(), registration.clone());
         async move {
             let previous = read_previous_registration(&store, &key).await;
+            let rev = match previous {
+                PreviousRegistration::Present { rev, .. } => rev,
+                PreviousRegistration::Absent | PreviousRegistration::Unreadable => 0,
+            };
             learn_previous(previous, &mut tracker.borrow_mut(), &registration);
             let on_written = |incarnation: &_| tracker.borrow_mut().record_written(incarnation);
-            maintain_registration(store, key, values, &registration.lease_check, on_written).await;
+            let check = &registration.lease_check;
+            maintain_registration(store, key, values, check, rev, on_written).await;
         }
     });
     super::run_until_stopped(path, forward(&sockets, &tracker, &registration)).await?;
@@ -194,7 +199,7 @@
             tracker.mark_new();
             None
         }
-        PreviousRegistration::Present { predecessor, since } => {
+        PreviousRegistration::Present { predecessor, since, .. } => {
             tracker.set_predecessor(predecessor);
             Some(since)
         }
@@ -249,6 +254,8 @@
     received: bool,
     /// A balancer does not see the agent's registration.
     unregistered: bool,
+    /// A message was for an agent of another service: the registration may be another's.
+    misdirected: bool,
 }
 
 /// Passes messages of balancers and other agents to `tracker`.
@@ -267,6 +274,7 @@
             return;
         };
         activity.unregistered |= message == Message::Ping { listed: false };
+        activity.misdirected |= message.service().is_some_and(|s| s != tracker.service());
         match (packet.is_empty(), packet::decode(packet)) {
             (true, _) => tracker.handle_message(from, &message, None, packet, now, out),
             (false, Ok(seg)) => {
@@ -297,6 +305,7 @@
     let mut buf = vec![0; RECV_BUFFER_BYTES];
     let mut scratch = Vec::with_capacity(protocol::MAX_DATAGRAM_BYTES);
     let mut last_rewrite: Option<Instant> = None;
+    let mut last_check: Option<Instant> = None;
     let mut probes = JoinSet::new();
     let mut silence = SilenceTimer::new(Instant::now());
     let mut pauses = PauseDetector::new(ClockReading::now());
@@ -341,11 +350,13 @@
             // What was just written need not be checked.
             silence.postpone(registered_at);
         }
+        let is_due = |at: Instant| now.duration_since(at) >= REWRITE_INTERVAL;
         let target_alive = tracker.target().is_some_and(Target::is_alive);
-        if activity.unregistered
-            && target_alive
-            && last_rewrite.is_none_or(|at| now.duration_since(at) >= REWRITE_INTERVAL)
-        {
+        if activity.misdirected && last_check.is_none_or(is_due) {
+            last_check = Some(now);
+            registration.lease_check.notify_one();
+        }
+        if activity.unregistered && target_alive && last_rewrite.is_none_or(is_due) {
             last_rewrite = Some(now);
             log::info!(
                 event = events::EDGE_STORE;
--- a/src/platform/kv.rs
+++ b/src/platform/kv.rs
@@ -17,7 +17,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::store::revision::{self, LatestEra, RevisionText};
-use crate::store::{Change, Kv, LeaseStore, WatchBatch, WatchStore};
+use crate::store::{Change, Kv, LeaseStore, PutOutcome, WatchBatch, WatchStore};
 use crate::{events, metrics};
 
 /// Largest response body: a page of about 1 MB, at most doubled by base64 and
@@ -149,6 +149,13 @@
     revision: i64,
 }
 
+/// Body of a transaction whose conditions do not hold.
+#[derive(Debug, Deserialize)]
+struct Conflict {
+    /// The items of the conditions that exist.
+    items: Vec<Item>,
+}
+
 #[derive(Debug, Deserialize)]
 struct LeaseGrant {
     lease: i64,
@@ -220,6 +227,14 @@
         if !res.status().is_success() {
             bail!("{operation} at store {}: status {}", self.addr, res.status());
         }
+        self.read_body(operation, res).await
+    }
+
+    async fn read_body<A: serde::de::DeserializeOwned>(
+        &self,
+        operation: &str,
+        res: ClientResponse,
+    ) -> anyhow::Result<A> {
         let body = tokio::time::timeout(self.timeout, res.body().limit(MAX_RESPONSE_BYTES))
             .await
             .map_err(|_| {
@@ -343,7 +358,7 @@
         self.send(operation, req, Some(serde_json::to_vec(txn)?), self.timeout).await
     }
 
-    async fn commit(&self, operation: &str, txn: &TxnRequest<'_>) -> anyhow::Result<()> {
+    async fn commit(&self, operation: &str, txn: &TxnRequest<'_>) -> anyhow::Result<PutOutcome> {
         let sent = self.send_txn(operation, txn).await;
         if sent.is_err() && self.first_commit.get().is_none() {
             // It may have been executed, or may be later.
@@ -351,13 +366,18 @@
         }
         let res = sent?;
         let era = read_era(&res).unwrap_or_default();
+        if res.status() == StatusCode::PRECONDITION_FAILED {
+            let Conflict { items } = self.read_body(operation, res).await?;
+            let current = items.first().map_or(0, |item| item.revision);
+            return Ok(PutOutcome::Conflict(self.compose_rev(operation, era, current)?));
+        }
         // An unread response body would break the next call on the connection.
         let result: TxnResult = self.read_json(operation, res).await?;
+        let rev = self.compose_rev(operation, era, result.revision)?;
         if self.first_commit.get().is_none() {
-            let rev = self.compose_rev(operation, era, result.revision)?;
             self.first_commit.set(Some(FirstCommit { rev, at: Instant::now() }));
         }
-        Ok(())
+        Ok(PutOutcome::Written(rev))
     }
 
     /// The first write of this client and its clones.
@@ -438,9 +458,35 @@
     async fn put(&self, key: &str, value: &[u8], lease: i64) -> anyhow::Result<()> {
         let txn =
             TxnRequest { writes: vec![Write::new(key, value, lease)], ..TxnRequest::default() };
+        self.commit(&format!("put {key}"), &txn).await.map(drop)
+    }
+
+    async fn put_at(
+        &self,
+        key: &str,
+        value: &[u8],
+        lease: i64,
+        rev: i64,
+    ) -> anyhow::Result<PutOutcome> {
+        if rev != 0 && revision::era(rev) < self.era.get() {
+            // The restored store may have given the revision to another value.
+            let current = self.get(key).await?;
+            return Ok(PutOutcome::Conflict(current.map_or(0, |kv| kv.rev)));
+        }
+        let txn = TxnRequest {
+            expected_rev: vec![Condition { key, revision: revision::counter(rev) }],
+            writes: vec![Write::new(key, value, lease)],
+            ..TxnRequest::default()
+        };
         self.commit(&format!("put {key}"), &txn).await
     }
 
+    async fn holds(&self, key: &str, lease: i64) -> anyhow::Result<bool> {
+        let is_own = |kv: Option<Kv>| kv.is_some_and(|kv| kv.lease == lease);
+        // A key that was written in the last seconds may be missing in an old read.
+        Ok(is_own(self.get_stale(key).await?) || is_own(self.get(key).await?))
+    }
+
     async fn exists(&self, key: &str) -> anyhow::Result<bool> {
         Ok(self.get_stale(key).await?.is_some())
     }
@@ -453,9 +499,22 @@
         self.era.get()
     }
 
+    /// Removes the key as it is now: one that another process writes later is left alone, also if
+    /// the call is executed late.
     async fn delete(&self, key: &str) -> anyhow::Result<()> {
-        let txn = TxnRequest { remove: vec![key], ..TxnRequest::default() };
-        self.commit(&format!("delete {key}"), &txn).await
+        let operation = format!("delete {key}");
+        while let Some(kv) = self.get(key).await? {
+            let expected = Condition { key, revision: revision::counter(kv.rev) };
+            let txn = TxnRequest {
+                expected_rev: vec![expected],
+                remove: vec![key],
+                ..TxnRequest::default()
+            };
+            if let PutOutcome::Written(_) = self.commit(&operation, &txn).await? {
+                break;
+            }
+        }
+        Ok(())
     }
 }
 
--- a/src/protocol/mod.rs
+++ b/src/protocol/mod.rs
@@ -105,6 +105,20 @@
         }
     }
 
+    /// Service of the agents that it is meant for, if it names one.
+    #[must_use]
+    pub const fn service(&self) -> Option<&str> {
+        match self {
+            Self::Open(open)
+            | Self::PacedOpen(open, _)
+            | Self::RequestOpen(open, ..)
+            | Self::BoundedOpen(open, ..) => Some(open.service),
+            Self::Forward { service, .. } | Self::Steal { service, .. } => Some(service),
+            Self::Query(query) => Some(query.service),
+            _ => None,
+        }
+    }
+
     /// Whether it forwards a packet to the known owner of its flow, rather than locating
     /// or placing a flow.
     #[must_use]
--- a/src/store/lease.rs
+++ b/src/store/lease.rs
@@ -2,8 +2,9 @@
 //! balancer, which disappears when its process dies.
 //!
 //! The lease is renewed at a third of its time to live. When it has expired, the key is
-//! missing or the store was restored from an older copy, a new lease is granted and the key
-//! written again.
+//! missing, another process has written it or the store was restored from an older copy, a new
+//! lease is granted and the key written again. Every write is conditional: one without an answer may be
+//! executed after another process has taken over the key.
 
 use std::time::Duration;
 
@@ -11,7 +12,7 @@
 use tokio::sync::{Notify, watch};
 use tokio::time::Instant;
 
-use super::LeaseStore;
+use super::{LeaseStore, PutOutcome};
 use crate::events;
 use crate::metrics::{self, Retry};
 
@@ -19,28 +20,33 @@
 /// outage an expired key stays missing, which may be about 2 s.
 const MAX_RETRY_PAUSE: Duration = Duration::from_millis(500);
 
+/// Writes tried in a row while the key turns out to be at another revision than the last one known.
+const MAX_CONFLICTS: u32 = 3;
+
 /// Keeps `key` set to the latest `value` under a lease of `lease_ms` (at least
 /// 1 s); never returns. On a notification of `check` it verifies that the key
-/// still exists. Calls `on_written` with each value that the store acknowledged.
+/// is still its own. `rev` is the key's revision as far as it is known; 0 if it did not exist. Calls
+/// `on_written` with each value that the store acknowledged.
 pub async fn maintain<L: LeaseStore>(
     store: &L,
     key: &str,
     mut value: watch::Receiver<Vec<u8>>,
     lease_ms: u64,
     check: &Notify,
+    mut rev: i64,
     on_written: impl Fn(&[u8]),
 ) {
     let ttl = Duration::from_millis(lease_ms.max(1_000));
     let renew_interval = Duration::from_millis((lease_ms / 3).max(100));
     loop {
         let latest = value.borrow_and_update().clone();
-        match acquire(store, key, &latest, ttl).await {
+        match acquire(store, key, &latest, ttl, &mut rev).await {
             Ok(held) => {
                 on_written(&latest);
                 // What was just written need not be checked: drops an earlier notification.
                 let _ = check.notified().now_or_never();
                 let renewal = Renewal { interval: renew_interval, check, on_written: &on_written };
-                renew_until_lost(store, key, held, &mut value, &renewal).await;
+                renew_until_lost(store, key, held, &mut value, &mut rev, &renewal).await;
             }
             Err(e) => {
                 record_failure(&e);
@@ -63,13 +69,35 @@
     key: &str,
     value: &[u8],
     ttl: Duration,
+    rev: &mut i64,
 ) -> anyhow::Result<HeldLease> {
     let id = store.grant(ttl).await?;
     let era = store.era();
-    store.put(key, value, id).await?;
+    replace(store, key, value, id, rev).await?;
     Ok(HeldLease { id, era })
 }
 
+/// Writes `key` over whatever it has: only the process that runs has a claim to it. `rev` is
+/// the key's revision as far as it is known, before and after.
+async fn replace<L: LeaseStore>(
+    store: &L,
+    key: &str,
+    value: &[u8],
+    lease: i64,
+    rev: &mut i64,
+) -> anyhow::Result<()> {
+    for _ in 0..MAX_CONFLICTS {
+        match store.put_at(key, value, lease, *rev).await? {
+            PutOutcome::Written(written) => {
+                *rev = written;
+                return Ok(());
+            }
+            PutOutcome::Conflict(current) => *rev = current,
+        }
+    }
+    anyhow::bail!("put {key}: changed by another process {MAX_CONFLICTS} times")
+}
+
 /// How a lease is renewed.
 struct Renewal<'a, F> {
     interval: Duration,
@@ -78,12 +106,13 @@
 }
 
 /// Renews `held` and writes new values; returns when the lease has expired, the
-/// key is missing, a write failed, or the store was restored.
+/// key is missing or another process's, a write failed, or the store was restored.
 async fn renew_until_lost<L: LeaseStore, F: Fn(&[u8])>(
     store: &L,
     key: &str,
     held: HeldLease,
     value: &mut watch::Receiver<Vec<u8>>,
+    rev: &mut i64,
     renewal: &Renewal<'_, F>,
 ) {
     let renew_interval = renewal.interval;
@@ -92,12 +121,12 @@
     let lease = held.id;
     while store.era() == held.era {
         tokio::select! {
-            () = renewal.check.notified() => match is_listed(store, key).await {
+            () = renewal.check.notified() => match store.holds(key, lease).await {
                 Ok(true) => {}
                 Ok(false) => {
                     log::warn!(
                         event = events::AGENT_LEASE_EXPIRED, key = key, lease = lease;
-                        "key is missing; acquiring a new lease for it"
+                        "key is missing or not this process's own; acquiring a new lease for it"
                     );
                     metrics::count_retry(Retry::LeaseExpired);
                     return;
@@ -121,7 +150,7 @@
             },
             Ok(()) = value.changed() => {
                 let latest = value.borrow_and_update().clone();
-                if let Err(e) = store.put(key, &latest, lease).await {
+                if let Err(e) = replace(store, key, &latest, lease, rev).await {
                     // The lease may have expired; the caller acquires a new one.
                     record_failure(&e);
                     return;
@@ -137,11 +166,6 @@
     metrics::count_retry(Retry::LeaseExpired);
 }
 
-/// Whether the key exists. One that was written in the last seconds may be missing in an old read.
-async fn is_listed<L: LeaseStore>(store: &L, key: &str) -> anyhow::Result<bool> {
-    Ok(store.exists(key).await? || store.exists_now(key).await?)
-}
-
 fn record_failure(e: &anyhow::Error) {
     log::warn!(
         event = events::AGENT_STORE_UNREACHABLE, error:% = format!("{e:#}");
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -21,7 +21,7 @@
 pub use client::{Client, WatchBatch};
 pub use mirror::Snapshot;
 pub use server::{Faults, serve};
-pub use traits::{LeaseStore, WatchStore};
+pub use traits::{LeaseStore, PutOutcome, WatchStore};
 
 /// A key with its value, decoded.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/src/store/traits.rs
+++ b/src/store/traits.rs
@@ -44,6 +44,15 @@
     fn note_listing(&self, _old: &Snapshot, _new: &Snapshot) {}
 }
 
+/// Outcome of a conditional write.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PutOutcome {
+    /// The key was written, at this revision.
+    Written(i64),
+    /// Nothing was written, as the key is at this other revision; 0 if it does not exist.
+    Conflict(i64),
+}
+
 /// A store whose keys can be attached to leases.
 pub trait LeaseStore {
     /// Grants a lease; returns its identifier.
@@ -68,6 +77,33 @@
     /// As [`LeaseStore::grant`].
     fn put(&self, key: &str, value: &[u8], lease: i64) -> impl Future<Output = anyhow::Result<()>>;
 
+    /// Writes one key under `lease` if it is at revision `rev` (0: if it does not exist), so that
+    /// a call which is executed late does not replace a newer value. A store without
+    /// conditions writes it in any case.
+    ///
+    /// # Errors
+    ///
+    /// As [`LeaseStore::grant`].
+    fn put_at(
+        &self,
+        key: &str,
+        value: &[u8],
+        lease: i64,
+        _rev: i64,
+    ) -> impl Future<Output = anyhow::Result<PutOutcome>> {
+        async move { self.put(key, value, lease).await.map(|()| PutOutcome::Written(0)) }
+    }
+
+    /// Whether the key exists and is attached to `lease`. A store that does not tell leases
+    /// answers whether it exists.
+    ///
+    /// # Errors
+    ///
+    /// As [`LeaseStore::grant`].
+    fn holds(&self, key: &str, _lease: i64) -> impl Future<Output = anyhow::Result<bool>> {
+        async move { Ok(self.exists(key).await? || self.exists_now(key).await?) }
+    }
+
     /// Whether the key exists, or did some seconds ago. The service may lose keys whose
     /// leases have not expired.
     ///
--- a/src/tracker/mod.rs
+++ b/src/tracker/mod.rs
@@ -202,6 +202,12 @@
         self.waiting
     }
 
+    /// Service of the target.
+    #[must_use]
+    pub fn service(&self) -> &str {
+        &self.service
+    }
+
     /// State of the target; `None` before its first report.
     #[must_use]
     pub const fn target(&self) -> Option<&Target> {
--- a/tests/lease_renewal.rs
+++ b/tests/lease_renewal.rs
@@ -80,7 +80,7 @@
     };
     tokio::select! {
         () = busy => store.record_renewal(),
-        () = lease::maintain(&store, "key", values, TTL_MS, &check, |_| {}) => unreachable!(),
+        () = lease::maintain(&store, "key", values, TTL_MS, &check, 0, |_| {}) => unreachable!(),
     }
     let longest_gap = store.longest_gap.get();
     assert!(longest_gap < Duration::from_millis(TTL_MS), "not renewed for {longest_gap:?}");
@@ -94,7 +94,7 @@
     let (_value, values) = watch::channel(vec![0]);
     let check = Notify::new();
     check.notify_one();
-    let maintain = lease::maintain(&store, "key", values, TTL_MS, &check, |_| {});
+    let maintain = lease::maintain(&store, "key", values, TTL_MS, &check, 0, |_| {});
     let _ = tokio::time::timeout(100 * MS, maintain).await;
     assert_eq!(store.key_checks.get(), 0);
 }
--- a/tests/process_suspension.rs
+++ b/tests/process_suspension.rs
@@ -179,7 +179,7 @@
     let check = Notify::new();
     let delay = tokio::select! {
         delay = store.second_call() => delay,
-        () = lease::maintain(&store, "key", values, 10_000, &check, |_| {}) => unreachable!(),
+        () = lease::maintain(&store, "key", values, 10_000, &check, 0, |_| {}) => unreachable!(),
     };
     assert!(delay < MAX_LEASE_DELAY, "next attempt {delay:?} after the resumption");
 }
